State what an instance identifier names

Cause: settings name the instance, so a restarted process keeps the identifier. Ruled out: an identifier for each process; membership tells processes apart by an epoch. Measured: nothing. Conclusion: comment matches the design.

--- a/process/topology/topology.go
+++ b/process/topology/topology.go
@@ -7,7 +7,7 @@
 	"fmt"
 )
 
-// InstanceID names one running entry daemon. A restarted process gets a new one.
+// InstanceID names one entry instance, as its settings do.
 type InstanceID string
 
 // FailureDomain names a set of machines that can fail together.
