Report where a transaction's outcome was recorded

Cause: a promoted primary continues transaction ids from what it received, so an id that the replaced primary assigned can come back for another transaction, and its outcome would be taken for the lost one's. Ruled out: trusting the id alone; asking only before the first new write. Conclusion: an optional field; the reader compares its term with the commit's.

--- a/process/platform/platform.go
+++ b/process/platform/platform.go
@@ -33,6 +33,11 @@
 // with the state of the target that gave it.
 type TransactionReport struct {
 	Outcome TransactionOutcome `json:"outcome"`
+	// Recorded is the place of the log entry that settled the transaction. A
+	// primary of a later term can assign an identifier again that its
+	// predecessor had assigned without replicating it; the term tells the two
+	// apart. Zero means that the platform does not say.
+	Recorded topology.Point `json:"recorded"`
 	Status  topology.Status    `json:"status"`
 }
 
