--- a/process/platform/platform.go
+++ b/process/platform/platform.go
@@ -37,8 +37,8 @@
 	// primary of a later term can assign an identifier again that its
 	// predecessor had assigned without replicating it; the term tells the two
 	// apart. Zero means that the platform does not say.
-	Recorded topology.Point `json:"recorded"`
-	Status  topology.Status    `json:"status"`
+	Recorded topology.Point  `json:"recorded"`
+	Status   topology.Status `json:"status"`
 }
 
 // Target addresses one member of a group.
