--- /dev/null
+++ b/process/pool/errors.go
@@ -0,0 +1,39 @@
+package pool
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+// ErrClosed reports that the pool was closed. Nothing was sent to the target.
+var ErrClosed = errors.New("acquire connection: pool closed")
+
+// Busy reports that no connection came free within the bounds of the queue.
+// Nothing was sent to the target.
+type Busy struct {
+	Target topology.TargetID
+	Waited time.Duration
+}
+
+// Error implements error.
+func (b *Busy) Error() string {
+	return fmt.Sprintf("acquire connection to %s: busy after %v", b.Target, b.Waited)
+}
+
+// DialError reports that no connection to the target is open and that the
+// latest dial failed. Nothing was sent to the target.
+type DialError struct {
+	Target topology.TargetID
+	Err    error
+}
+
+// Error implements error.
+func (d *DialError) Error() string {
+	return fmt.Sprintf("acquire connection to %s: dial: %v", d.Target, d.Err)
+}
+
+// Unwrap returns the error of the dial.
+func (d *DialError) Unwrap() error { return d.Err }
