Ask the members of a group in shared rounds

Cause: read floors and acknowledgements need answers of a majority that were requested after the call, and must not wait for a slow member. Ruled out: global rounds that end at the slowest answer (a hung replica would hold every waiter for the request timeout); answers gathered over any length of time for a commit (an old answer could come from before a promotion, so they count within one request timeout). Conclusion: each member has one request in flight, a request serves all who joined before it.

--- /dev/null
+++ b/process/group/grouptest/platform.go
@@ -0,0 +1,140 @@
+package grouptest
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+// ErrDown is returned for a member that is down.
+var ErrDown = errors.New("target is down")
+
+// Platform serves a group as platform.Groups with a latency, on real or bubble
+// time. It is safe for concurrent use.
+type Platform struct {
+	// Latency is the one-way time of every call.
+	Latency time.Duration
+
+	mu struct {
+		sync.Mutex
+		group *Group
+		hung  map[topology.TargetID]bool
+		calls int
+	}
+}
+
+var _ platform.Groups = (*Platform)(nil)
+
+// NewPlatform returns a platform that serves the group.
+func NewPlatform(group *Group, latency time.Duration) *Platform {
+	p := &Platform{Latency: latency}
+	p.mu.group = group
+	p.mu.hung = make(map[topology.TargetID]bool)
+	return p
+}
+
+// Do runs f on the group under the platform's lock.
+func (p *Platform) Do(f func(*Group)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(p.mu.group)
+}
+
+// Hang makes a member keep every call unanswered, or answer again.
+func (p *Platform) Hang(id topology.TargetID, hung bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mu.hung[id] = hung
+}
+
+// Calls returns how many calls reached a member.
+func (p *Platform) Calls() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mu.calls
+}
+
+// Status implements platform.Groups.
+func (p *Platform) Status(ctx context.Context, target platform.Target) (topology.Status, error) {
+	var status topology.Status
+	err := p.call(ctx, target.ID, func(_ *Group, m *Member) error {
+		status = m.Status()
+		return nil
+	})
+	return status, err
+}
+
+// Fence implements platform.Groups.
+func (p *Platform) Fence(ctx context.Context, target platform.Target, term topology.Term) (topology.Status, error) {
+	var status topology.Status
+	err := p.call(ctx, target.ID, func(g *Group, m *Member) error {
+		err := g.Fence(m, term)
+		status = m.Status()
+		return err
+	})
+	return status, err
+}
+
+// Promote implements platform.Groups.
+func (p *Platform) Promote(ctx context.Context, target platform.Target, term topology.Term) (topology.Status, error) {
+	var status topology.Status
+	err := p.call(ctx, target.ID, func(g *Group, m *Member) error {
+		err := g.Promote(m, term)
+		status = m.Status()
+		return err
+	})
+	return status, err
+}
+
+// TransactionStatus implements platform.Groups.
+func (p *Platform) TransactionStatus(ctx context.Context, target platform.Target, transaction uint64) (platform.TransactionReport, error) {
+	var report platform.TransactionReport
+	err := p.call(ctx, target.ID, func(_ *Group, m *Member) error {
+		report = m.TransactionStatus(transaction)
+		return nil
+	})
+	return report, err
+}
+
+func (p *Platform) call(ctx context.Context, id topology.TargetID, f func(*Group, *Member) error) error {
+	if err := wait(ctx, p.Latency); err != nil {
+		return err
+	}
+	if err := p.run(ctx, id, f); err != nil {
+		return err
+	}
+	return wait(ctx, p.Latency)
+}
+
+func (p *Platform) run(ctx context.Context, id topology.TargetID, f func(*Group, *Member) error) error {
+	p.mu.Lock()
+	hung := p.mu.hung[id]
+	p.mu.Unlock()
+	if hung {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mu.calls++
+	member := p.mu.group.Member(id)
+	if member == nil {
+		return ErrDown
+	}
+	return f(p.mu.group, member)
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/process/group/wait.go
@@ -0,0 +1,91 @@
+package group
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+// View returns the latest view without waiting.
+func (d *Driver) View() *View { return d.view.Load() }
+
+// Refresh implements Watcher. It fails with ErrNoEvidence when ctx ends first.
+func (d *Driver) Refresh(ctx context.Context) (*View, error) {
+	if _, err := d.await(ctx, Need{Kind: NeedView}); err != nil {
+		return nil, eris.Wrapf(err, "refresh the view of %s", d.config.Service)
+	}
+	return d.View(), nil
+}
+
+// ReadFloor implements Watcher. It fails with ErrNoEvidence when ctx ends first.
+func (d *Driver) ReadFloor(ctx context.Context) (topology.Point, error) {
+	result, err := d.await(ctx, Need{Kind: NeedFloor})
+	if err != nil {
+		return topology.Point{}, eris.Wrapf(err, "read the floor of %s", d.config.Service)
+	}
+	return result.Point, nil
+}
+
+// ConfirmCommit implements Watcher.
+func (d *Driver) ConfirmCommit(ctx context.Context, commit Commit) (topology.Point, error) {
+	result, err := d.await(ctx, Need{Kind: NeedCommit, Commit: commit})
+	if err == nil && result.Replaced {
+		err = ErrReplaced
+	}
+	if err != nil {
+		return topology.Point{}, eris.Wrapf(err, "confirm a commit on %s at term %d", commit.Target, commit.Term)
+	}
+	return result.Point, nil
+}
+
+// ResolveTransaction implements Watcher. It fails with ErrNoEvidence when ctx
+// ends first; the outcome is then unknown.
+func (d *Driver) ResolveTransaction(ctx context.Context, commit Commit, transaction uint64) (platform.TransactionOutcome, topology.Point, error) {
+	result, err := d.await(ctx, Need{Kind: NeedOutcome, Commit: commit, Transaction: transaction})
+	if err != nil {
+		return platform.OutcomeUnknown, topology.Point{}, eris.Wrapf(err, "resolve a transaction of %s at term %d", commit.Target, commit.Term)
+	}
+	eventOutcomeResolved.Log(d.log, "target", commit.Target, "term", commit.Term, "outcome", result.Outcome)
+	return result.Outcome, result.Point, nil
+}
+
+// Suspect implements Watcher: the members are asked at once, unless they are
+// being asked for an earlier suspicion.
+func (d *Driver) Suspect(topology.TargetID) {
+	d.step(func(now time.Duration, out *Output) {
+		if _, open := d.mu.waiters[d.mu.suspicion]; open {
+			return
+		}
+		d.mu.next++
+		d.mu.suspicion = d.mu.next
+		d.mu.waiters[d.mu.suspicion] = make(chan Result, 1)
+		d.mu.rounds.Join(now, d.mu.suspicion, Need{Kind: NeedView}, out)
+	})
+}
+
+// await joins the rounds and waits for the result.
+func (d *Driver) await(ctx context.Context, need Need) (Result, error) {
+	done := make(chan Result, 1)
+	var id WaiterID
+	d.step(func(now time.Duration, out *Output) {
+		d.mu.next++
+		id = d.mu.next
+		d.mu.waiters[id] = done
+		d.mu.rounds.Join(now, id, need, out)
+	})
+	select {
+	case result := <-done:
+		return result, nil
+	case <-ctx.Done():
+	case <-d.ctx.Done():
+	}
+	d.step(func(time.Duration, *Output) {
+		delete(d.mu.waiters, id)
+		d.mu.rounds.Leave(id)
+	})
+	return Result{}, ErrNoEvidence
+}
