Add a stand-in for database groups

Cause: the proxy needs groups that speak the PostgreSQL protocol, replicate late, can be fenced and promoted, and fail on demand; no third-party server is available. Ruled out: one package for all: the log and terms (database), the statements (statement) and the protocol (session) know nothing of each other's faults. Before and after: none before.

--- /dev/null
+++ b/standin/session/extended.go
@@ -0,0 +1,179 @@
+package session
+
+import (
+	"encoding/binary"
+	"errors"
+	"strconv"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgtype"
+
+	"samphirehitch.example/samphirehitch/standin/database"
+	"samphirehitch.example/samphirehitch/standin/statement"
+)
+
+type preparedStatement struct {
+	statement  statement.Statement
+	parameters []uint32
+}
+
+// portal is a bound statement. Its rows wait there when a caller asks for a few
+// at a time.
+type portal struct {
+	statement statement.Statement
+	arguments []string
+	formats   []int16
+	ran       bool
+	result    result
+}
+
+// extended turns an error of an extended query message into an answer.
+func (s *Session) extended(err error) error {
+	if err == nil || errors.Is(err, errClosed) {
+		return err
+	}
+	s.fail(err)
+	s.skipping = true
+	return nil
+}
+
+func (s *Session) parse(message *pgproto3.Parse) error {
+	if len(statement.Split(message.Query)) > 1 {
+		return &database.Error{Code: "42601", Message: "cannot insert multiple commands into a prepared statement"}
+	}
+	if _, taken := s.prepared[message.Name]; taken && message.Name != "" {
+		return &database.Error{Code: "42P05", Message: "prepared statement already exists"}
+	}
+	st := statement.Recognize(message.Query)
+	if st.Kind == statement.Unknown {
+		return errSyntax
+	}
+	parameters := make([]uint32, max(st.Parameters, len(message.ParameterOIDs)))
+	copy(parameters, message.ParameterOIDs)
+	for i, oid := range parameters {
+		if oid == 0 {
+			parameters[i] = pgtype.TextOID
+		}
+	}
+	s.prepared[message.Name] = preparedStatement{statement: st, parameters: parameters}
+	s.backend.Send(&pgproto3.ParseComplete{})
+	return nil
+}
+
+func (s *Session) bind(message *pgproto3.Bind) error {
+	prepared, found := s.prepared[message.PreparedStatement]
+	if !found {
+		return &database.Error{Code: "26000", Message: "prepared statement does not exist"}
+	}
+	if len(message.Parameters) != len(prepared.parameters) {
+		return &database.Error{Code: "08P01", Message: "wrong number of parameters"}
+	}
+	bound := &portal{statement: prepared.statement}
+	bound.formats = append(bound.formats, message.ResultFormatCodes...)
+	for i, value := range message.Parameters {
+		argument, err := decodeArgument(value, prepared.parameters[i], formatAt(message.ParameterFormatCodes, i))
+		if err != nil {
+			return err
+		}
+		bound.arguments = append(bound.arguments, argument)
+	}
+	s.portals[message.DestinationPortal] = bound
+	s.backend.Send(&pgproto3.BindComplete{})
+	return nil
+}
+
+// formatAt applies the rule for format codes: none means text, one holds for all.
+func formatAt(formats []int16, i int) int16 {
+	switch len(formats) {
+	case 0:
+		return pgtype.TextFormatCode
+	case 1:
+		return formats[0]
+	default:
+		return formats[min(i, len(formats)-1)]
+	}
+}
+
+func decodeArgument(value []byte, oid uint32, format int16) (string, error) {
+	if format == pgtype.TextFormatCode {
+		return string(value), nil
+	}
+	switch {
+	case oid == pgtype.Int8OID && len(value) == 8:
+		return strconv.FormatInt(int64(binary.BigEndian.Uint64(value)), 10), nil
+	case oid == pgtype.Int4OID && len(value) == 4:
+		return strconv.FormatInt(int64(int32(binary.BigEndian.Uint32(value))), 10), nil
+	case oid == pgtype.TextOID || oid == pgtype.VarcharOID:
+		return string(value), nil
+	default:
+		return "", &database.Error{Code: "22P03", Message: "incorrect binary data format"}
+	}
+}
+
+func (s *Session) describe(message *pgproto3.Describe) error {
+	if message.ObjectType == 'S' {
+		prepared, found := s.prepared[message.Name]
+		if !found {
+			return &database.Error{Code: "26000", Message: "prepared statement does not exist"}
+		}
+		s.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: prepared.parameters})
+		s.sendDescription(prepared.statement, nil)
+		return nil
+	}
+	bound, found := s.portals[message.Name]
+	if !found {
+		return &database.Error{Code: "34000", Message: "portal does not exist"}
+	}
+	s.sendDescription(bound.statement, bound.formats)
+	return nil
+}
+
+func (s *Session) sendDescription(st statement.Statement, formats []int16) {
+	if st.Columns == nil {
+		s.backend.Send(&pgproto3.NoData{})
+		return
+	}
+	s.backend.Send(rowDescription(st.Columns, formats))
+}
+
+func (s *Session) execute(message *pgproto3.Execute) error {
+	bound, found := s.portals[message.Portal]
+	if !found {
+		return &database.Error{Code: "34000", Message: "portal does not exist"}
+	}
+	if bound.statement.Kind == statement.Empty {
+		s.backend.Send(&pgproto3.EmptyQueryResponse{})
+		return nil
+	}
+	if !bound.ran {
+		result, err := s.run(bound.statement, bound.arguments)
+		if err != nil {
+			return err
+		}
+		bound.ran, bound.result = true, result
+	}
+	if bound.result.copied != nil {
+		return s.sendCopy(bound.result)
+	}
+	rows := bound.result.rows
+	if limit := int(message.MaxRows); limit > 0 && len(rows) > limit {
+		bound.result.rows = rows[limit:]
+		s.sendRows(bound.result, rows[:limit], bound.formats)
+		s.backend.Send(&pgproto3.PortalSuspended{})
+		return nil
+	}
+	bound.result.rows = nil
+	s.sendRows(bound.result, rows, bound.formats)
+	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(bound.result.tag)})
+	return nil
+}
+
+func (s *Session) closeObject(message *pgproto3.Close) error {
+	if message.ObjectType == 'S' {
+		delete(s.prepared, message.Name)
+	} else {
+		delete(s.portals, message.Name)
+	}
+	s.backend.Send(&pgproto3.CloseComplete{})
+	return nil
+}
