Add the stand-in program and its admin calls

Cause: trials of the proxy on one machine need the platform as processes whose faults can be set from outside. Ruled out: settings in a file: the stand-ins have few settings and live for a trial; members are JSON values of a repeatable flag. Conclusion: samphirehitch-standin store and group can be used.

--- /dev/null
+++ b/standin/program/program.go
@@ -0,0 +1,211 @@
+// Package program is the command line of the stand-ins: a key-value service and
+// database groups, for trials of the proxy on one machine.
+package program
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-logr/logr"
+	"github.com/go-logr/zapr"
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/store/memstore"
+	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/standin/admin"
+	"samphirehitch.example/samphirehitch/standin/group"
+	"samphirehitch.example/samphirehitch/standin/kv"
+)
+
+type storeFlags struct {
+	address     string
+	watchWait   time.Duration
+	instanceLag time.Duration
+}
+
+type groupFlags struct {
+	admin        string
+	members      targetList
+	remote       targetList
+	firstPrimary string
+	slots        int
+	connections  int
+	connectCost  time.Duration
+	serviceTime  time.Duration
+	user         string
+	password     string
+	certificate  string
+	key          string
+	reuseIDs     bool
+}
+
+// targetList is a repeatable flag whose values are JSON objects.
+type targetList []platform.Target
+
+// Set implements kingpin.Value.
+func (l *targetList) Set(value string) error {
+	var target platform.Target
+	if err := json.Unmarshal([]byte(value), &target); err != nil {
+		return eris.Wrap(err, "read member")
+	}
+	*l = append(*l, target)
+	return nil
+}
+
+// String implements kingpin.Value.
+func (l *targetList) String() string { return "" }
+
+// IsCumulative tells kingpin that the flag may be repeated.
+func (l *targetList) IsCumulative() bool { return true }
+
+// Run parses the arguments and serves until ctx ends or a signal asks to stop.
+// Addresses go to out, one line each, as JSON.
+func Run(ctx context.Context, arguments []string, out io.Writer) error {
+	app := kingpin.New("samphirehitch-standin", "Stand-ins for the platform: a key-value service and database groups.")
+	storeCommand := app.Command("store", "Serve a key-value service and the list of instances.")
+	storeSettings := declareStore(storeCommand)
+	groupCommand := app.Command("group", "Serve members of one database group.")
+	groupSettings := declareGroup(groupCommand)
+	command, err := app.Parse(arguments)
+	if err != nil {
+		return eris.Wrap(err, "parse the command line")
+	}
+	zapLogger, err := zap.NewProduction()
+	if err != nil {
+		return eris.Wrap(err, "set up the log")
+	}
+	log := zapr.NewLogger(zapLogger)
+	if command == storeCommand.FullCommand() {
+		return serveStore(ctx, storeSettings, log, out)
+	}
+	return serveGroup(ctx, groupSettings, log, out)
+}
+
+func declareStore(c *kingpin.CmdClause) *storeFlags {
+	f := &storeFlags{}
+	c.Flag("address", "Where to listen, host:port.").Default("127.0.0.1:0").StringVar(&f.address)
+	c.Flag("watch-wait", "How long a watch waits for a change.").Default("10s").DurationVar(&f.watchWait)
+	c.Flag("instance-lag", "How long a change of the list of instances stays invisible.").Default("0s").DurationVar(&f.instanceLag)
+	return f
+}
+
+func declareGroup(c *kingpin.CmdClause) *groupFlags {
+	f := &groupFlags{}
+	c.Flag("admin", "Where the admin calls are served, host:port.").Default("127.0.0.1:0").StringVar(&f.admin)
+	c.Flag("member", `A member to run, as {"id":"","address":"","control":"","failure_domain":""}; an empty address means a free port. Repeatable.`).Required().SetValue(&f.members)
+	c.Flag("remote", "A member that another process runs, in the same form. Repeatable.").SetValue(&f.remote)
+	c.Flag("first-primary", "The member to promote at term 1.").StringVar(&f.firstPrimary)
+	c.Flag("slots", "How many statements a member runs at once; 0 means no bound.").Default("0").IntVar(&f.slots)
+	c.Flag("connections", "How many sessions a member takes; 0 means no bound.").Default("0").IntVar(&f.connections)
+	c.Flag("connect-cost", "How long a new session takes.").Default("10ms").DurationVar(&f.connectCost)
+	c.Flag("service-time", "How long a statement keeps its slot.").Default("0s").DurationVar(&f.serviceTime)
+	c.Flag("user", "The user that sessions log in as.").StringVar(&f.user)
+	c.Flag("password", "The password of the user; none is asked for when it is empty.").Envar("SAMPHIREHITCH_STANDIN_PASSWORD").StringVar(&f.password)
+	c.Flag("tls-certificate", "File with the certificate for encrypted sessions, PEM.").StringVar(&f.certificate)
+	c.Flag("tls-key", "File with the certificate's private key, PEM.").StringVar(&f.key)
+	c.Flag("reuse-transaction-ids", "Number transactions after a promotion as PostgreSQL does.").BoolVar(&f.reuseIDs)
+	return f
+}
+
+func serveStore(ctx context.Context, f *storeFlags, log logr.Logger, out io.Writer) error {
+	server, err := kv.Start(kv.Config{
+		Address:     f.address,
+		Store:       memstore.Config{WatchWait: f.watchWait},
+		InstanceLag: f.instanceLag,
+		Log:         log,
+	})
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	if err := report(out, addresses{Store: server.Address()}); err != nil {
+		return err
+	}
+	return untilSignal(ctx)
+}
+
+func serveGroup(ctx context.Context, f *groupFlags, log logr.Logger, out io.Writer) error {
+	cfg := group.Config{
+		Members:             f.members,
+		Remote:              f.remote,
+		FirstPrimary:        topology.TargetID(f.firstPrimary),
+		Slots:               f.slots,
+		Connections:         f.connections,
+		ConnectCost:         f.connectCost,
+		ServiceTime:         f.serviceTime,
+		User:                f.user,
+		Password:            f.password,
+		ReuseTransactionIDs: f.reuseIDs,
+		Log:                 log,
+	}
+	if f.certificate != "" {
+		pair, err := tls.LoadX509KeyPair(f.certificate, f.key)
+		if err != nil {
+			return eris.Wrap(err, "load the certificate")
+		}
+		cfg.TLS = &tls.Config{Certificates: []tls.Certificate{pair}}
+	}
+	g, err := group.Start(cfg)
+	if err != nil {
+		return err
+	}
+	defer g.Close()
+	listener, err := net.Listen("tcp", f.admin)
+	if err != nil {
+		return eris.Wrapf(err, "serve the admin calls at %s", f.admin)
+	}
+	server := &http.Server{Handler: admin.GroupHandler(g)}
+	defer server.Close()
+	if err := report(out, addresses{Admin: listener.Addr().String(), Members: g.Targets()}); err != nil {
+		return err
+	}
+	var actors run.Group
+	actors.Add(func() error { return server.Serve(listener) }, func(error) { server.Close() })
+	addSignals(ctx, &actors)
+	return stopped(actors.Run())
+}
+
+// addresses is where a stand-in listens.
+type addresses struct {
+	Store   string            `json:"store,omitempty"`
+	Admin   string            `json:"admin,omitempty"`
+	Members []platform.Target `json:"members,omitempty"`
+}
+
+func report(out io.Writer, where addresses) error {
+	line, err := json.Marshal(where)
+	if err != nil {
+		return eris.Wrap(err, "report the addresses")
+	}
+	_, err = fmt.Fprintln(out, string(line))
+	return eris.Wrap(err, "report the addresses")
+}
+
+func untilSignal(ctx context.Context) error {
+	var actors run.Group
+	addSignals(ctx, &actors)
+	return stopped(actors.Run())
+}
+
+func addSignals(ctx context.Context, actors *run.Group) {
+	actors.Add(run.SignalHandler(ctx, syscall.SIGINT, syscall.SIGTERM))
+}
+
+// stopped drops the error that only says how the stand-in was asked to stop.
+func stopped(err error) error {
+	if eris.Is(err, run.ErrSignal) || eris.Is(err, context.Canceled) || eris.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return err
+}
