Promote another member when a group has lost its primary

Cause: nobody else orders a promotion, daemons may be cut off themselves, the store may be down, and two daemons may act at once. Ruled out: deciding by the claim (a lease says nothing after a pause); the highest log only (a stalled primary would be promoted again for ever, so any member whose log a fenced majority does not exceed is eligible). Before and after: without the rule of two failure domains 'fleet_test.go:266: a healthy primary was fenced at term 2'; without the stall rule 'fleet_test.go:283: gaps = [], want one of a stalled primary, to another'; without the headless rule 'fleet_test.go:303: gaps = [], want one of a headless group above term 2'; with all three go test -race ./process/group/... passes.

--- a/process/group/driver.go
+++ b/process/group/driver.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,7 +11,10 @@
 	"github.com/go-logr/logr"
 
 	"samphirehitch.example/samphirehitch/process/clock"
+	"samphirehitch.example/samphirehitch/process/group/promotion"
+	"samphirehitch.example/samphirehitch/process/peer"
 	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
 
@@ -19,15 +24,42 @@
 	Rounds  RoundsConfig
 	// RequestTimeout bounds each control request to a member.
 	RequestTimeout time.Duration
+	Promotion      promotion.Config
+	// ClaimTTL is the lease of a claim.
+	ClaimTTL time.Duration
+}
+
+// DefaultConfig returns the configuration of a service's group for an instance.
+func DefaultConfig(service topology.ServiceID, self topology.InstanceID, domain topology.FailureDomain) Config {
+	return Config{
+		Service:        service,
+		Rounds:         DefaultRoundsConfig(),
+		RequestTimeout: 200 * time.Millisecond,
+		Promotion:      promotion.DefaultConfig(self, domain),
+		ClaimTTL:       2 * time.Second,
+	}
+}
+
+// Dependencies are what a driver works with.
+type Dependencies struct {
+	Groups platform.Groups
+	Store  store.Store
+	Sender peer.Sender
+	Clock  clock.Clock
+	Log    logr.Logger
+	// Random makes jitter. It is used under the driver's lock only.
+	Random *rand.Rand
+	// OnGap, when set, is told of each promotion that this instance finished.
+	// It is called with the driver's lock held.
+	OnGap func(topology.ServiceID, promotion.Gap)
 }
 
 // Driver runs the rounds of one group against its members and implements
 // Watcher.
 type Driver struct {
-	config Config
-	groups platform.Groups
-	clock  clock.Clock
-	log    logr.Logger
+	Dependencies
+	config   Config
+	claimant promotion.Claimant
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -37,12 +69,14 @@
 
 	mu struct {
 		sync.Mutex
-		rounds  *Rounds
-		out     Output
-		waiters map[WaiterID]chan Result
-		next    WaiterID
-		// suspicion is the wait that Suspect opened last.
-		suspicion WaiterID
+		rounds    *Rounds
+		promotion *promotion.Coordinator
+		phase     promotion.Phase
+		lease     store.LeaseID
+		out       Output
+		actions   []promotion.Action
+		waiters   map[WaiterID]chan Result
+		next      WaiterID
 		armed     time.Duration
 		closed    bool
 	}
@@ -52,17 +86,20 @@
 
 // NewDriver returns the driver of a group without members. SetTargets gives it
 // members and Run its heartbeats.
-func NewDriver(config Config, groups platform.Groups, clock clock.Clock, log logr.Logger) *Driver {
+func NewDriver(config Config, deps Dependencies) *Driver {
 	ctx, cancel := context.WithCancel(context.Background())
+	deps.Log = deps.Log.WithValues("service", config.Service)
 	d := &Driver{
-		config: config,
-		groups: groups,
-		clock:  clock,
-		log:    log.WithValues("service", config.Service),
+		Dependencies: deps,
+		config:       config,
+		claimant: promotion.Claimant{
+			Store: deps.Store, Service: config.Service, Self: config.Promotion.Self, TTL: config.ClaimTTL,
+		},
 		ctx:    ctx,
 		cancel: cancel,
 		wake:   make(chan struct{}, 1),
 	}
+	d.mu.promotion = promotion.New(config.Promotion, deps.Random)
 	d.mu.rounds = NewRounds(config.Service, config.Rounds)
 	d.mu.waiters = make(map[WaiterID]chan Result)
 	d.mu.armed = never
@@ -100,29 +137,50 @@
 func (d *Driver) arm() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.clock()
+	now := d.Clock()
 	d.mu.armed = d.deadline(now)
 	return max(0, d.mu.armed-now)
 }
 
 func (d *Driver) deadline(now time.Duration) time.Duration {
-	return d.mu.rounds.Deadline(now)
+	deadline := d.mu.rounds.Deadline(now)
+	if at, due := d.mu.promotion.Deadline(now); due {
+		deadline = min(deadline, at)
+	}
+	return deadline
 }
 
-func (d *Driver) tick(now time.Duration, out *Output) { d.mu.rounds.Tick(now, out) }
+func (d *Driver) tick(now time.Duration, out *Output) {
+	d.mu.rounds.Tick(now, out)
+	d.mu.promotion.Tick(now, &d.mu.actions)
+}
 
 // SetTargets replaces the members of the group.
 func (d *Driver) SetTargets(targets []TargetConfig) {
 	d.step(func(now time.Duration, out *Output) {
 		d.mu.rounds.SetTargets(now, targets, out)
+		members := make([]promotion.Target, 0, len(targets))
+		for _, target := range targets {
+			members = append(members, promotion.Target(target))
+		}
+		d.mu.promotion.SetTargets(members)
 		d.publish()
 	})
 }
 
-// SetWatching tells whether this instance sends heartbeats also while no request
-// uses the group.
-func (d *Driver) SetWatching(watching bool) {
-	d.step(func(now time.Duration, out *Output) { d.mu.rounds.SetWatching(now, watching, out) })
+// SetInstances tells which instances are believed live, this one included. Some
+// of them watch the group while no request uses it, and promote.
+func (d *Driver) SetInstances(instances []platform.Instance) {
+	peers := make([]promotion.Peer, 0, len(instances))
+	for _, instance := range instances {
+		peers = append(peers, promotion.Peer{ID: instance.ID, Domain: instance.FailureDomain})
+	}
+	watchers := promotion.Watchers(d.config.Service, peers)
+	watching := slices.ContainsFunc(watchers, func(p promotion.Peer) bool { return p.ID == d.config.Promotion.Self })
+	d.step(func(now time.Duration, out *Output) {
+		d.mu.promotion.SetWatchers(watchers)
+		d.mu.rounds.SetWatching(now, watching, out)
+	})
 }
 
 // step runs one event of the coordinator and starts what it asks for.
@@ -132,11 +190,13 @@
 	if d.mu.closed {
 		return
 	}
-	now := d.clock()
+	now := d.Clock()
 	out := &d.mu.out
 	out.Reset()
+	d.mu.actions = d.mu.actions[:0]
 	event(now, out)
 	d.start(out)
+	d.startPromotion(d.mu.actions)
 	if d.deadline(now) < d.mu.armed {
 		d.signal()
 	}
@@ -169,12 +229,15 @@
 func (d *Driver) ask(ask Ask) {
 	ctx, cancel := context.WithTimeout(d.ctx, d.config.RequestTimeout)
 	defer cancel()
-	status, err := d.groups.Status(ctx, ask.Target)
+	sent := d.Clock()
+	status, err := d.Groups.Status(ctx, ask.Target)
 	d.step(func(now time.Duration, out *Output) {
 		if err != nil {
 			d.mu.rounds.Failed(now, ask.Sequence, out)
+			d.mu.promotion.Missed(now, sent, ask.Target.ID, &d.mu.actions)
 		} else {
 			d.mu.rounds.Answered(now, ask.Sequence, status, out)
+			d.mu.promotion.Answered(now, sent, ask.Target.ID, status, &d.mu.actions)
 		}
 		d.logReach(ask.Target.ID, err)
 		d.publish()
@@ -185,7 +248,7 @@
 func (d *Driver) query(query Query) {
 	ctx, cancel := context.WithTimeout(d.ctx, d.config.RequestTimeout)
 	defer cancel()
-	report, err := d.groups.TransactionStatus(ctx, query.Target, query.Transaction)
+	report, err := d.Groups.TransactionStatus(ctx, query.Target, query.Transaction)
 	d.step(func(now time.Duration, out *Output) {
 		if err != nil {
 			d.mu.rounds.QueryFailed(now, query.Waiter, out)
@@ -201,7 +264,7 @@
 	view := d.mu.rounds.View()
 	d.view.Store(view)
 	if view.Primary != old.Primary || view.Term != old.Term {
-		eventPrimaryChanged.Log(d.log, "primary", view.Primary, "term", view.Term, "previous", old.Primary, "previousTerm", old.Term)
+		eventPrimaryChanged.Log(d.Log, "primary", view.Primary, "term", view.Term, "previous", old.Primary, "previousTerm", old.Term)
 	}
 }
 
@@ -212,8 +275,8 @@
 	switch {
 	case target == nil:
 	case err != nil && target.Reachable:
-		eventTargetUnreachable.Log(d.log, "target", id, "error", err.Error())
+		eventTargetUnreachable.Log(d.Log, "target", id, "error", err.Error())
 	case err == nil && !target.Reachable:
-		eventTargetReachable.Log(d.log, "target", id)
+		eventTargetReachable.Log(d.Log, "target", id)
 	}
 }
--- a/process/group/driver_test.go
+++ b/process/group/driver_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,7 +12,9 @@
 
 	"samphirehitch.example/samphirehitch/process/clock"
 	"samphirehitch.example/samphirehitch/process/group/grouptest"
+	"samphirehitch.example/samphirehitch/process/peer"
 	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/store/memstore"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
 
@@ -23,16 +26,23 @@
 	return targets
 }
 
-func testConfig() Config {
-	return Config{Service: "ledger", Rounds: DefaultRoundsConfig(), RequestTimeout: 200 * time.Millisecond}
+func testDependencies(p *grouptest.Platform) Dependencies {
+	return Dependencies{
+		Groups: p, Store: memstore.New(memstore.Config{}), Sender: noPeers{}, Clock: clock.System(),
+		Log: logr.Discard(), Random: rand.New(rand.NewPCG(1, 2)),
+	}
 }
 
+type noPeers struct{}
+
+func (noPeers) Send(topology.InstanceID, peer.Kind, any) {}
+
 // runDriver runs a driver in a bubble, which fails when a goroutine outlives
 // the driver.
 func runDriver(t *testing.T, test func(t *testing.T, d *Driver, p *grouptest.Platform)) {
 	synctest.Test(t, func(t *testing.T) {
 		p := grouptest.NewPlatform(grouptest.New("a", "b", "c"), 1500*time.Microsecond)
-		d := NewDriver(testConfig(), p, clock.System(), logr.Discard())
+		d := NewDriver(DefaultConfig("ledger", "i1", "d1"), testDependencies(p))
 		d.SetTargets(testTargets("a", "b", "c"))
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
@@ -133,7 +143,7 @@
 		if idle := p.Calls() - calls; idle != 0 {
 			t.Errorf("%d requests while idle and not watching, want 0", idle)
 		}
-		d.SetWatching(true)
+		d.SetInstances([]platform.Instance{{ID: "i1", FailureDomain: "d1"}})
 		<-time.After(10 * time.Second)
 		if beats := p.Calls() - calls; beats < 180 || beats > 220 {
 			t.Errorf("%d heartbeats to 3 members in 10 s, want about 200", beats)
--- a/process/group/rounds.go
+++ b/process/group/rounds.go
@@ -25,6 +25,8 @@
 	// failed is the sequence of the last request that failed.
 	failed uint64
 	misses int
+	// wanted is the sequence after which a request was called for by Poll.
+	wanted uint64
 }
 
 // Rounds decides when the members of one group are asked for their status and
@@ -93,6 +95,15 @@
 	}
 }
 
+// Poll asks every member as soon as its request in flight has ended.
+func (r *Rounds) Poll(now time.Duration, out *Output) {
+	r.sequence++
+	for i := range r.members {
+		r.members[i].wanted = r.sequence
+	}
+	r.Tick(now, out)
+}
+
 // Answered takes a member's answer to the request of the sequence.
 func (r *Rounds) Answered(now time.Duration, sequence uint64, status topology.Status, out *Output) {
 	m := r.inFlight(sequence)
@@ -231,6 +242,9 @@
 	if r.watching || now < r.lastJoin+r.config.IdleAfter {
 		due = m.askedAt + r.heartbeat(m)
 	}
+	if m.asked < m.wanted {
+		due = now
+	}
 	for _, w := range r.waiters {
 		if at := r.wants(w, m, now); at < due {
 			due = at
--- a/process/group/wait.go
+++ b/process/group/wait.go
@@ -49,22 +49,13 @@
 	if err != nil {
 		return platform.OutcomeUnknown, topology.Point{}, eris.Wrapf(err, "resolve a transaction of %s at term %d", commit.Target, commit.Term)
 	}
-	eventOutcomeResolved.Log(d.log, "target", commit.Target, "term", commit.Term, "outcome", result.Outcome)
+	eventOutcomeResolved.Log(d.Log, "target", commit.Target, "term", commit.Term, "outcome", result.Outcome)
 	return result.Outcome, result.Point, nil
 }
 
-// Suspect implements Watcher: the members are asked at once, unless they are
-// being asked for an earlier suspicion.
+// Suspect implements Watcher: the members are asked at once.
 func (d *Driver) Suspect(topology.TargetID) {
-	d.step(func(now time.Duration, out *Output) {
-		if _, open := d.mu.waiters[d.mu.suspicion]; open {
-			return
-		}
-		d.mu.next++
-		d.mu.suspicion = d.mu.next
-		d.mu.waiters[d.mu.suspicion] = make(chan Result, 1)
-		d.mu.rounds.Join(now, d.mu.suspicion, Need{Kind: NeedView}, out)
-	})
+	d.step(func(now time.Duration, out *Output) { d.mu.rounds.Poll(now, out) })
 }
 
 // await joins the rounds and waits for the result.
