Serve callers: start-up, SCRAM, message loop, cancel and drain

Cause: callers speak the PostgreSQL protocol and hold thousands of idle connections; keys are withdrawn and instances leave while they are connected. Ruled out: a codec for each idle connection (8 KB and more each); passing a caller's start-up parameters on; telling an unknown key from a wrong one. Before and after: pgx connects in five query modes (TestBothProtocols); a withdrawn key's idle session ends with 28000 (TestWithdrawnKey). Memory not measured yet. Conclusion: batches go to a Handler, which package request/execute implements.

--- /dev/null
+++ b/connection/caller/parameters.go
@@ -0,0 +1,165 @@
+package caller
+
+import (
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"samphirehitch.example/samphirehitch/connection/session"
+	"samphirehitch.example/samphirehitch/connection/sqlstate"
+)
+
+// Start-up parameters of samphirehitch itself.
+const (
+	parameterToken      = "samphirehitch.token"
+	parameterSession    = "samphirehitch.session"
+	parameterMaxAge     = "samphirehitch.max_age"
+	parameterIdempotent = "samphirehitch.idempotent"
+)
+
+// maxNameBytes bounds the name of a session.
+const maxNameBytes = 128
+
+// configure applies the start-up parameters to the session.
+func (c *connection) configure(parameters map[string]string) error {
+	s := c.session
+	if s.Route.MaxAgeMillis > 0 {
+		s.SetMaxAge(time.Duration(s.Route.MaxAgeMillis) * time.Millisecond)
+	}
+	merged, err := withOptions(parameters)
+	if err != nil {
+		return err
+	}
+	for name, value := range merged {
+		if err := c.apply(strings.ToLower(name), value); err != nil {
+			return err
+		}
+	}
+	token := merged[parameterToken]
+	s.Floor, err = c.server.deps.NewFloor(token)
+	if err != nil {
+		return &Fatal{Code: sqlstate.InvalidParameterValue, Message: "the token is not valid"}
+	}
+	s.Tracked = token != ""
+	return nil
+}
+
+// apply applies one parameter.
+func (c *connection) apply(name, value string) error {
+	s := c.session
+	invalid := &Fatal{Code: sqlstate.InvalidParameterValue, Message: "invalid value for start-up parameter " + name}
+	switch name {
+	case "user", "database", "application_name", parameterToken:
+		return nil
+	case "client_encoding":
+		if !isUTF8(value) {
+			return &Fatal{Code: sqlstate.FeatureNotSupported, Message: "only the encoding UTF8 is supported"}
+		}
+	case parameterSession:
+		if len(value) > maxNameBytes {
+			return invalid
+		}
+		s.Name = value
+	case parameterMaxAge:
+		age, err := time.ParseDuration(value)
+		if err != nil || age < 0 {
+			return invalid
+		}
+		s.SetMaxAge(age)
+	case parameterIdempotent:
+		on, ok := parseSwitch(value)
+		if !ok {
+			return invalid
+		}
+		s.Idempotent = on
+	default:
+		return c.applySetting(name, value)
+	}
+	return nil
+}
+
+// applySetting records a setting to be replayed on targets.
+func (c *connection) applySetting(name, value string) error {
+	if strings.HasPrefix(name, "_pq_.") {
+		return nil
+	}
+	if !session.Replayable(name) {
+		return &Fatal{Code: sqlstate.FeatureNotSupported, Message: "start-up parameter is not supported: " + name}
+	}
+	c.session.Settings = c.session.Settings.With(name, "TO "+session.QuoteLiteral(value))
+	return nil
+}
+
+// withOptions adds the settings inside of the parameter "options", which has
+// the form of command line switches: -c name=value.
+func withOptions(parameters map[string]string) (map[string]string, error) {
+	options, ok := parameters["options"]
+	if !ok {
+		return parameters, nil
+	}
+	merged := make(map[string]string, len(parameters))
+	for name, value := range parameters {
+		if name != "options" {
+			merged[name] = value
+		}
+	}
+	words := strings.Fields(options)
+	for i := 0; i < len(words); i++ {
+		word := strings.TrimPrefix(words[i], "--")
+		if strings.HasPrefix(word, "-c") {
+			word = word[len("-c"):]
+			if word == "" && i+1 < len(words) {
+				i++
+				word = words[i]
+			}
+		}
+		name, value, found := strings.Cut(word, "=")
+		if !found {
+			return nil, &Fatal{Code: sqlstate.InvalidParameterValue, Message: "invalid start-up parameter options"}
+		}
+		merged[strings.ToLower(name)] = value
+	}
+	return merged, nil
+}
+
+func isUTF8(encoding string) bool {
+	plain := strings.NewReplacer("-", "", "_", "", "'", "", `"`, "").Replace(strings.ToUpper(encoding))
+	return plain == "UTF8" || plain == "UNICODE" || plain == "AUTO"
+}
+
+func parseSwitch(value string) (on, ok bool) {
+	switch strings.ToLower(value) {
+	case "on", "true", "yes", "1":
+		return true, true
+	case "off", "false", "no", "0":
+		return false, true
+	default:
+		return false, false
+	}
+}
+
+// greetings are the parameters that drivers want to know at once.
+func (c *connection) greetings(parameters map[string]string) []pgproto3.ParameterStatus {
+	return []pgproto3.ParameterStatus{
+		{Name: "server_version", Value: c.server.config.ServerVersion},
+		{Name: "server_encoding", Value: "UTF8"},
+		{Name: "client_encoding", Value: "UTF8"},
+		{Name: "application_name", Value: parameters["application_name"]},
+		{Name: "DateStyle", Value: orDefault(parameters["DateStyle"], "ISO, MDY")},
+		{Name: "IntervalStyle", Value: "postgres"},
+		{Name: "TimeZone", Value: orDefault(parameters["TimeZone"], defaultTimeZone)},
+		{Name: "integer_datetimes", Value: "on"},
+		{Name: "standard_conforming_strings", Value: "on"},
+		{Name: "is_superuser", Value: "off"},
+		{Name: "in_hot_standby", Value: "off"},
+		{Name: "default_transaction_read_only", Value: "off"},
+	}
+}
+
+func orDefault(value, fallback string) string {
+	if value == "" {
+		return fallback
+	}
+	return value
+}
