Execute requests through transaction pooling

Cause: reads go to replicas that have replayed their floor, writes to the primary with confirmed commits. Ruled out: COMMIT in the same flight as the statement: a connection lost before any answer would leave the outcome unknown with no transaction id to ask for. One more round trip makes each loss before COMMIT a true 'not run', and gives the id of every commit whose answer is lost.

--- /dev/null
+++ b/request/execute/rig_test.go
@@ -0,0 +1,310 @@
+package execute
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/xdg-go/scram"
+
+	"samphirehitch.example/samphirehitch/connection/caller"
+	"samphirehitch.example/samphirehitch/connection/session"
+	"samphirehitch.example/samphirehitch/connection/upstream"
+	"samphirehitch.example/samphirehitch/process/clock"
+	"samphirehitch.example/samphirehitch/process/fairqueue"
+	"samphirehitch.example/samphirehitch/process/group"
+	"samphirehitch.example/samphirehitch/process/peer"
+	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/pool"
+	"samphirehitch.example/samphirehitch/process/store/memstore"
+	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/request/refusal"
+	standin "samphirehitch.example/samphirehitch/standin/group"
+	"samphirehitch.example/samphirehitch/version/record"
+)
+
+const (
+	testService  = topology.ServiceID("ledger")
+	testKey      = topology.KeyID("clerk")
+	testSecret   = "jute-and-roast"
+	testPassword = "daemon-password"
+	testUser     = "daemon"
+)
+
+// directory is a changeable set of records.
+type directory struct {
+	mu struct {
+		sync.Mutex
+		keys   map[topology.KeyID]record.Key
+		routes map[string]record.Route
+	}
+}
+
+func newDirectory(t testing.TB) *directory {
+	d := &directory{}
+	d.mu.keys = map[topology.KeyID]record.Key{
+		testKey: {ID: testKey, Customer: "mill", Verifier: verifier(t, testSecret)},
+		"other": {ID: "other", Customer: "depot", Verifier: verifier(t, testSecret)},
+	}
+	d.mu.routes = map[string]record.Route{
+		"ledger": {Database: "ledger", Service: testService, Access: record.AccessKeyed},
+		"open":   {Database: "open", Service: testService, Access: record.AccessOpen, OpenCustomer: "public"},
+	}
+	return d
+}
+
+func verifier(t testing.TB, secret string) record.Verifier {
+	prover, err := scram.SHA256.NewClient("", secret, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	factors := scram.KeyFactors{Salt: "salt-of-sixteen-", Iters: 4096}
+	stored, err := prover.GetStoredCredentialsWithError(factors)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return record.Verifier{
+		Iterations: factors.Iters, Salt: []byte(factors.Salt), StoredKey: stored.StoredKey, ServerKey: stored.ServerKey,
+	}
+}
+
+func (d *directory) Key(id topology.KeyID) (record.Key, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key, ok := d.mu.keys[id]
+	return key, ok
+}
+
+func (d *directory) Route(database string) (record.Route, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	route, ok := d.mu.routes[database]
+	return route, ok
+}
+
+func (d *directory) withdraw(id topology.KeyID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key := d.mu.keys[id]
+	key.Withdrawn = true
+	d.mu.keys[id] = key
+}
+
+// rig is the path from a caller to a group of stand-ins.
+type rig struct {
+	t         testing.TB
+	group     *standin.Group
+	watcher   group.Watcher
+	directory *directory
+	server    *caller.Server
+	address   string
+	pools     map[topology.TargetID]*pool.Pool[*upstream.Conn]
+	stale     atomic.Bool
+	overRate  atomic.Bool
+	// acquired counts leases by target.
+	acquired sync.Map
+}
+
+// Acquire implements Pools.
+func (r *rig) Acquire(ctx context.Context, _ topology.ServiceID, target topology.TargetID, customer topology.CustomerID) (Lease, error) {
+	lease, err := r.pools[target].Acquire(ctx, customer)
+	if err != nil {
+		return nil, err
+	}
+	counter, _ := r.acquired.LoadOrStore(target, new(atomic.Int64))
+	counter.(*atomic.Int64).Add(1)
+	return lease, nil
+}
+
+func (r *rig) leases(target topology.TargetID) int64 {
+	counter, ok := r.acquired.Load(target)
+	if !ok {
+		return 0
+	}
+	return counter.(*atomic.Int64).Load()
+}
+
+// Watcher implements Groups.
+func (r *rig) Watcher(topology.ServiceID) (group.Watcher, bool) { return r.watcher, true }
+
+var errStale = errors.New("stale")
+
+// Fresh implements Gate.
+func (r *rig) Fresh() error {
+	if r.stale.Load() {
+		return errStale
+	}
+	return nil
+}
+
+var errOverRate = errors.New("over rate")
+
+// Admit implements Admitter.
+func (r *rig) Admit(context.Context, topology.CustomerID) error {
+	if r.overRate.Load() {
+		return errOverRate
+	}
+	return nil
+}
+
+type noPeers struct{}
+
+func (noPeers) Send(topology.InstanceID, peer.Kind, any) {}
+
+// newRig starts a group of three members, its driver, pools and a server.
+func newRig(t testing.TB, configure ...func(*Config, *caller.Config)) *rig {
+	members, err := standin.Start(standin.Config{
+		Members: standin.Targets("t", 3, "d1", "d2"), FirstPrimary: "t-1", User: testUser, Password: testPassword,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(members.Close)
+	r := &rig{t: t, group: members, directory: newDirectory(t), pools: make(map[topology.TargetID]*pool.Pool[*upstream.Conn])}
+	now := clock.System()
+	r.startDriver(now)
+	for _, target := range members.Targets() {
+		r.addPool(target, now)
+	}
+	var executeConfig Config
+	var callerConfig caller.Config
+	executeConfig.Own = "d1"
+	for _, change := range configure {
+		change(&executeConfig, &callerConfig)
+	}
+	executor := New(executeConfig, Deps{
+		Directory: func() session.Directory { return r.directory },
+		Gate:      r, Admitter: r, Groups: r, Pools: r, Clock: now, Logger: logr.Discard(),
+	})
+	r.serve(callerConfig, executor)
+	return r
+}
+
+func (r *rig) startDriver(now clock.Clock) {
+	driver := group.NewDriver(group.DefaultConfig(testService, "i1", "d1"), group.Dependencies{
+		Groups: controls{r.group}, Store: memstore.New(memstore.Config{}), Sender: noPeers{}, Clock: now,
+		Log: logr.Discard(), Random: rand.New(rand.NewPCG(1, 2)),
+	})
+	var targets []group.TargetConfig
+	for _, target := range r.group.Targets() {
+		targets = append(targets, group.TargetConfig{Target: target})
+	}
+	driver.SetTargets(targets)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- driver.Run(ctx) }()
+	r.t.Cleanup(func() { stop(); <-ended })
+	if _, err := driver.Refresh(r.t.Context()); err != nil {
+		r.t.Fatal(err)
+	}
+	r.watcher = driver
+}
+
+// controls calls the members' databases without a network.
+type controls struct{ group *standin.Group }
+
+func (c controls) Status(ctx context.Context, target platform.Target) (topology.Status, error) {
+	return c.group.Member(target.ID).Database().Status(ctx)
+}
+
+func (c controls) Fence(ctx context.Context, target platform.Target, term topology.Term) (topology.Status, error) {
+	return c.group.Member(target.ID).Database().Fence(ctx, term)
+}
+
+func (c controls) Promote(ctx context.Context, target platform.Target, term topology.Term) (topology.Status, error) {
+	return c.group.Member(target.ID).Database().Promote(ctx, term)
+}
+
+func (c controls) TransactionStatus(ctx context.Context, target platform.Target, id uint64) (platform.TransactionReport, error) {
+	return c.group.Member(target.ID).Database().TransactionStatus(ctx, id)
+}
+
+func (r *rig) addPool(target platform.Target, now clock.Clock) {
+	dial := func(ctx context.Context) (*upstream.Conn, error) {
+		return upstream.Dial(ctx, upstream.Config{
+			Target: target.ID, Address: target.Address, Database: "kv", User: testUser, Password: testPassword,
+		})
+	}
+	p := pool.New(pool.Config{
+		Target: target.ID, Limit: 8, MaxInFlight: 8, DialTimeout: time.Second,
+		Queue: fairqueue.DefaultConfig(),
+	}, dial, now, logr.Discard())
+	r.pools[target.ID] = p
+	r.t.Cleanup(p.Close)
+}
+
+func (r *rig) serve(config caller.Config, handler caller.Handler) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.address = listener.Addr().String()
+	r.server = caller.New(config, caller.Deps{
+		Directory: func() session.Directory { return r.directory },
+		Fresh:     r.Fresh,
+		Handler:   handler,
+		NewFloor:  func(string) (session.Floor, error) { return &session.Point{}, nil },
+		Logger:    logr.Discard(),
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- r.server.Serve(ctx, listener) }()
+	r.t.Cleanup(func() {
+		stop()
+		<-ended
+		expired, end := context.WithTimeout(context.Background(), time.Second)
+		defer end()
+		_ = r.server.Drain(expired)
+	})
+}
+
+// connect logs in as the key; extra is appended to the connection string.
+func (r *rig) connect(key topology.KeyID, extra string) *pgx.Conn {
+	conn, err := pgx.Connect(r.t.Context(), r.dsn(key, testSecret, "ledger", extra))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+func (r *rig) dsn(key topology.KeyID, secret, database, extra string) string {
+	host, port, _ := net.SplitHostPort(r.address)
+	return fmt.Sprintf("host=%s port=%s user=%s password=%s dbname=%s sslmode=disable %s", host, port, key, secret, database, extra)
+}
+
+func (r *rig) exec(conn *pgx.Conn, sql string, arguments ...any) pgconn.CommandTag {
+	r.t.Helper()
+	tag, err := conn.Exec(r.t.Context(), sql, arguments...)
+	if err != nil {
+		r.t.Fatalf("%s: %v", sql, err)
+	}
+	return tag
+}
+
+func (r *rig) text(conn *pgx.Conn, sql string, arguments ...any) string {
+	r.t.Helper()
+	var value string
+	if err := conn.QueryRow(r.t.Context(), sql, arguments...).Scan(&value); err != nil {
+		r.t.Fatalf("%s: %v", sql, err)
+	}
+	return value
+}
+
+// wantRefusal fails unless the error is a refusal of the kind.
+func wantRefusal(t testing.TB, err error, kind refusal.Kind) {
+	t.Helper()
+	var answer *pgconn.PgError
+	if !errors.As(err, &answer) || answer.Code != string(kind.Code) {
+		t.Fatalf("got %v, want SQLSTATE %s", err, kind.Code)
+	}
+}
--- /dev/null
+++ b/request/execute/write.go
@@ -0,0 +1,256 @@
+package execute
+
+import (
+	"context"
+	"errors"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"samphirehitch.example/samphirehitch/connection/sqlstate"
+	"samphirehitch.example/samphirehitch/process/group"
+	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/request/classify"
+	"samphirehitch.example/samphirehitch/request/refusal"
+)
+
+// errNotRun reports that a write is known not to have run and may be tried
+// again, as long as nothing of its answer has been sent.
+var errNotRun = errors.New("write did not run")
+
+// runWrite serves a batch that writes, as a transaction of its own.
+func (r *request) runWrite() error {
+	if err := r.findGroup(); err != nil {
+		return err
+	}
+	var last error
+	for range maxAttempts {
+		target, err := r.tryWrite()
+		if err == nil {
+			return r.out.finish(r.status)
+		}
+		if !errors.Is(err, errNotRun) {
+			return r.conclude(err)
+		}
+		if ended := r.ended(refusal.StepExchange); ended != nil {
+			return ended
+		}
+		if r.out.forwarded || r.plan.statement.Kind == classify.KindCopyIn {
+			return refusal.New(refusal.TransactionLost, refusal.StepExchange, string(target), err)
+		}
+		r.out.discard()
+		r.avoid(target, err)
+		last = err
+	}
+	return refusal.New(refusal.TransactionLost, refusal.StepExchange, string(r.failed[len(r.failed)-1]), last)
+}
+
+// notRun marks an error as one after which the write is known not to have run,
+// unless it is for the caller.
+func notRun(err error) error {
+	if err == nil || isFinal(err) {
+		return err
+	}
+	return errors.Join(errNotRun, err)
+}
+
+// tryWrite runs the write on the primary: BEGIN, the caller's messages and the
+// question for the transaction's id in one flight, then COMMIT. So a connection
+// that is lost before COMMIT was sent is known not to have written, and the id
+// is known of every commit whose answer is lost.
+func (r *request) tryWrite() (topology.TargetID, error) {
+	decision, err := r.routePrimary()
+	if err != nil {
+		return "", err
+	}
+	target := decision.Target.ID
+	l, err := r.embark(decision)
+	if err != nil {
+		return target, notRun(err)
+	}
+	c := commit{leg: l}
+	err = l.write(&c)
+	l.end()
+	if err != nil {
+		return target, err
+	}
+	return target, r.settle(&c)
+}
+
+// write runs the transaction up to the answer to COMMIT.
+func (l *leg) write(c *commit) error {
+	r := l.request
+	settings := l.queueSettings(r.session.Settings)
+	l.queue(queryBegin)
+	l.holding = true
+	b := l.queueBody(r.session, r.plan)
+	copies := r.plan.statement.Kind == classify.KindCopyIn
+	if !copies {
+		l.queue(queryTransaction)
+	}
+	if err := b.start(); err != nil {
+		return notRun(err)
+	}
+	if err := l.awaitSettings(settings); err != nil {
+		return notRun(err)
+	}
+	begun, err := l.await()
+	if err != nil {
+		return notRun(err)
+	}
+	if begun.failure != nil {
+		l.conn.MarkBroken()
+		return notRun(errors.New("BEGIN refused: " + begun.failure.Code))
+	}
+	if err := b.relay(); err != nil {
+		return notRun(err)
+	}
+	if copies {
+		l.queue(queryTransaction)
+		if err := l.conn.Flush(); err != nil {
+			return notRun(err)
+		}
+	}
+	id, err := l.await()
+	if err != nil {
+		return notRun(err)
+	}
+	l.conn.Dirty = l.conn.Dirty || r.plan.statement.Dirty
+	if b.code != "" {
+		return l.rollback(b)
+	}
+	if c.transaction, err = l.transactionID(id); err != nil {
+		return notRun(err)
+	}
+	return l.commit(c)
+}
+
+// rollback ends a transaction whose statement failed. A primary that refuses
+// writes has been replaced, unless it is still the primary that the view names.
+func (l *leg) rollback(b *body) error {
+	if _, err := l.run(queryRollback); err != nil {
+		l.conn.MarkBroken()
+	}
+	if b.code == sqlstate.ReadOnlyTransaction && l.isReplaced() {
+		return notRun(errors.New("primary refuses writes"))
+	}
+	return nil
+}
+
+// isReplaced asks the group whether the target is still primary of the term.
+func (l *leg) isReplaced() bool {
+	ctx, stop := context.WithTimeout(l.request.ctx, l.request.executor.config.FloorTimeout)
+	defer stop()
+	view, err := l.request.watcher.Refresh(ctx)
+	if err != nil {
+		return true
+	}
+	return view.Primary != l.target || view.Term != l.term
+}
+
+// commit is the end of a transaction that has written.
+type commit struct {
+	leg *leg
+	// transaction is the id; zero when the transaction has written nothing or
+	// its id is not known.
+	transaction uint64
+	// blind is set when the id is not known although there may be one.
+	blind bool
+	// sent is set once the target may have begun to commit.
+	sent bool
+	// answered is set once the target has reported the commit.
+	answered bool
+	// failure is the target's refusal of the commit.
+	failure *pgproto3.ErrorResponse
+}
+
+// commit sends COMMIT and takes the answer. From here on the end of the
+// request's context doesn't interrupt the exchange.
+func (l *leg) commit(c *commit) error {
+	r := l.request
+	if err := r.gate(); err != nil {
+		l.conn.MarkBroken()
+		return err
+	}
+	if ended := r.ended(refusal.StepCommit); ended != nil {
+		l.conn.MarkBroken()
+		return ended
+	}
+	stop := l.shield(r.executor.config.CommitTimeout)
+	defer stop()
+	c.sent = true
+	a, err := l.run(queryCommit)
+	if err != nil {
+		return nil
+	}
+	c.failure = a.failure
+	c.answered = a.failure == nil && a.tag == queryCommit
+	return nil
+}
+
+// settle finds out what became of a commit and completes the answer.
+func (r *request) settle(c *commit) error {
+	if !c.sent {
+		return nil
+	}
+	if c.failure != nil {
+		return r.settleFailure(c)
+	}
+	ctx, stop := context.WithTimeout(context.WithoutCancel(r.ctx), r.executor.config.CommitTimeout)
+	defer stop()
+	at := group.Commit{Target: c.leg.target, Term: c.leg.term}
+	var cause error
+	if c.answered {
+		point, err := r.watcher.ConfirmCommit(ctx, at)
+		if err == nil {
+			r.acknowledge(point)
+			return nil
+		}
+		cause = err
+	}
+	r.watcher.Suspect(c.leg.target)
+	return r.resolve(ctx, c, at, cause)
+}
+
+// settleFailure passes on the target's refusal of a commit.
+func (r *request) settleFailure(c *commit) error {
+	if sqlstate.Code(c.failure.Code) == sqlstate.ReadOnlyTransaction {
+		return notRun(errors.New("primary refuses to commit"))
+	}
+	r.out.dropHeld()
+	return r.out.add(c.failure)
+}
+
+// resolve asks for the outcome of a commit that was not confirmed.
+func (r *request) resolve(ctx context.Context, c *commit, at group.Commit, cause error) error {
+	peer := string(at.Target)
+	if c.blind {
+		return refusal.New(refusal.OutcomeUnknown, refusal.StepConfirm, peer, cause)
+	}
+	if c.transaction == 0 {
+		return notRun(errors.New("transaction had no effect and its primary was lost"))
+	}
+	outcome, point, err := r.watcher.ResolveTransaction(ctx, at, c.transaction)
+	if err != nil {
+		return refusal.New(refusal.OutcomeUnknown, refusal.StepResolve, peer, errors.Join(cause, err))
+	}
+	eventResolved.Log(r.executor.deps.Logger, "session", r.session.ID, "target", peer,
+		"transaction", c.transaction, "outcome", uint8(outcome))
+	switch outcome {
+	case platform.OutcomeCommitted:
+		r.acknowledge(point)
+		return nil
+	case platform.OutcomeAbsent, platform.OutcomeAborted:
+		return errors.Join(errNotRun, errAbsent)
+	default:
+		return refusal.New(refusal.OutcomeUnknown, refusal.StepResolve, peer, cause)
+	}
+}
+
+// errAbsent reports that a transaction is known not to have committed.
+var errAbsent = errors.New("transaction did not commit")
+
+// acknowledge raises the session's floor to cover its write.
+func (r *request) acknowledge(point topology.Point) {
+	r.session.Floor.Raise(r.session.Service(), point)
+}
--- /dev/null
+++ b/request/refusal/refusal.go
@@ -0,0 +1,157 @@
+// Package refusal defines how a request that is not served is told to its
+// caller: the SQLSTATE, whether it ran, and the step and the peer at which the
+// refusal arose. docs/ERRORS.md lists the kinds.
+package refusal
+
+import (
+	"fmt"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"samphirehitch.example/samphirehitch/connection/sqlstate"
+)
+
+// Outcome says what became of a refused request.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// NotRun means that the request did not run and will not run.
+	NotRun Outcome = iota + 1
+	// Unknown means that the request may have run.
+	Unknown
+)
+
+// String words the outcome as callers read it.
+func (o Outcome) String() string {
+	switch o {
+	case NotRun:
+		return "not run"
+	case Unknown:
+		return "outcome unknown"
+	default:
+		return "undefined"
+	}
+}
+
+// Step is the step of a request at which it was refused.
+type Step string
+
+// Steps in the order of a request.
+const (
+	StepDecode   Step = "decode"
+	StepClassify Step = "classify"
+	StepGate     Step = "gate"
+	StepAdmit    Step = "admit"
+	StepFloor    Step = "floor"
+	StepRoute    Step = "route"
+	StepAcquire  Step = "acquire"
+	StepExchange Step = "exchange"
+	StepCommit   Step = "commit"
+	StepConfirm  Step = "confirm"
+	StepResolve  Step = "resolve"
+)
+
+// Kind is one reason for refusals.
+type Kind struct {
+	Code    sqlstate.Code
+	Outcome Outcome
+	// Text says what happened.
+	Text string
+	// Advice says what a caller should do.
+	Advice string
+}
+
+// Kinds of refusals.
+var (
+	StaleConfiguration = Kind{sqlstate.CannotConnectNow, NotRun, "the configuration is stale", "retry after a second, on another connection"}
+	NoPrimary          = Kind{sqlstate.CannotConnectNow, NotRun, "the service has no primary now", "retry after a second"}
+	NoFloor            = Kind{sqlstate.CannotConnectNow, NotRun, "a majority of the group does not answer", "retry after a second, or state an age"}
+	UnknownService     = Kind{sqlstate.CannotConnectNow, NotRun, "the service is not known here", "retry after a second"}
+	OverRate           = Kind{sqlstate.LimitExceeded, NotRun, "the customer is over its rate", "retry after the time in the detail"}
+	Busy               = Kind{sqlstate.TooManyConnections, NotRun, "no target connection came free in time", "retry with a growing delay"}
+	TargetUnreachable  = Kind{sqlstate.ConnectionFailure, NotRun, "the target cannot be reached", "retry"}
+	ReadLost           = Kind{sqlstate.ConnectionFailure, NotRun, "the connection to the target was lost during a read", "retry; the read changed nothing"}
+	TransactionLost    = Kind{sqlstate.SerializationFailure, NotRun, "the transaction was lost before its commit", "retry the whole transaction"}
+	CommitAbsent       = Kind{sqlstate.SerializationFailure, NotRun, "the primary was replaced and the transaction did not commit", "retry the whole transaction"}
+	ReplicaRefused     = Kind{sqlstate.SerializationFailure, NotRun, "a replica refused the statement as a write after a part of the answer was sent", "retry; the statement then goes to the primary"}
+	OutcomeUnknown     = Kind{sqlstate.OutcomeUnknown, Unknown, "the commit could not be confirmed", "look up whether the change is there before a retry"}
+	Unsupported        = Kind{sqlstate.FeatureNotSupported, NotRun, "the feature needs a session of its own on the target", "do without the feature, or connect to the target"}
+	FailedTransaction  = Kind{sqlstate.FailedTransaction, NotRun, "the transaction has failed", "send ROLLBACK"}
+	UnknownStatement   = Kind{sqlstate.InvalidStatementName, NotRun, "the prepared statement does not exist", "prepare it again"}
+	DuplicateStatement = Kind{sqlstate.DuplicateStatement, NotRun, "the prepared statement exists already", "close it first"}
+	InvalidSetting     = Kind{sqlstate.InvalidParameterValue, NotRun, "the value of the setting is not valid", "correct the value"}
+	TooMuchState       = Kind{sqlstate.ProgramLimitExceeded, NotRun, "the session holds too many prepared statements", "deallocate some"}
+	Canceled           = Kind{sqlstate.QueryCanceled, NotRun, "canceled on the caller's request", "none"}
+	Withdrawn          = Kind{sqlstate.InvalidAuthorization, NotRun, "the session is no longer allowed", "connect with a valid key"}
+	Draining           = Kind{sqlstate.AdminShutdown, NotRun, "the instance is leaving", "connect again"}
+	Protocol           = Kind{sqlstate.ProtocolViolation, NotRun, "the message has no place here", "none: a fault of the driver"}
+)
+
+// All lists the kinds.
+func All() []Kind {
+	return []Kind{
+		StaleConfiguration, NoPrimary, NoFloor, UnknownService, OverRate, Busy, TargetUnreachable,
+		ReadLost, TransactionLost, CommitAbsent, ReplicaRefused, OutcomeUnknown, Unsupported,
+		FailedTransaction, UnknownStatement, DuplicateStatement, InvalidSetting, TooMuchState,
+		Canceled, Withdrawn, Draining, Protocol,
+	}
+}
+
+// Refusal is one refused request.
+type Refusal struct {
+	Kind Kind
+	Step Step
+	// Peer names the target or the instance where it arose; it may be empty.
+	Peer string
+	// Reason adds to the kind's text; it may be empty and carries no secret.
+	Reason string
+	// Err is the cause, which callers are not told.
+	Err error
+}
+
+// New makes a refusal.
+func New(kind Kind, step Step, peer string, err error) *Refusal {
+	return &Refusal{Kind: kind, Step: step, Peer: peer, Err: err}
+}
+
+// Error describes the refusal with its cause, for logs.
+func (r *Refusal) Error() string {
+	text := fmt.Sprintf("%s at step %s, peer %q: %s", r.Kind.Code, r.Step, r.Peer, r.message())
+	if r.Err != nil {
+		text += ": " + r.Err.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (r *Refusal) Unwrap() error { return r.Err }
+
+// message is what the caller reads.
+func (r *Refusal) message() string {
+	text := r.Kind.Text
+	if r.Reason != "" {
+		text += ": " + r.Reason
+	}
+	return text + "; " + r.Kind.Outcome.String()
+}
+
+// Detail names the step and the peer.
+func (r *Refusal) Detail() string {
+	return fmt.Sprintf("step=%s peer=%s", r.Step, r.Peer)
+}
+
+// Message returns the text with the outcome.
+func (r *Refusal) Message() string { return r.message() }
+
+// Response returns the message for the caller.
+func (r *Refusal) Response() *pgproto3.ErrorResponse {
+	return &pgproto3.ErrorResponse{
+		Severity:            "ERROR",
+		SeverityUnlocalized: "ERROR",
+		Code:                string(r.Kind.Code),
+		Message:             r.message(),
+		Detail:              r.Detail(),
+		Hint:                r.Kind.Advice,
+	}
+}
--- /dev/null
+++ b/request/route/route.go
@@ -0,0 +1,127 @@
+// Package route decides which target serves a request. The decisions are pure
+// functions of a group's view, take well under a microsecond and allocate
+// nothing.
+package route
+
+import (
+	"slices"
+	"time"
+
+	"samphirehitch.example/samphirehitch/process/group"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+// Weights of a request in flight, as seen in the choice among replicas. A
+// replica in another failure domain is chosen once the own one has half as many
+// more requests in flight.
+const (
+	weightOwnDomain   = 2
+	weightOtherDomain = 3
+)
+
+// Loads counts the requests that this instance has in flight on a target.
+type Loads interface {
+	InFlight(target topology.TargetID) int
+}
+
+// Need is what a request asks of its target.
+type Need struct {
+	// Floor is the point that the target has to have replayed.
+	Floor topology.Point
+	// MaxAge bounds the age of the data; meaningful when Aged.
+	MaxAge time.Duration
+	Aged   bool
+	// Now is the time on the clock of the view.
+	Now time.Duration
+	// Own is the failure domain of the instance.
+	Own topology.FailureDomain
+	// Avoid are targets that have failed this request.
+	Avoid []topology.TargetID
+	// Turn rotates the choice among equal targets.
+	Turn uint
+}
+
+// Reason says how a decision came about.
+type Reason string
+
+// Reasons.
+const (
+	ReasonReplica   Reason = "replica has replayed the floor"
+	ReasonPrimary   Reason = "primary"
+	ReasonLagging   Reason = "no replica has replayed the floor"
+	ReasonNoPrimary Reason = "no primary at the floor's term"
+)
+
+// Decision is the outcome. Target is nil when nobody can serve the request.
+type Decision struct {
+	Target *group.TargetView
+	// Term is the view's term, meaningful for the primary.
+	Term   topology.Term
+	Reason Reason
+}
+
+// Replica chooses the replica for a read: the one with the least requests in
+// flight among those that have replayed the floor, with a preference for the
+// own failure domain.
+func Replica(view *group.View, need *Need, loads Loads) Decision {
+	best := Decision{Reason: ReasonLagging}
+	bestScore := 0
+	count := uint(len(view.Targets))
+	for i := range count {
+		target := &view.Targets[(i+need.Turn)%count]
+		if !serves(view, target, need) {
+			continue
+		}
+		score := weight(target, need) * (loads.InFlight(target.ID) + 1)
+		if best.Target == nil || score < bestScore {
+			best = Decision{Target: target, Term: view.Term, Reason: ReasonReplica}
+			bestScore = score
+		}
+	}
+	return best
+}
+
+func weight(target *group.TargetView, need *Need) int {
+	if target.FailureDomain == need.Own {
+		return weightOwnDomain
+	}
+	return weightOtherDomain
+}
+
+// serves reports whether a target may serve a read as a replica. A target that
+// takes itself for the primary without being it may hold writes that nobody
+// acknowledges.
+func serves(view *group.View, target *group.TargetView, need *Need) bool {
+	switch {
+	case target.ID == view.Primary, target.Leaving, !target.Known, !target.Reachable:
+		return false
+	case target.Status.Role != topology.RoleReplica, target.Status.Leaving:
+		return false
+	case !target.Status.Replayed.Reaches(need.Floor):
+		return false
+	case slices.Contains(need.Avoid, target.ID):
+		return false
+	case !need.Aged:
+		return true
+	}
+	age, known := view.AgeBound(target.ID, need.Now)
+	return known && age <= need.MaxAge
+}
+
+// Primary returns the primary for a write or a read that no replica serves. The
+// primary of a term holds every acknowledged write of that term and of those
+// before, so its term has to reach the floor's.
+func Primary(view *group.View, need *Need) Decision {
+	none := Decision{Reason: ReasonNoPrimary}
+	if view.Primary == "" || view.Term < need.Floor.Term {
+		return none
+	}
+	target := view.Target(view.Primary)
+	if target == nil || target.Leaving || target.Status.Leaving {
+		return none
+	}
+	if slices.Contains(need.Avoid, target.ID) {
+		return none
+	}
+	return Decision{Target: target, Term: view.Term, Reason: ReasonPrimary}
+}
