Wire the daemon and serve a write through one and its read through another

Cause: the parts need one place that knows them all; a caller must reach a group through any of several daemons. Ruled out: wiring in main (the demonstration and the tests embed the daemon). Rates are not limited yet, connections are a fixed share, members come from the list alone.

--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,241 @@
+// Package daemon wires the parts of an entry daemon: platform, peer links,
+// configuration, membership, ledger, groups, pools, callers and the admin
+// server. It takes no decisions of its own.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"hash/maphash"
+	"net"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+
+	"samphirehitch.example/samphirehitch/connection/caller"
+	"samphirehitch.example/samphirehitch/connection/session"
+	"samphirehitch.example/samphirehitch/process/admin"
+	"samphirehitch.example/samphirehitch/process/clock"
+	"samphirehitch.example/samphirehitch/process/config"
+	"samphirehitch.example/samphirehitch/process/event"
+	"samphirehitch.example/samphirehitch/process/peer"
+	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/settings"
+	"samphirehitch.example/samphirehitch/request/execute"
+	"samphirehitch.example/samphirehitch/version/snapshot"
+)
+
+// Events of the daemon.
+var (
+	eventListening = event.Define(1001, event.Info, "daemon listening")
+	eventDraining  = event.Define(1002, event.Info, "daemon draining")
+	eventStopped   = event.Define(1003, event.Info, "daemon stopped")
+	eventAccepted  = event.Define(1004, event.Info, "configuration in force")
+	eventRejected  = event.Define(1005, event.Warning, "record not in force")
+	eventLogins    = event.Define(1006, event.Warning, "settings hold no credential for a service")
+)
+
+// errStopped is the reason with which Stop ends Run.
+var errStopped = eris.New("daemon stopped")
+
+// Options are what a daemon is made from.
+type Options struct {
+	Settings *settings.Settings
+	Platform Platform
+	Logger   logr.Logger
+	// Clock is the monotonic clock; nil means the system's.
+	Clock clock.Clock
+}
+
+// Daemon is one entry daemon. New listens, Run serves, Stop drains.
+type Daemon struct {
+	settings *settings.Settings
+	platform Platform
+	logger   logr.Logger
+	clock    clock.Clock
+
+	mesh     *peer.Mesh
+	config   *config.Driver
+	members  *members
+	records  snapshot.Holder
+	services *services
+	callers  *caller.Server
+	admin    *admin.Server
+	registry *prometheus.Registry
+	metrics  metrics
+
+	listeners listeners
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+}
+
+// New builds a daemon and opens its listeners.
+func New(o Options) (*Daemon, error) {
+	if o.Clock == nil {
+		o.Clock = clock.System()
+	}
+	d := &Daemon{
+		settings: o.Settings,
+		platform: o.Platform,
+		logger:   o.Logger.WithValues("instance", o.Settings.Instance),
+		clock:    o.Clock,
+		registry: prometheus.NewRegistry(),
+		metrics:  newMetrics(),
+	}
+	d.ctx, d.cancel = context.WithCancelCause(context.Background())
+	if err := d.listeners.open(o.Settings); err != nil {
+		return nil, err
+	}
+	d.buildProcess()
+	if err := d.buildCallers(); err != nil {
+		d.listeners.close()
+		return nil, err
+	}
+	d.buildAdmin()
+	return d, nil
+}
+
+// buildProcess makes the parts that live as long as the process.
+func (d *Daemon) buildProcess() {
+	self := d.self()
+	d.mesh = peer.New(peer.Config{
+		Instance: self.ID, FailureDomain: self.FailureDomain, Address: self.Peer, Seeds: d.settings.Seeds,
+	}, d.logger)
+	d.config = config.New(config.Config{Self: self, Seed: randomSeed()}, d.platform.Store, d.mesh, d.clock, d.logger)
+	d.members = newMembers(d)
+	d.services = newServices(d)
+	d.mesh.Handle(peer.KindConfig, d.config.Receive)
+	d.mesh.Handle(peer.KindGroup, d.services.groups.Receive)
+	d.config.Subscribe(d.configurationChanged)
+}
+
+// buildCallers makes the parts that serve callers.
+func (d *Daemon) buildCallers() error {
+	executor := execute.New(execute.Config{Own: d.settings.FailureDomain}, execute.Deps{
+		Directory: d.directory,
+		Gate:      d.config,
+		Admitter:  d.admitter(),
+		Groups:    d.services,
+		Pools:     d.services,
+		Clock:     d.clock,
+		Logger:    d.logger,
+	})
+	cfg, err := d.callerConfig()
+	if err != nil {
+		return err
+	}
+	d.callers = caller.New(cfg, caller.Deps{
+		Directory: d.directory,
+		Fresh:     d.config.Fresh,
+		Handler:   executor,
+		NewFloor:  newFloor,
+		Logger:    d.logger,
+	})
+	d.records.Subscribe(func(s *snapshot.Snapshot) { d.callers.SnapshotChanged(s) })
+	return nil
+}
+
+func (d *Daemon) buildAdmin() {
+	d.registerMetrics()
+	d.admin = admin.New(admin.Options{Registry: d.registry, Ready: d.ready, Status: d.status})
+}
+
+// self describes this instance to peers.
+func (d *Daemon) self() platform.Instance {
+	return platform.Instance{
+		ID: d.settings.Instance, Peer: d.listeners.peerAddress(d.settings),
+		FailureDomain: d.settings.FailureDomain, State: platform.InstanceLive,
+	}
+}
+
+// directory returns the records in force.
+func (d *Daemon) directory() session.Directory {
+	if current := d.records.Current(); current != nil {
+		return current
+	}
+	return emptyDirectory
+}
+
+// Context ends when the daemon stops.
+func (d *Daemon) Context() context.Context { return d.ctx }
+
+// CallerAddress is where callers reach the daemon.
+func (d *Daemon) CallerAddress() net.Addr { return d.listeners.callers.Addr() }
+
+// PeerAddress is where peers reach the daemon.
+func (d *Daemon) PeerAddress() net.Addr { return d.listeners.peers.Addr() }
+
+// AdminAddress is where the admin server listens.
+func (d *Daemon) AdminAddress() net.Addr { return d.listeners.admin.Addr() }
+
+// Stop ends Run, which drains first.
+func (d *Daemon) Stop(error) { d.cancel(errStopped) }
+
+// IsStop reports whether an error of Run means an ordinary stop.
+func IsStop(err error) bool {
+	var signal run.SignalError
+	return errors.Is(err, errStopped) || errors.Is(err, context.Canceled) || errors.As(err, &signal)
+}
+
+// Run serves until Stop, then drains and ends every part.
+func (d *Daemon) Run() error {
+	defer d.listeners.close()
+	parts, stopParts := context.WithCancel(context.Background())
+	defer stopParts()
+	var group run.Group
+	for _, part := range d.parts() {
+		group.Add(func() error { return part(parts) }, func(error) { stopParts() })
+	}
+	group.Add(d.serveCallers, d.Stop)
+	eventListening.Log(d.logger, "callers", d.CallerAddress().String(), "peers", d.PeerAddress().String(), "admin", d.AdminAddress().String())
+	err := group.Run()
+	d.services.close()
+	eventStopped.Log(d.logger)
+	return err
+}
+
+// parts returns what runs beside the callers. Each ends with its context.
+func (d *Daemon) parts() []func(context.Context) error {
+	return []func(context.Context) error{
+		d.mesh.Run,
+		d.servePeers,
+		d.config.Run,
+		d.members.run,
+		d.services.groups.Run,
+		func(ctx context.Context) error { return d.admin.Serve(ctx, d.listeners.admin) },
+	}
+}
+
+// serveCallers accepts callers until Stop, then drains them. The other parts go
+// on meanwhile, since open requests need them.
+func (d *Daemon) serveCallers() error {
+	err := d.callers.Serve(d.ctx, d.listeners.callers)
+	<-d.ctx.Done()
+	eventDraining.Log(d.logger, "timeout", d.settings.DrainTimeout())
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainTimeout())
+	defer cancel()
+	if drained := d.callers.Drain(ctx); drained != nil {
+		return drained
+	}
+	if err != nil {
+		return err
+	}
+	return context.Cause(d.ctx)
+}
+
+// ready tells balancers whether to send callers here.
+func (d *Daemon) ready() error {
+	if d.ctx.Err() != nil {
+		return errStopped
+	}
+	if d.records.Current() == nil {
+		return eris.New("no configuration yet")
+	}
+	return d.config.Fresh()
+}
+
+// randomSeed returns a seed that differs between processes.
+func randomSeed() uint64 { return maphash.Comparable(maphash.MakeSeed(), time.Now()) }
