Test commits through lost answers and replaced primaries

Cause: no write may be acknowledged by a replaced primary, lost or doubled. Ruled out: tests of the watcher alone; they miss what requests make of it. Before and after: with ConfirmCommit taken for granted TestReplacedPrimaryIsNotAcknowledged fails: 'got <nil>, want SQLSTATE 40001'; with ResolveTransaction answering unknown TestCommitAnswerLost fails with 08007; with a 25006 passed on TestFencedPrimaryMovesWrites fails with 25006. All pass with the mechanisms in place. Conclusion: a write is acknowledged on a majority's evidence only, and a lost answer is resolved by the transaction's id.

--- /dev/null
+++ b/request/execute/failure_test.go
@@ -0,0 +1,112 @@
+package execute
+
+import (
+	"testing"
+
+	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/request/refusal"
+	standin "samphirehitch.example/samphirehitch/standin/group"
+)
+
+// promote makes t-2 the primary of the term by the votes of t-2 and t-3.
+func (r *rig) promote(term topology.Term) {
+	r.t.Helper()
+	for _, id := range []topology.TargetID{"t-2", "t-3"} {
+		if _, err := r.group.Member(id).Database().Fence(r.t.Context(), term); err != nil {
+			r.t.Fatal(err)
+		}
+	}
+	if _, err := r.group.Member("t-2").Database().Promote(r.t.Context(), term); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// TestCommitAnswerLost loses the answer to a commit that took effect. The write
+// is acknowledged and runs once.
+func TestCommitAnswerLost(t *testing.T) {
+	for name, begin := range map[string]bool{"autocommit": false, "transaction": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			conn := r.connect(testKey, "")
+			r.exec(conn, "INSERT INTO kv VALUES ('n', '0')")
+			r.group.Member("t-1").SetFaults(standin.Faults{DropCommitAnswers: 1})
+			if begin {
+				r.exec(conn, "BEGIN")
+			}
+			r.exec(conn, "UPDATE kv SET value = value + 1 WHERE key = 'n'")
+			if begin {
+				r.exec(conn, "COMMIT")
+			}
+			if got := r.text(conn, "SELECT value FROM kv WHERE key = 'n'"); got != "1" {
+				t.Errorf("value %s after one update, want 1", got)
+			}
+		})
+	}
+}
+
+// TestReplacedPrimaryIsNotAcknowledged commits on a primary that has been
+// replaced without knowing it. The caller is told that the transaction did not
+// commit, which the new primary confirms.
+func TestReplacedPrimaryIsNotAcknowledged(t *testing.T) {
+	r := newRig(t)
+	conn := r.connect(testKey, "")
+	r.exec(conn, "INSERT INTO kv VALUES ('n', '0')")
+	r.exec(conn, "BEGIN")
+	r.exec(conn, "UPDATE kv SET value = '1' WHERE key = 'n'")
+	r.group.Member("t-1").SetFaults(standin.Faults{CutFromMembers: true})
+	r.promote(2)
+	_, err := conn.Exec(t.Context(), "COMMIT")
+	wantRefusal(t, err, refusal.CommitAbsent)
+	if got := r.text(conn, "SELECT value FROM kv WHERE key = 'n'"); got != "0" {
+		t.Errorf("value %s on the new primary, want 0", got)
+	}
+	r.exec(conn, "UPDATE kv SET value = '2' WHERE key = 'n'")
+}
+
+// TestFencedPrimaryMovesWrites fences the primary that the view names. A write
+// that it refuses runs once on the new one.
+func TestFencedPrimaryMovesWrites(t *testing.T) {
+	r := newRig(t)
+	conn := r.connect(testKey, "")
+	r.exec(conn, "INSERT INTO kv VALUES ('n', '0')")
+	if _, err := r.group.Member("t-1").Database().Fence(t.Context(), 2); err != nil {
+		t.Fatal(err)
+	}
+	r.promote(2)
+	r.exec(conn, "UPDATE kv SET value = value + 1 WHERE key = 'n'")
+	if got := r.text(conn, "SELECT value FROM kv WHERE key = 'n'"); got != "1" {
+		t.Errorf("value %s after one update, want 1", got)
+	}
+}
+
+// TestLostTransaction kills the primary's sessions inside of a transaction.
+func TestLostTransaction(t *testing.T) {
+	r := newRig(t)
+	conn := r.connect(testKey, "")
+	r.exec(conn, "BEGIN")
+	r.exec(conn, "INSERT INTO kv VALUES ('n', '0')")
+	r.group.Member("t-1").Kill()
+	if err := r.group.Member("t-1").Restart(); err != nil {
+		t.Fatal(err)
+	}
+	_, err := conn.Exec(t.Context(), "INSERT INTO kv VALUES ('m', '0')")
+	wantRefusal(t, err, refusal.TransactionLost)
+	r.exec(conn, "ROLLBACK")
+	if got := r.text(conn, "SELECT count(*) FROM kv"); got != "0" {
+		t.Errorf("%s rows after a lost transaction, want 0", got)
+	}
+}
+
+// TestReadsSurviveTargets kills a replica under a reader. No read fails.
+func TestReadsSurviveTargets(t *testing.T) {
+	r := newRig(t)
+	conn := r.connect(testKey, "")
+	r.exec(conn, "INSERT INTO kv VALUES ('n', '0')")
+	for range 4 {
+		r.text(conn, "SELECT value FROM kv WHERE key = 'n'")
+	}
+	r.group.Member("t-2").Kill()
+	for range 8 {
+		r.text(conn, "SELECT value FROM kv WHERE key = 'n'")
+	}
+}
