--- a/daemon/services.go
+++ b/daemon/services.go
@@ -50,15 +50,6 @@
 	return lease, nil
 }
 
-// pool returns the pool of a target, whichever service it belongs to.
-func (s *services) pool(target topology.TargetID) (*targetPool, bool) {
-	for _, running := range *s.index.Load() {
-		if p, ok := running.pool(target); ok {
-			return p, true
-		}
-	}
-	return nil, false
-}
 
 // apply starts, changes and stops services as the snapshot says.
 func (s *services) apply(next *snapshot.Snapshot) {
