Serve Flush and follow prepared statements over connections

Cause: some drivers prepare with Parse, Describe and Flush and wait for the answer before they send a Sync. Ruled out: holding the messages back until the Sync (the driver waits); a Flush after Execute outside of a transaction, which would need the connection to stay with the session: it is refused with 0A000. Conclusion: a Flush that runs nothing, or that stands in a transaction, is served as a Sync without its ReadyForQuery; after an error all is skipped to the Sync.

--- a/request/execute/conversation.go
+++ b/request/execute/conversation.go
@@ -25,6 +25,9 @@
 	session  *session.Session
 	// status is what the caller has last been told.
 	status status
+	// skipping is set from an error in a batch that ended with a Flush until the
+	// next Sync.
+	skipping bool
 	// pin is the open transaction's target connection; nil outside of one.
 	pin *pin
 
@@ -52,9 +55,10 @@
 // request is one batch while it runs.
 type request struct {
 	*conversation
-	ctx  context.Context
-	plan *plan
-	out  relay
+	ctx   context.Context
+	batch *caller.Batch
+	plan  *plan
+	out   relay
 	// watcher is the group of the session's service.
 	watcher group.Watcher
 	floor   topology.Point
@@ -71,7 +75,7 @@
 	defer stop(nil)
 	c.setStop(stop)
 	defer c.setStop(nil)
-	r := &request{conversation: c, ctx: ctx, out: relay{port: port}}
+	r := &request{conversation: c, ctx: ctx, batch: batch, out: relay{port: port}}
 	err := r.run(batch)
 	var refused *refusal.Refusal
 	if errors.As(err, &refused) {
@@ -83,16 +87,19 @@
 // run serves the batch up to its ReadyForQuery. A *refusal.Refusal is told to
 // the caller, any other error ends the session.
 func (r *request) run(batch *caller.Batch) error {
-	if batch.Flush {
-		return r.unsupported("Flush")
+	if r.skipping {
+		return r.skip(batch)
 	}
 	if batch.Query == nil && len(batch.Messages) == 0 {
-		return r.out.finish(r.status)
+		return r.finish()
 	}
 	var err error
 	if r.plan, err = newPlan(r.session, batch); err != nil {
 		return r.failTransaction(err)
 	}
+	if batch.Flush && r.pin == nil && !r.flushes() {
+		return r.unsupported("Flush after Execute outside of a transaction")
+	}
 	if r.status == statusFailed && r.pin == nil {
 		return r.runFailed()
 	}
@@ -105,6 +112,36 @@
 	return r.runUnpinned()
 }
 
+// finish ends the answer to the batch. After an error in one that ended with a
+// Flush, what follows up to the next Sync is not run.
+func (r *request) finish() error {
+	if !r.batch.Flush {
+		return r.out.finish(r.status)
+	}
+	r.skipping = r.out.erred
+	return r.out.send()
+}
+
+// skip drops a batch that follows an error in the same pipeline.
+func (r *request) skip(batch *caller.Batch) error {
+	if batch.Flush || batch.Query != nil {
+		return nil
+	}
+	r.skipping = false
+	return r.out.finish(r.status)
+}
+
+// flushes reports whether a batch that ended with a Flush can be served as if a
+// Sync had: outside of a transaction, when it runs nothing on a target.
+func (r *request) flushes() bool {
+	switch r.plan.statement.Kind {
+	case classify.KindEmpty, classify.KindBegin, classify.KindDeallocate, classify.KindDiscard:
+		return true
+	default:
+		return false
+	}
+}
+
 func (r *request) unsupported(feature string) error {
 	refused := refusal.New(refusal.Unsupported, refusal.StepClassify, "", nil)
 	refused.Reason = feature
@@ -199,7 +236,7 @@
 	if err := r.out.add(refused.Response()); err != nil {
 		return err
 	}
-	return r.out.finish(r.status)
+	return r.finish()
 }
 
 // Cancel implements caller.Conversation.
--- a/request/execute/local.go
+++ b/request/execute/local.go
@@ -67,7 +67,7 @@
 		if err := r.out.add(&pgproto3.EmptyQueryResponse{}); err != nil {
 			return true, err
 		}
-		return true, r.out.finish(r.status)
+		return true, r.finish()
 	}
 	for _, s := range r.plan.steps {
 		if s.kind != stepClose || s.message != nil {
@@ -205,7 +205,7 @@
 	if err := r.answerTag(tag); err != nil {
 		return err
 	}
-	return r.out.finish(r.status)
+	return r.finish()
 }
 
 // answerTag answers the batch without its ReadyForQuery.
--- a/request/execute/read.go
+++ b/request/execute/read.go
@@ -36,7 +36,7 @@
 	for range maxAttempts {
 		err := r.tryRead()
 		if err == nil {
-			return r.out.finish(r.status)
+			return r.finish()
 		}
 		if errors.Is(err, errIsWrite) {
 			return r.moveToWrite()
@@ -88,7 +88,7 @@
 	if err := r.out.add(setting.response); err != nil {
 		return err
 	}
-	return r.out.finish(r.status)
+	return r.finish()
 }
 
 // tryRead serves the read on one target.
--- a/request/execute/relay.go
+++ b/request/execute/relay.go
@@ -19,6 +19,8 @@
 	held int
 	// forwarded is set once the caller has been sent a part of the answer.
 	forwarded bool
+	// erred is set while the answer has an error.
+	erred bool
 }
 
 // add appends a message and sends what has gathered.
@@ -27,6 +29,9 @@
 	if r.pending, err = message.Encode(r.pending); err != nil {
 		return eris.Wrap(err, "encode the answer")
 	}
+	if _, failed := message.(*pgproto3.ErrorResponse); failed {
+		r.erred = true
+	}
 	r.held = len(r.pending)
 	if len(r.pending) >= relayBytes {
 		return r.send()
@@ -52,6 +57,7 @@
 func (r *relay) discard() {
 	r.pending = r.pending[:0]
 	r.held = 0
+	r.erred = false
 }
 
 // send sends what has gathered, but not what is held.
--- a/request/execute/transaction.go
+++ b/request/execute/transaction.go
@@ -27,7 +27,7 @@
 	for range maxAttempts {
 		err := r.tryBegin()
 		if err == nil {
-			return r.out.finish(r.status)
+			return r.finish()
 		}
 		var lost *lostError
 		if !errors.As(err, &lost) {
@@ -133,7 +133,7 @@
 			return err
 		}
 	}
-	return r.out.finish(r.status)
+	return r.finish()
 }
 
 // continueTransaction passes on the caller's messages. Before a COMMIT the
@@ -188,7 +188,7 @@
 		if err := r.completeCommit(target); err != nil {
 			return err
 		}
-		return r.out.finish(r.status)
+		return r.finish()
 	}
 	r.status = statusFailed
 	r.watcher.Suspect(target)
@@ -277,7 +277,7 @@
 		l.pause()
 		r.pin = &pin{lease: l.lease, target: l.target, term: l.term, settings: r.session.Settings}
 		r.status = l.conn.Status()
-		return r.out.finish(r.status)
+		return r.finish()
 	}
 	l.end()
 	if isFinal(err) {
@@ -285,10 +285,10 @@
 	}
 	c.answered = err == nil
 	if c.answered && b.code != "" {
-		return r.out.finish(r.status)
+		return r.finish()
 	}
 	if err := r.settle(&c); err != nil {
 		return err
 	}
-	return r.out.finish(r.status)
+	return r.finish()
 }
--- a/request/execute/write.go
+++ b/request/execute/write.go
@@ -27,7 +27,7 @@
 	for range maxAttempts {
 		target, err := r.tryWrite()
 		if err == nil {
-			return r.out.finish(r.status)
+			return r.finish()
 		}
 		if !errors.Is(err, errNotRun) {
 			return r.conclude(err)
