Run a deployment in separate processes

Cause: the whole path was served within one process only. Ruled out: a launcher in Go (a process of the product starts no other).

--- /dev/null
+++ b/e2e/fleet.sh
@@ -0,0 +1,122 @@
+#!/usr/bin/env bash
+# Runs a deployment in separate processes on loopback: the stand-in store, one
+# process for each target, and the entry daemons. Source it; functions start,
+# signal and stop processes. Logs and settings go to $FLEET_DIR.
+#
+# Sizes come from FLEET_DAEMONS, FLEET_SERVICES, FLEET_SLOTS, FLEET_CONNECTIONS
+# and FLEET_PORT (first of the ports that are used).
+
+set -euo pipefail
+
+: "${FLEET_DIR:?}" "${FLEET_DAEMONS:=2}" "${FLEET_SERVICES:=1}" "${FLEET_SLOTS:=2}"
+: "${FLEET_CONNECTIONS:=15}" "${FLEET_PORT:=21000}"
+FLEET_DOMAINS=(alappuzha kottayam thrissur kollam)
+declare -A FLEET_PIDS=()
+
+store_address="127.0.0.1:$FLEET_PORT"
+caller_address() { echo "127.0.0.1:$((FLEET_PORT + 10 + $1))"; }
+peer_address() { echo "127.0.0.1:$((FLEET_PORT + 130 + $1))"; }
+admin_address() { echo "127.0.0.1:$((FLEET_PORT + 250 + $1))"; }
+target_address() { echo "127.0.0.1:$((FLEET_PORT + 400 + $1 * 10 + $2))"; }
+control_address() { echo "127.0.0.1:$((FLEET_PORT + 500 + $1 * 10 + $2))"; }
+target_admin() { echo "127.0.0.1:$((FLEET_PORT + 600 + $1 * 10 + $2))"; }
+domain() { echo "${FLEET_DOMAINS[$(($1 % ${#FLEET_DOMAINS[@]}))]}"; }
+
+# spawn NAME COMMAND...: runs a command in the background.
+spawn() {
+  local name=$1
+  shift
+  "$@" >"$FLEET_DIR/$name.out" 2>"$FLEET_DIR/$name.log" &
+  FLEET_PIDS[$name]=$!
+}
+
+# build: compiles every program once.
+build() { go build -o "$FLEET_DIR/bin/" ./cmd/...; }
+
+start_store() {
+  spawn store "$FLEET_DIR/bin/samphirehitch-standin" store --address "$store_address"
+}
+
+# member SERVICE MEMBER: describes a target as JSON.
+member() {
+  printf '{"id":"service-%d-%d","address":"%s","control":"%s","failure_domain":"%s"}' \
+    "$1" "$2" "$(target_address "$1" "$2")" "$(control_address "$1" "$2")" "$(domain $(($2 - 1)))"
+}
+
+# start_target SERVICE MEMBER [FLAG...]
+start_target() {
+  local service=$1 number=$2 remote=() other
+  shift 2
+  for other in 1 2 3; do
+    [ "$other" = "$number" ] || remote+=(--remote "$(member "$service" "$other")")
+  done
+  spawn "target-$service-$number" "$FLEET_DIR/bin/samphirehitch-standin" group \
+    --admin "$(target_admin "$service" "$number")" --member "$(member "$service" "$number")" "${remote[@]}" \
+    --slots "$FLEET_SLOTS" --connections "$FLEET_CONNECTIONS" --service-time 1ms \
+    --user proxy --password proxy-password "$@"
+}
+
+start_group() {
+  start_target "$1" 1 --first-primary "service-$1-1"
+  start_target "$1" 2
+  start_target "$1" 3
+}
+
+# start_daemon NUMBER
+start_daemon() {
+  cat >"$FLEET_DIR/entry-$1.json" <<JSON
+{
+  "instance": "entry-$1",
+  "failure_domain": "$(domain $(($1 - 1)))",
+  "listen": {"callers": "$(caller_address "$1")", "peers": "$(peer_address "$1")", "admin": "$(admin_address "$1")"},
+  "store": {"address": "$store_address"},
+  "credentials": {"targets": {"user": "proxy", "password": "proxy-password"}}
+}
+JSON
+  post "http://$store_address/admin/instance/put" \
+    "{\"id\":\"entry-$1\",\"peer\":\"$(peer_address "$1")\",\"failure_domain\":\"$(domain $(($1 - 1)))\",\"state\":\"live\"}"
+  spawn "entry-$1" "$FLEET_DIR/bin/samphirehitchd" serve "$FLEET_DIR/entry-$1.json"
+}
+
+# post URL BODY: sends JSON and fails when the answer is an error.
+post() { curl --silent --show-error --fail --max-time 5 --data "$2" "$1" >/dev/null; }
+
+# await URL: waits until the URL answers well, at most 20 seconds.
+await() {
+  local i
+  for i in $(seq 200); do
+    curl --silent --fail --max-time 1 "$1" >/dev/null 2>&1 && return 0
+    sleep 0.1
+  done
+  echo "no good answer from $1" >&2
+  return 1
+}
+
+# service_record SERVICE: prints a service record and its route.
+service_records() {
+  cat <<JSON
+{"kind":"service","schema":1,"id":"service-$1","spec":{"database":"main","credential":"targets",
+ "connections":$FLEET_CONNECTIONS,"slots":$FLEET_SLOTS,"targets":[$(member "$1" 1),$(member "$1" 2),$(member "$1" 3)]}}
+{"kind":"route","schema":1,"id":"service-$1","spec":{"service":"service-$1","access":"keyed"}}
+JSON
+}
+
+# customer_records NUMBER RATE BURST
+customer_records() {
+  cat <<JSON
+{"kind":"customer","schema":1,"id":"customer-$1","spec":{"name":"Customer $1"}}
+{"kind":"limit","schema":1,"id":"customer-$1","spec":{"rate_per_second":$2,"burst":$3}}
+JSON
+}
+
+# signal NAME SIGNAL
+signal() { kill "-$2" "${FLEET_PIDS[$1]}"; }
+
+stop_fleet() {
+  local name
+  for name in "${!FLEET_PIDS[@]}"; do
+    kill -CONT "${FLEET_PIDS[$name]}" 2>/dev/null || true
+    kill -KILL "${FLEET_PIDS[$name]}" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
+}
