Authenticate links between daemons on both sides

Cause: any process that reaches the peer address could send configuration or loans. Ruled out: the server name at dial time (peers are dialed by address, before their identifier is known); a shared secret (no rotation). Conclusion: with tls.peers set, a peer is who its certificate says.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -89,7 +89,10 @@
 	if err := d.listeners.open(o.Settings); err != nil {
 		return nil, err
 	}
-	d.buildProcess()
+	if err := d.buildProcess(); err != nil {
+		d.listeners.close()
+		return nil, err
+	}
 	if err := d.buildCallers(); err != nil {
 		d.listeners.close()
 		return nil, err
@@ -99,10 +102,15 @@
 }
 
 // buildProcess makes the parts that live as long as the process.
-func (d *Daemon) buildProcess() {
+func (d *Daemon) buildProcess() error {
 	self := d.self()
+	identity, err := d.listeners.securePeers(d.settings.TLS.Peers)
+	if err != nil {
+		return err
+	}
 	d.mesh = peer.New(peer.Config{
-		Instance: self.ID, FailureDomain: self.FailureDomain, Address: self.Peer, Seeds: d.settings.Seeds,
+		Instance: self.ID, FailureDomain: self.FailureDomain, Address: self.Peer,
+		Identity: identity, Seeds: d.settings.Seeds,
 	}, d.logger)
 	d.config = config.New(config.Config{Self: self, Seed: randomSeed()}, d.platform.Store, d.mesh, d.clock, d.logger)
 	d.members = newMembers(d)
@@ -110,6 +118,7 @@
 	d.mesh.Handle(peer.KindConfig, d.config.Receive)
 	d.mesh.Handle(peer.KindGroup, d.services.groups.Receive)
 	d.config.Subscribe(d.configurationChanged)
+	return nil
 }
 
 // buildCallers makes the parts that serve callers.
--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -54,6 +55,20 @@
 	return l.peers.Addr().String()
 }
 
+// securePeers puts TLS on the listener for peers when the settings name a
+// certificate, and returns the identity for links.
+func (l *listeners) securePeers(pair *settings.KeyPair) (*peer.Identity, error) {
+	if pair == nil {
+		return nil, nil
+	}
+	identity, err := peer.LoadIdentity(pair.Certificate, pair.Key, pair.Authority)
+	if err != nil {
+		return nil, err
+	}
+	l.peers = tls.NewListener(l.peers, identity.ServerConfig())
+	return identity, nil
+}
+
 // servePeers accepts links from peers until ctx ends.
 func (d *Daemon) servePeers(ctx context.Context) error {
 	mux := http.NewServeMux()
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -50,7 +50,6 @@
 	return lease, nil
 }
 
-
 // apply starts, changes and stops services as the snapshot says.
 func (s *services) apply(next *snapshot.Snapshot) {
 	s.mu.Lock()
--- a/process/peer/mesh.go
+++ b/process/peer/mesh.go
@@ -43,8 +43,9 @@
 	FailureDomain topology.FailureDomain
 	// Address is where peers reach this instance, host:port.
 	Address string
-	// TLS, when set, secures and authenticates links on both sides.
-	TLS *tls.Config
+	// Identity, when set, secures and authenticates links on both sides. The
+	// listener then uses its ServerConfig.
+	Identity *Identity
 	// Seeds are addresses to dial before any list of instances is known.
 	Seeds []string
 }
@@ -73,8 +74,9 @@
 // New returns a mesh without links.
 func New(cfg Config, logger logr.Logger) *Mesh {
 	m := &Mesh{cfg: cfg, logger: logger, scheme: "ws"}
-	transport := &http.Transport{TLSClientConfig: cfg.TLS}
-	if cfg.TLS != nil {
+	transport := &http.Transport{}
+	if cfg.Identity != nil {
+		transport.TLSClientConfig = cfg.Identity.clientConfig()
 		m.scheme = "wss"
 	}
 	m.client = &http.Client{Transport: transport}
@@ -190,13 +192,13 @@
 // dial opens a link and serves it until it ends.
 func (m *Mesh) dial(ctx context.Context, address string) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
-	conn, _, err := websocket.Dial(dialCtx, m.scheme+"://"+address+MeshPath, &websocket.DialOptions{HTTPClient: m.client})
+	conn, response, err := websocket.Dial(dialCtx, m.scheme+"://"+address+MeshPath, &websocket.DialOptions{HTTPClient: m.client})
 	cancel()
 	if err != nil {
 		m.counters.DialFailures.Add(1)
 		return
 	}
-	m.serve(ctx, conn)
+	m.serve(ctx, conn, response.TLS)
 }
 
 // ServeHTTP accepts a link from a peer.
@@ -205,14 +207,17 @@
 	if err != nil {
 		return
 	}
-	m.serve(r.Context(), conn)
+	m.serve(r.Context(), conn, r.TLS)
 }
 
 // serve exchanges hellos, then runs the link until it ends.
-func (m *Mesh) serve(ctx context.Context, conn *websocket.Conn) {
+func (m *Mesh) serve(ctx context.Context, conn *websocket.Conn, state *tls.ConnectionState) {
 	conn.SetReadLimit(MaxFrameBytes)
 	defer conn.CloseNow()
 	remote, err := m.greet(ctx, conn)
+	if err == nil {
+		err = verifyInstance(state, remote.Instance)
+	}
 	if err != nil {
 		eventLinkRejected.LogError(m.logger, err)
 		return
