Open links on demand in large fleets

Cause: a link for each pair needs 3,599 sockets and two goroutines each on a daemon of a fleet of 3,600. Ruled out: a fixed set of neighbours (each coordinator chooses its own peers). Measured: with 40 instances no peer is dialed until a message is for it; with 8 all are. Conclusion: the number of links follows the number of peers spoken to.

--- a/process/peer/link.go
+++ b/process/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/rotisserie/eris"
@@ -26,8 +27,15 @@
 	peer     topology.InstanceID
 	queue    chan []byte
 	counters *Counters
+	// traffic counts frames in both directions.
+	traffic atomic.Uint64
+	// keepIdle reports whether the link stays when it has no traffic.
+	keepIdle func() bool
 }
 
+// errIdle ends a link without traffic.
+var errIdle = eris.New("link is idle")
+
 func newLink(conn *websocket.Conn, peer topology.InstanceID, counters *Counters) *link {
 	return &link{conn: conn, peer: peer, queue: make(chan []byte, sendQueueFrames), counters: counters}
 }
@@ -46,6 +54,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return l.readAll(ctx, deliver) })
 	group.Go(func() error { return l.writeAll(ctx) })
+	group.Go(func() error { return l.watchIdle(ctx) })
 	return group.Wait()
 }
 
@@ -55,6 +64,7 @@
 		if err != nil {
 			return eris.Wrapf(err, "read from %s", l.peer)
 		}
+		l.traffic.Add(1)
 		if err := deliver(l.peer, data); err != nil {
 			return err
 		}
@@ -80,7 +90,28 @@
 	if err := l.conn.Write(ctx, websocket.MessageBinary, data); err != nil {
 		return eris.Wrapf(err, "write to %s", l.peer)
 	}
+	l.traffic.Add(1)
 	l.counters.SentFrames.Add(1)
 	l.counters.SentBytes.Add(uint64(len(data)))
 	return nil
 }
+
+// watchIdle ends the link once it had no traffic for linkIdle, unless idle links
+// are kept.
+func (l *link) watchIdle(ctx context.Context) error {
+	ticker := time.NewTicker(linkIdle)
+	defer ticker.Stop()
+	last := l.traffic.Load()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		now := l.traffic.Load()
+		if now == last && !l.keepIdle() {
+			return errIdle
+		}
+		last = now
+	}
+}
--- a/process/peer/mesh.go
+++ b/process/peer/mesh.go
@@ -25,6 +25,11 @@
 	writeTimeout    = 2 * time.Second
 	redialInterval  = 250 * time.Millisecond
 	sendQueueFrames = 512
+	// fullMeshInstances is the largest fleet in which every pair keeps a link. In
+	// a larger one links are opened when a message is to be sent and closed when
+	// none crossed them for linkIdle.
+	fullMeshInstances = 32
+	linkIdle          = time.Minute
 	// MeshPath is the HTTP path at which a daemon accepts links.
 	MeshPath = "/peer"
 )
@@ -68,6 +73,8 @@
 		sync.RWMutex
 		wanted []platform.Instance
 		links  map[topology.InstanceID][]*link
+		// demand holds when a message for a peer without a link was dropped.
+		demand map[topology.InstanceID]time.Time
 	}
 }
 
@@ -81,6 +88,7 @@
 	}
 	m.client = &http.Client{Transport: transport}
 	m.mu.links = make(map[topology.InstanceID][]*link)
+	m.mu.demand = make(map[topology.InstanceID]time.Time)
 	return m
 }
 
@@ -121,6 +129,7 @@
 	l := m.linkTo(to)
 	if l == nil {
 		m.counters.Dropped.Add(1)
+		m.want(to)
 		return
 	}
 	data, err := encodeFrame(kind, payload)
@@ -142,6 +151,13 @@
 	return links[len(links)-1]
 }
 
+// want notes that a link to a peer is needed.
+func (m *Mesh) want(to topology.InstanceID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.mu.demand[to] = time.Now()
+}
+
 // Run dials wanted peers that have no link until ctx ends, then closes all
 // links.
 func (m *Mesh) Run(ctx context.Context) error {
@@ -170,16 +186,19 @@
 
 // missing returns the addresses to dial now. Of a pair, the instance with the
 // smaller identifier dials at once and the other only in every fourth round, so
-// that two links for one pair are rare.
+// that two links for one pair are rare. In a large fleet only peers that a
+// message waits for are dialed, by either side at once.
 func (m *Mesh) missing(round int) []string {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	full := len(m.mu.wanted) < fullMeshInstances
 	var addresses []string
 	for _, instance := range m.mu.wanted {
 		if len(m.mu.links[instance.ID]) > 0 || instance.Peer == "" {
 			continue
 		}
-		if m.cfg.Instance < instance.ID || round%4 == 3 {
+		first := m.cfg.Instance < instance.ID || round%4 == 3
+		if (full && first) || (!full && m.demanded(instance.ID)) {
 			addresses = append(addresses, instance.Peer)
 		}
 	}
@@ -189,6 +208,24 @@
 	return slices.DeleteFunc(addresses, func(a string) bool { return a == m.cfg.Address })
 }
 
+// demanded reports whether a link to a peer was needed lately, and forgets older
+// needs. The lock is held.
+func (m *Mesh) demanded(id topology.InstanceID) bool {
+	at, ok := m.mu.demand[id]
+	if ok && time.Since(at) > linkIdle {
+		delete(m.mu.demand, id)
+		return false
+	}
+	return ok
+}
+
+// keepIdle reports whether links without traffic are kept.
+func (m *Mesh) keepIdle() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return len(m.mu.wanted) < fullMeshInstances
+}
+
 // dial opens a link and serves it until it ends.
 func (m *Mesh) dial(ctx context.Context, address string) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -223,6 +260,7 @@
 		return
 	}
 	l := newLink(conn, remote.Instance, &m.counters)
+	l.keepIdle = m.keepIdle
 	m.add(l)
 	defer m.remove(l)
 	eventLinkUp.Log(m.logger, "peer", remote.Instance, "address", remote.Address)
@@ -278,6 +316,7 @@
 func (m *Mesh) add(l *link) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	delete(m.mu.demand, l.peer)
 	m.mu.links[l.peer] = append(m.mu.links[l.peer], l)
 }
 
--- a/process/peer/mesh_test.go
+++ b/process/peer/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -83,6 +84,27 @@
 	}
 }
 
+func TestALargeFleetDialsOnlyPeersThatAMessageIsFor(t *testing.T) {
+	m := New(Config{Instance: "m"}, logr.Discard())
+	var fleet []platform.Instance
+	for i := range fullMeshInstances + 8 {
+		id := topology.InstanceID(fmt.Sprintf("i%02d", i))
+		fleet = append(fleet, platform.Instance{ID: id, Peer: string(id) + ":1"})
+	}
+	m.SetPeers(fleet)
+	if got := m.missing(3); len(got) != 0 {
+		t.Fatalf("dials %v without need", got)
+	}
+	m.Send("i05", KindConfig, note{Text: "x"})
+	if got := m.missing(0); len(got) != 1 || got[0] != "i05:1" {
+		t.Fatalf("dials %v, want i05:1", got)
+	}
+	m.SetPeers(fleet[:8])
+	if got := m.missing(3); len(got) != 8 {
+		t.Fatalf("a small fleet dials %d of 8", len(got))
+	}
+}
+
 func TestSendToAPeerWithoutLinkIsCountedAsDropped(t *testing.T) {
 	m := New(Config{Instance: "a"}, logr.Discard())
 	m.Send("b", KindConfig, note{Text: "x"})
