--- a/demo/failover_test.go
+++ b/demo/failover_test.go
@@ -10,6 +10,9 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+
+	"samphirehitch.example/samphirehitch/process/store/memstore"
+	"samphirehitch.example/samphirehitch/standin/group"
 )
 
 // orders writes unique orders through a daemon until stop is closed and returns
@@ -38,7 +41,10 @@
 	}
 }
 
-func TestNoConfirmedWriteIsLostWhenThePrimaryDies(t *testing.T) {
+// survive runs writers through a fault and checks that writes go on afterwards
+// and that every confirmed one is there.
+func survive(t *testing.T, fault func(d *Deployment)) {
+	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	shape := Kuttanad()
@@ -53,7 +59,7 @@
 	}
 	reader := connect(ctx, t, d.ConnString(0, 4, 0))
 	waitForOrders(ctx, t, reader, 30)
-	d.Groups[0].Primary().Kill()
+	fault(d)
 	before := countOrders(ctx, t, reader)
 	waitForOrders(ctx, t, reader, before+30)
 	close(stop)
@@ -68,6 +74,34 @@
 	}
 }
 
+func TestNoConfirmedWriteIsLostWhenThePrimaryDies(t *testing.T) {
+	survive(t, func(d *Deployment) { d.Groups[0].Primary().Kill() })
+}
+
+func TestNoConfirmedWriteIsLostWhenThePrimaryFreezes(t *testing.T) {
+	survive(t, func(d *Deployment) { d.Groups[0].Primary().SetFaults(group.Faults{Frozen: true}) })
+}
+
+// The cut primary still serves callers and answers control requests, but
+// nothing that it commits reaches another member.
+func TestNoConfirmedWriteIsLostWhenThePrimaryIsCutFromItsGroup(t *testing.T) {
+	survive(t, func(d *Deployment) { d.Groups[0].Primary().SetFaults(group.Faults{CutFromMembers: true}) })
+}
+
+// The platform cannot see the primary any more while callers still write to it.
+func TestNoConfirmedWriteIsLostWhenOnlyCallersReachThePrimary(t *testing.T) {
+	survive(t, func(d *Deployment) {
+		d.Groups[0].Primary().SetFaults(group.Faults{CutFromMembers: true, CutFromControl: true})
+	})
+}
+
+func TestPromotionNeedsNoStore(t *testing.T) {
+	survive(t, func(d *Deployment) {
+		d.Store.Store().SetFaults(memstore.Faults{Down: true})
+		d.Groups[0].Primary().Kill()
+	})
+}
+
 func countOrders(ctx context.Context, t *testing.T, conn *pgx.Conn) int {
 	t.Helper()
 	var count int
