--- a/request/execute/flight.go
+++ b/request/execute/flight.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"strconv"
+	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/rotisserie/eris"
@@ -31,6 +32,17 @@
 	queryDiscardTemporary = "DISCARD TEMP"
 )
 
+// Command tags of the statements that are added.
+const (
+	tagBegin    = "BEGIN"
+	tagCommit   = "COMMIT"
+	tagRollback = "ROLLBACK"
+	tagSelect   = "SELECT"
+	tagSet      = "SET"
+	tagReset    = "RESET"
+	tagDiscard  = "DISCARD"
+)
+
 // errTargetLost reports that a target ended the session.
 var errTargetLost = errors.New("target ended the session")
 
@@ -54,8 +66,24 @@
 // queue adds a statement of its own; await takes its answer.
 func (f *flight) queue(query string) { f.conn.Send(&pgproto3.Query{String: query}) }
 
-// await receives the whole answer to the next queued statement.
-func (f *flight) await() (answer, error) {
+// await receives the whole answer to the next queued statement, whose command
+// tag has to begin with one of the given. A target that answers another
+// statement breaks the protocol.
+func (f *flight) await(tags ...string) (answer, error) {
+	a, err := f.receive()
+	if err != nil || a.failure != nil {
+		return a, err
+	}
+	for _, tag := range tags {
+		if strings.HasPrefix(a.tag, tag) {
+			return a, nil
+		}
+	}
+	f.conn.MarkBroken()
+	return a, &upstream.ProtocolError{Target: f.conn.Target(), Reason: "answer of another request"}
+}
+
+func (f *flight) receive() (answer, error) {
 	var a answer
 	for {
 		message, err := f.conn.Receive()
@@ -87,18 +115,18 @@
 }
 
 // run queues a statement, sends it and takes its answer.
-func (f *flight) run(query string) (answer, error) {
+func (f *flight) run(query string, tags ...string) (answer, error) {
 	f.queue(query)
 	if err := f.conn.Flush(); err != nil {
 		return answer{}, err
 	}
-	return f.await()
+	return f.await(tags...)
 }
 
 // transaction asks for the id of the open transaction; zero when it has
 // written nothing.
 func (f *flight) transaction() (uint64, error) {
-	a, err := f.run(queryTransaction)
+	a, err := f.run(queryTransaction, tagSelect)
 	if err != nil {
 		return 0, err
 	}
--- a/request/execute/leg.go
+++ b/request/execute/leg.go
@@ -132,7 +132,7 @@
 // caller's error; the connection is then not used again.
 func (l *leg) awaitSettings(count int) error {
 	for range count {
-		a, err := l.await()
+		a, err := l.await(tagSet, tagReset, tagDiscard)
 		if err != nil {
 			return err
 		}
--- a/request/execute/read.go
+++ b/request/execute/read.go
@@ -125,7 +125,7 @@
 		return err
 	}
 	if l.primary {
-		if _, err := l.await(); err != nil {
+		if _, err := l.await(tagBegin); err != nil {
 			return err
 		}
 	}
@@ -133,7 +133,7 @@
 		return err
 	}
 	if l.primary {
-		if _, err := l.await(); err != nil {
+		if _, err := l.await(tagCommit, tagRollback); err != nil {
 			return err
 		}
 	}
--- a/request/execute/rig_test.go
+++ b/request/execute/rig_test.go
@@ -103,6 +103,7 @@
 type rig struct {
 	t         testing.TB
 	group     *standin.Group
+	limit     int
 	watcher   group.Watcher
 	directory *directory
 	server    *caller.Server
@@ -169,10 +170,21 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(members.Close)
-	r := &rig{t: t, group: members, directory: newDirectory(t), pools: make(map[topology.TargetID]*pool.Pool[*upstream.Conn])}
+	r := &rig{t: t, group: members, limit: poolLimit}
 	now := clock.System()
 	r.startDriver(now)
-	for _, target := range members.Targets() {
+	r.start(now, members.Targets(), configure...)
+	return r
+}
+
+// poolLimit is the number of connections to each target.
+const poolLimit = 8
+
+// start opens the pools and serves callers.
+func (r *rig) start(now clock.Clock, targets []platform.Target, configure ...func(*Config, *caller.Config)) {
+	r.directory = newDirectory(r.t)
+	r.pools = make(map[topology.TargetID]*pool.Pool[*upstream.Conn])
+	for _, target := range targets {
 		r.addPool(target, now)
 	}
 	var executeConfig Config
@@ -186,7 +198,6 @@
 		Gate:      r, Admitter: r, Groups: r, Pools: r, Clock: now, Logger: logr.Discard(),
 	})
 	r.serve(callerConfig, executor)
-	return r
 }
 
 func (r *rig) startDriver(now clock.Clock) {
@@ -235,7 +246,7 @@
 		})
 	}
 	p := pool.New(pool.Config{
-		Target: target.ID, Limit: 8, MaxInFlight: 8, DialTimeout: time.Second,
+		Target: target.ID, Limit: r.limit, MaxInFlight: r.limit, DialTimeout: time.Second,
 		Queue: fairqueue.DefaultConfig(),
 	}, dial, now, logr.Discard())
 	r.pools[target.ID] = p
--- a/request/execute/transaction.go
+++ b/request/execute/transaction.go
@@ -235,7 +235,7 @@
 func (r *request) abandon() {
 	l := r.resume()
 	l.shield(rollbackTimeout)
-	_, err := l.run(queryRollback)
+	_, err := l.run(queryRollback, tagRollback)
 	if err != nil {
 		l.conn.MarkBroken()
 	}
--- a/request/execute/write.go
+++ b/request/execute/write.go
@@ -94,7 +94,7 @@
 	if err := l.awaitSettings(settings); err != nil {
 		return notRun(err)
 	}
-	begun, err := l.await()
+	begun, err := l.await(tagBegin)
 	if err != nil {
 		return notRun(err)
 	}
@@ -111,7 +111,7 @@
 			return notRun(err)
 		}
 	}
-	id, err := l.await()
+	id, err := l.await(tagSelect)
 	if err != nil {
 		return notRun(err)
 	}
@@ -128,7 +128,7 @@
 // rollback ends a transaction whose statement failed. A primary that refuses
 // writes has been replaced, unless it is still the primary that the view names.
 func (l *leg) rollback(b *body) error {
-	if _, err := l.run(queryRollback); err != nil {
+	if _, err := l.run(queryRollback, tagRollback); err != nil {
 		l.conn.MarkBroken()
 	}
 	if b.code == sqlstate.ReadOnlyTransaction && l.isReplaced() {
@@ -179,7 +179,7 @@
 	stop := l.shield(r.executor.config.CommitTimeout)
 	defer stop()
 	c.sent = true
-	a, err := l.run(queryCommit)
+	a, err := l.run(queryCommit, tagCommit, tagRollback)
 	if err != nil {
 		return nil
 	}
