Decide on ages by one search of the frontiers

Cause: a read with a stated age asked for the age bound of each target, a walk over the frontiers for each. Ruled out: a bound on the frontiers' number alone; ages computed with each view. Conclusion: the oldest frontier within the age is a floor like any other, for the primary too.

--- a/request/execute/routing.go
+++ b/request/execute/routing.go
@@ -41,12 +41,21 @@
 	return nil
 }
 
+// use is what a request wants of its target.
+type use uint8
+
+const (
+	reading use = iota
+	// writing has no stated age.
+	writing
+)
+
 // need describes what the request asks of its target.
-func (r *request) need() *route.Need {
+func (r *request) need(use use) *route.Need {
 	return &route.Need{
 		Floor:  r.floor,
 		MaxAge: r.session.MaxAge,
-		Aged:   r.session.Aged,
+		Aged:   r.session.Aged && use == reading,
 		Now:    r.executor.deps.Clock(),
 		Own:    r.executor.config.Own,
 		Avoid:  r.failed,
@@ -57,7 +66,7 @@
 // routeRead chooses a target for a read: a replica that serves it within the
 // bounded wait, else the primary.
 func (r *request) routeRead() (route.Decision, error) {
-	decision := route.Replica(r.watcher.View(), r.need(), &r.executor.loads)
+	decision := route.Replica(r.watcher.View(), r.need(reading), &r.executor.loads)
 	if decision.Target != nil {
 		return r.decided(decision), nil
 	}
@@ -68,12 +77,12 @@
 		if err != nil {
 			break
 		}
-		decision = route.Replica(view, r.need(), &r.executor.loads)
+		decision = route.Replica(view, r.need(reading), &r.executor.loads)
 		if decision.Target != nil {
 			return r.decided(decision), nil
 		}
 	}
-	return r.routePrimary()
+	return r.routePrimary(reading)
 }
 
 // hasReplica reports whether a wait for a replica can help.
@@ -97,8 +106,8 @@
 }
 
 // routePrimary returns the primary, waiting for one within the bounds.
-func (r *request) routePrimary() (route.Decision, error) {
-	decision := route.Primary(r.watcher.View(), r.need())
+func (r *request) routePrimary(use use) (route.Decision, error) {
+	decision := route.Primary(r.watcher.View(), r.need(use))
 	if decision.Target != nil {
 		return r.decided(decision), nil
 	}
@@ -114,7 +123,7 @@
 			}
 			return decision, refusal.New(refusal.NoPrimary, refusal.StepRoute, string(r.session.Service()), err)
 		}
-		need := r.need()
+		need := r.need(use)
 		need.Avoid = nil
 		if decision = route.Primary(view, need); decision.Target != nil {
 			return r.decided(decision), nil
--- a/request/execute/transaction.go
+++ b/request/execute/transaction.go
@@ -75,7 +75,7 @@
 	if r.plan.statement.ReadOnly {
 		return r.routeRead()
 	}
-	return r.routePrimary()
+	return r.routePrimary(writing)
 }
 
 // exchange puts the settings in force and passes on the caller's messages.
@@ -253,7 +253,7 @@
 		return err
 	}
 	for range maxAttempts {
-		decision, err := r.routePrimary()
+		decision, err := r.routePrimary(writing)
 		if err != nil {
 			return err
 		}
--- a/request/execute/write.go
+++ b/request/execute/write.go
@@ -59,7 +59,7 @@
 // that is lost before COMMIT was sent is known not to have written, and the id
 // is known of every commit whose answer is lost.
 func (r *request) tryWrite() (topology.TargetID, error) {
-	decision, err := r.routePrimary()
+	decision, err := r.routePrimary(writing)
 	if err != nil {
 		return "", err
 	}
--- a/request/route/route.go
+++ b/request/route/route.go
@@ -66,10 +66,14 @@
 func Replica(view *group.View, need *Need, loads Loads) Decision {
 	best := Decision{Reason: ReasonLagging}
 	bestScore := 0
+	floor, known := floorOf(view, need)
+	if !known {
+		return best
+	}
 	count := uint(len(view.Targets))
 	for i := range count {
 		target := &view.Targets[(i+need.Turn)%count]
-		if !serves(view, target, need) {
+		if !serves(view, target, need, floor) {
 			continue
 		}
 		score := weight(target, need) * (loads.InFlight(target.ID) + 1)
@@ -91,29 +95,49 @@
 // serves reports whether a target may serve a read as a replica. A target that
 // takes itself for the primary without being it may hold writes that nobody
 // acknowledges.
-func serves(view *group.View, target *group.TargetView, need *Need) bool {
+func serves(view *group.View, target *group.TargetView, need *Need, floor topology.Point) bool {
 	switch {
 	case target.ID == view.Primary, target.Leaving, !target.Known, !target.Reachable:
 		return false
 	case target.Status.Role != topology.RoleReplica, target.Status.Leaving:
 		return false
-	case !target.Status.Replayed.Reaches(need.Floor):
-		return false
-	case slices.Contains(need.Avoid, target.ID):
+	case !target.Status.Replayed.Reaches(floor):
 		return false
-	case !need.Aged:
-		return true
+	default:
+		return !slices.Contains(need.Avoid, target.ID)
+	}
+}
+
+// floorOf joins the floor with the oldest frontier within the stated age: data
+// that reaches it is no older. The second result is false when no frontier is
+// recent enough.
+func floorOf(view *group.View, need *Need) (topology.Point, bool) {
+	if !need.Aged {
+		return need.Floor, true
+	}
+	oldest := need.Now - need.MaxAge
+	low, high := 0, len(view.Frontiers)
+	for low < high {
+		middle := (low + high) / 2
+		if view.Frontiers[middle].Time < oldest {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	if low == len(view.Frontiers) {
+		return topology.Point{}, false
 	}
-	age, known := view.AgeBound(target.ID, need.Now)
-	return known && age <= need.MaxAge
+	return topology.MaxPoint(need.Floor, view.Frontiers[low].Point), true
 }
 
 // Primary returns the primary for a write or a read that no replica serves. The
 // primary of a term holds every acknowledged write of that term and of those
-// before, so its term has to reach the floor's.
+// before, so its term has to reach the floor's. Writes state no age.
 func Primary(view *group.View, need *Need) Decision {
 	none := Decision{Reason: ReasonNoPrimary}
-	if view.Primary == "" || view.Term < need.Floor.Term {
+	floor, known := floorOf(view, need)
+	if !known || view.Primary == "" || view.Term < floor.Term {
 		return none
 	}
 	target := view.Target(view.Primary)
--- /dev/null
+++ b/request/route/route_test.go
@@ -0,0 +1,140 @@
+package route
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"samphirehitch.example/samphirehitch/process/group"
+	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+type loads map[topology.TargetID]int
+
+func (l loads) InFlight(target topology.TargetID) int { return l[target] }
+
+// TestRoute decides on the views of testdata. A line of input is a target:
+// name, failure domain, role, replayed point, requests in flight, flags.
+func TestRoute(t *testing.T) {
+	datadriven.RunTest(t, "testdata/route", func(t *testing.T, d *datadriven.TestData) string {
+		view, inFlight := parseView(t, d)
+		need := parseNeed(t, d)
+		decide := Replica(view, need, inFlight)
+		if d.Cmd == "primary" {
+			decide = Primary(view, need)
+		}
+		if decide.Target == nil {
+			return fmt.Sprintf("none: %s\n", decide.Reason)
+		}
+		return fmt.Sprintf("%s at term %d: %s\n", decide.Target.ID, decide.Term, decide.Reason)
+	})
+}
+
+func parseView(t *testing.T, d *datadriven.TestData) (*group.View, loads) {
+	view := &group.View{Service: "s"}
+	inFlight := make(loads)
+	for _, line := range strings.Split(d.Input, "\n") {
+		var name, domain, role string
+		target := group.TargetView{Known: true, Reachable: true}
+		replayed := &target.Status.Replayed
+		var count int
+		if _, err := fmt.Sscanf(line, "%s %s %s %d/%d %d", &name, &domain, &role, &replayed.Term, &replayed.Position, &count); err != nil {
+			t.Fatalf("%s: %v", line, err)
+		}
+		target.Target = platform.Target{ID: topology.TargetID(name), FailureDomain: topology.FailureDomain(domain)}
+		target.Status.Role = topology.RoleReplica
+		if strings.HasPrefix(role, "p") {
+			target.Status.Role = topology.RolePrimary
+		}
+		if role == "primary" {
+			view.Primary, view.Term = target.ID, replayed.Term
+		}
+		target.Leaving = strings.HasSuffix(line, "leaving")
+		target.Reachable = !strings.HasSuffix(line, "unreachable")
+		target.Known = !strings.HasSuffix(line, "unknown")
+		inFlight[target.ID] = count
+		view.Targets = append(view.Targets, target)
+	}
+	view.Frontiers = []group.Frontier{
+		{Time: 1 * time.Second, Point: topology.Point{Term: 1, Position: 10}},
+		{Time: 2 * time.Second, Point: topology.Point{Term: 1, Position: 20}},
+	}
+	return view, inFlight
+}
+
+func parseNeed(t *testing.T, d *datadriven.TestData) *Need {
+	need := &Need{Own: "d1", Now: 3 * time.Second}
+	for _, argument := range d.CmdArgs {
+		value := argument.Vals[0]
+		switch argument.Key {
+		case "floor":
+			if _, err := fmt.Sscanf(value, "%d/%d", &need.Floor.Term, &need.Floor.Position); err != nil {
+				t.Fatal(err)
+			}
+		case "age":
+			need.Aged = true
+			need.MaxAge, _ = time.ParseDuration(value)
+		case "avoid":
+			need.Avoid = []topology.TargetID{topology.TargetID(value)}
+		}
+	}
+	return need
+}
+
+// fleet is a view of five targets with a long history.
+func fleet() (*group.View, loads) {
+	view := &group.View{Primary: "t0", Term: 3}
+	inFlight := make(loads)
+	for i := range 5 {
+		id := topology.TargetID(fmt.Sprint("t", i))
+		status := topology.Status{Role: topology.RoleReplica, Replayed: topology.Point{Term: 3, Position: 1000}}
+		view.Targets = append(view.Targets, group.TargetView{
+			Target: platform.Target{ID: id, FailureDomain: topology.FailureDomain(fmt.Sprint("d", i))},
+			Status: status, Known: true, Reachable: true,
+		})
+		inFlight[id] = i
+	}
+	for i := range 256 {
+		view.Frontiers = append(view.Frontiers, group.Frontier{
+			Time: time.Duration(i) * time.Millisecond, Point: topology.Point{Term: 3, Position: topology.Position(900 + i)},
+		})
+	}
+	return view, inFlight
+}
+
+func BenchmarkReplica(b *testing.B) {
+	view, inFlight := fleet()
+	need := &Need{Floor: topology.Point{Term: 3, Position: 990}, Own: "d2"}
+	b.ReportAllocs()
+	for b.Loop() {
+		need.Turn++
+		Replica(view, need, inFlight)
+	}
+}
+
+func BenchmarkReplicaWithAge(b *testing.B) {
+	view, inFlight := fleet()
+	need := &Need{Aged: true, MaxAge: time.Second, Now: 256 * time.Millisecond, Own: "d2"}
+	b.ReportAllocs()
+	for b.Loop() {
+		need.Turn++
+		Replica(view, need, inFlight)
+	}
+}
+
+// TestDecisionsDoNotAllocate guards the cost of a decision.
+func TestDecisionsDoNotAllocate(t *testing.T) {
+	view, inFlight := fleet()
+	need := &Need{Floor: topology.Point{Term: 3, Position: 990}, Own: "d2"}
+	allocations := testing.AllocsPerRun(100, func() {
+		Replica(view, need, inFlight)
+		Primary(view, need)
+	})
+	if allocations != 0 {
+		t.Errorf("%v allocations, want 0", allocations)
+	}
+}
