--- a/process/group/driver_test.go
+++ b/process/group/driver_test.go
@@ -58,8 +58,9 @@
 func write(p *grouptest.Platform, label int) uint64 {
 	var transaction uint64
 	p.Do(func(g *grouptest.Group) {
-		transaction, _ = g.Member("a").Begin()
-		g.Member("a").Commit(transaction, label)
+		open := g.Member("a").Begin()
+		g.Member("a").Commit(open, label)
+		transaction = open.ID
 	})
 	return transaction
 }
--- a/process/group/grouptest/group.go
+++ b/process/group/grouptest/group.go
@@ -17,6 +17,11 @@
 	Label       int
 }
 
+// Transaction is an open transaction of one connection.
+type Transaction struct {
+	ID uint64
+}
+
 // Member is one member of a group.
 type Member struct {
 	ID       topology.TargetID
@@ -27,7 +32,7 @@
 	Replayed int
 	Leaving  bool
 	promoted topology.Term
-	open     map[uint64]bool
+	open     map[uint64]*Transaction
 	aborted  map[uint64]bool
 	last     uint64
 }
@@ -46,7 +51,7 @@
 	for _, id := range ids {
 		g.Members = append(g.Members, &Member{
 			ID: id, Role: topology.RoleReplica,
-			open: make(map[uint64]bool), aborted: make(map[uint64]bool),
+			open: make(map[uint64]*Transaction), aborted: make(map[uint64]bool),
 		})
 	}
 	first := g.Members[0]
@@ -121,36 +126,43 @@
 	return nil
 }
 
-// Begin opens a transaction on a primary.
-func (m *Member) Begin() (uint64, bool) {
+// Begin opens a transaction, or returns nil unless the member is primary.
+func (m *Member) Begin() *Transaction {
 	if m.Role != topology.RolePrimary {
-		return 0, false
+		return nil
 	}
 	m.last++
-	m.open[m.last] = true
+	transaction := &Transaction{ID: m.last}
+	m.open[m.last] = transaction
 	delete(m.aborted, m.last)
-	return m.last, true
+	return transaction
 }
 
-// Commit commits an open transaction.
-func (m *Member) Commit(transaction uint64, label int) bool {
-	if !m.open[transaction] {
+// Commit commits a transaction, unless it has ended.
+func (m *Member) Commit(transaction *Transaction, label int) bool {
+	if !m.end(transaction) {
 		return false
 	}
-	delete(m.open, transaction)
-	m.Log = append(m.Log, Entry{Term: m.Promised, Transaction: transaction, Label: label})
+	m.Log = append(m.Log, Entry{Term: m.Promised, Transaction: transaction.ID, Label: label})
 	m.Replayed = len(m.Log)
 	return true
 }
 
-// Abort rolls an open transaction back.
-func (m *Member) Abort(transaction uint64) {
-	if m.open[transaction] {
-		delete(m.open, transaction)
-		m.aborted[transaction] = true
+// Abort rolls a transaction back, unless it has ended.
+func (m *Member) Abort(transaction *Transaction) {
+	if m.end(transaction) {
+		m.aborted[transaction.ID] = true
 	}
 }
 
+func (m *Member) end(transaction *Transaction) bool {
+	if transaction == nil || m.open[transaction.ID] != transaction {
+		return false
+	}
+	delete(m.open, transaction.ID)
+	return true
+}
+
 // Replicate streams up to count entries from a primary to another member, which
 // drops what its log holds beyond the common part.
 func (g *Group) Replicate(from, to *Member, count int) {
@@ -188,19 +200,18 @@
 // TransactionStatus returns what the member knows of a transaction.
 func (m *Member) TransactionStatus(transaction uint64) platform.TransactionReport {
 	report := platform.TransactionReport{Outcome: platform.OutcomeAbsent, Status: m.Status()}
-	switch {
-	case m.open[transaction]:
-		report.Outcome = platform.OutcomeInProgress
-		return report
-	case m.aborted[transaction]:
-		report.Outcome = platform.OutcomeAborted
-		return report
-	}
 	for i, entry := range m.Log {
 		if entry.Transaction == transaction {
 			report.Outcome = platform.OutcomeCommitted
 			report.Recorded = m.point(i + 1)
+			return report
 		}
 	}
+	switch {
+	case m.open[transaction] != nil:
+		report.Outcome = platform.OutcomeInProgress
+	case m.aborted[transaction]:
+		report.Outcome = platform.OutcomeAborted
+	}
 	return report
 }
--- a/process/group/resolution.go
+++ b/process/group/resolution.go
@@ -37,9 +37,14 @@
 // holds the older primary's unreplicated entries could still be chosen and
 // bring the transaction back, or one without them take it away.
 //
-// On the same primary at the same term, committed is final once a majority
+// The commit's own target, at the same term, settles committed once a majority
 // holds it, and aborted at once, for the transaction ran nowhere else. Absent
-// and in progress are not final: the COMMIT may still be on its way.
+// and in progress are not final there: the COMMIT may still be on its way. The
+// same goes for its own later reigns, for the commit's term was seen before the
+// transaction began and may be too low. On another member, absent cannot come
+// from too low a term: had the target become primary of a term above the
+// reporting member's before the transaction began, a majority would have
+// promised that term and not support the reporting member's any more.
 type resolution struct {
 	phase   resolutionPhase
 	outcome platform.TransactionOutcome
@@ -91,22 +96,24 @@
 	if w == nil {
 		return
 	}
-	switch judgeReport(w.need.Commit, report) {
-	case reportFinal:
+	r.observeReign(report.Status)
+	outcome, held := r.judgeReport(w.need.Commit, report)
+	switch {
+	case outcome == platform.OutcomeUnknown:
+		r.seek(w, now)
+	case !held:
 		w.resolution.phase = resolutionSettled
-		w.resolution.outcome = platform.OutcomeAborted
-	case reportHold:
+		w.resolution.outcome = outcome
+	default:
 		r.sequence++
 		w.joined = r.sequence
 		w.resolution.phase = resolutionHolding
-		w.resolution.outcome = outcomeOf(w.need.Commit, report)
+		w.resolution.outcome = outcome
 		w.hold = hold{
 			Commit:  Commit{Target: report.Status.Target, Term: report.Status.Term},
 			point:   report.Status.Received,
 			pointed: true,
 		}
-	case reportPending:
-		r.seek(w, now)
 	}
 	r.Tick(now, out)
 }
@@ -128,51 +135,65 @@
 	return nil
 }
 
-// reportVerdict is what a report allows.
-type reportVerdict uint8
-
-const (
-	reportPending reportVerdict = iota
-	reportHold
-	reportFinal
-)
-
-// judgeReport weighs a report on the transaction of a commit.
-func judgeReport(commit Commit, report platform.TransactionReport) reportVerdict {
+// judgeReport returns the outcome that a report shows for the commit's own
+// transaction and whether a majority has to hold the reporting log first.
+// OutcomeUnknown means that nothing is settled yet.
+func (r *Rounds) judgeReport(commit Commit, report platform.TransactionReport) (outcome platform.TransactionOutcome, hold bool) {
 	status := report.Status
-	if status.Target == commit.Target && report.Outcome == platform.OutcomeAborted && status.Term == commit.Term {
-		return reportFinal
+	own := status.Target == commit.Target
+	if own && status.Term == commit.Term && report.Outcome == platform.OutcomeAborted {
+		return platform.OutcomeAborted, false
 	}
-	if status.Role != topology.RolePrimary || status.Term < commit.Term || status.Received.Term != status.Term {
-		return reportPending
+	if status.Role != topology.RolePrimary || status.Received.Term != status.Term {
+		return platform.OutcomeUnknown, false
 	}
-	if status.Term == commit.Term {
-		if status.Target == commit.Target && report.Outcome == platform.OutcomeCommitted {
-			return reportHold
-		}
-		return reportPending
+	switch {
+	case status.Term < commit.Term, status.Term == commit.Term && !own:
+		return platform.OutcomeUnknown, false
+	case report.Outcome == platform.OutcomeCommitted:
+		return r.committed(commit, report), true
+	case report.Outcome == platform.OutcomeAborted:
+		return platform.OutcomeAborted, true
+	case report.Outcome == platform.OutcomeAbsent && !own:
+		return platform.OutcomeAbsent, true
+	default:
+		return platform.OutcomeUnknown, false
 	}
-	if outcomeOf(commit, report) == platform.OutcomeUnknown {
-		return reportPending
+}
+
+// committed tells the commit's own transaction from one that was given the same
+// identifier in another term: by a predecessor whose log the target's did not
+// hold, or by a successor. In a later reign of the commit's own target it may be
+// either, since the commit's term was seen before the transaction began. A
+// platform that does not say where the outcome was recorded is trusted not to
+// give an identifier twice.
+func (r *Rounds) committed(commit Commit, report platform.TransactionReport) platform.TransactionOutcome {
+	recorded := report.Recorded.Term
+	switch {
+	case report.Recorded == topology.Point{}, recorded == commit.Term:
+		return platform.OutcomeCommitted
+	case recorded < commit.Term:
+		return platform.OutcomeAbsent
 	}
-	return reportHold
+	if primary, known := r.reigns[recorded]; known && primary != commit.Target {
+		return platform.OutcomeAbsent
+	}
+	return platform.OutcomeUnknown
 }
 
-// outcomeOf returns the report's outcome for the commit's own transaction: an
-// entry recorded in a later term belongs to another transaction that was given
-// the same identifier.
-func outcomeOf(commit Commit, report platform.TransactionReport) platform.TransactionOutcome {
-	reused := report.Recorded.Term > commit.Term
-	switch report.Outcome {
-	case platform.OutcomeCommitted, platform.OutcomeAborted:
-		if reused {
-			return platform.OutcomeAbsent
+// maxReigns bounds the terms whose primary is remembered.
+const maxReigns = 32
+
+// observeReign remembers which member was primary of a term.
+func (r *Rounds) observeReign(status topology.Status) {
+	if status.Role != topology.RolePrimary {
+		return
+	}
+	r.reigns[status.Term] = status.Target
+	for term := range r.reigns {
+		if term+maxReigns < status.Term {
+			delete(r.reigns, term)
 		}
-		return report.Outcome
-	case platform.OutcomeAbsent:
-		return platform.OutcomeAbsent
-	default:
-		return platform.OutcomeUnknown
 	}
 }
 
--- a/process/group/rounds.go
+++ b/process/group/rounds.go
@@ -41,6 +41,8 @@
 	members   []member
 	waiters   []*waiter
 	frontiers frontiers
+	// reigns remembers the primaries of recent terms.
+	reigns map[topology.Term]topology.TargetID
 	// sequence orders joins and requests.
 	sequence uint64
 	watching bool
@@ -51,7 +53,12 @@
 
 // NewRounds returns the rounds of a service's group, without members.
 func NewRounds(service topology.ServiceID, config RoundsConfig) *Rounds {
-	return &Rounds{config: config, service: service, lastJoin: -config.IdleAfter}
+	return &Rounds{
+		config:   config,
+		service:  service,
+		reigns:   make(map[topology.Term]topology.TargetID),
+		lastJoin: -config.IdleAfter,
+	}
 }
 
 // SetWatching tells whether this instance sends heartbeats also while no
@@ -116,6 +123,7 @@
 	m.status = status
 	m.answered = sequence
 	m.answeredAt = m.askedAt
+	r.observeReign(status)
 	r.advanceFrontier(now)
 	r.Tick(now, out)
 }
