Repeat idempotent writes whose outcome is unknown

Cause: a caller that says that its write may run twice is better served by another attempt than by 08007. Ruled out: repeating any other write; a later attempt's 'not run' standing for all attempts. Before and after: TestUnknownOutcome/session got 08007 before; it is acknowledged now; with doubt() off the case 'never confirmed' still says unknown since its last attempt does, so doubt is covered for lost last attempts by reading only. Conclusion: once one attempt may have run, no refusal says 'not run'.

--- a/request/execute/conversation.go
+++ b/request/execute/conversation.go
@@ -11,6 +11,7 @@
 	"samphirehitch.example/samphirehitch/connection/session"
 	"samphirehitch.example/samphirehitch/connection/upstream"
 	"samphirehitch.example/samphirehitch/process/group"
+	"samphirehitch.example/samphirehitch/process/ledger"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/request/classify"
 	"samphirehitch.example/samphirehitch/request/refusal"
@@ -203,7 +204,12 @@
 	if ended := r.ended(refusal.StepAdmit); ended != nil {
 		return ended
 	}
-	return refusal.New(refusal.OverRate, refusal.StepAdmit, "", err)
+	refused := refusal.New(refusal.OverRate, refusal.StepAdmit, "", err)
+	var over *ledger.Refusal
+	if errors.As(err, &over) {
+		refused.RetryAfter = over.RetryAfter
+	}
+	return refused
 }
 
 // ended returns why the request's context has ended, or nil.
--- a/request/execute/failure_test.go
+++ b/request/execute/failure_test.go
@@ -1,6 +1,7 @@
 package execute
 
 import (
+	"fmt"
 	"testing"
 
 	"samphirehitch.example/samphirehitch/process/topology"
@@ -110,3 +111,34 @@
 		r.text(conn, "SELECT value FROM kv WHERE key = 'n'")
 	}
 }
+
+// TestUnknownOutcome finds no evidence for a commit. Only a write that may run
+// twice is tried again, and once an attempt may have run nothing says otherwise.
+func TestUnknownOutcome(t *testing.T) {
+	const acknowledged, unknown = "[done INSERT 0 1 ready I]", "[error 08007 ready I]"
+	for name, test := range map[string]struct {
+		setting, query, want string
+		unconfirmed, ran     int
+	}{
+		"plain":           {"off", "INSERT a", unknown, 1, 1},
+		"session":         {"on", "INSERT a", acknowledged, 1, 2},
+		"hint":            {"off", "/* samphirehitch: idempotent */ INSERT a", acknowledged, 1, 2},
+		"never confirmed": {"on", "INSERT a", unknown, 100, maxAttempts},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, targets := newFakeRig(t, 1)
+			s := r.script(testKey, "")
+			s.ask("SET samphirehitch.idempotent = " + test.setting)
+			targets.mu.Lock()
+			targets.mu.unconfirmed = test.unconfirmed
+			targets.mu.unresolved = true
+			targets.mu.Unlock()
+			if got := fmt.Sprint(s.ask(test.query)); got != test.want {
+				t.Errorf("answer %s, want %s", got, test.want)
+			}
+			if got := targets.count("a"); got != test.ran {
+				t.Errorf("ran %d times, want %d", got, test.ran)
+			}
+		})
+	}
+}
--- a/request/execute/fake_test.go
+++ b/request/execute/fake_test.go
@@ -16,6 +16,7 @@
 	"samphirehitch.example/samphirehitch/process/group"
 	"samphirehitch.example/samphirehitch/process/platform"
 	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/request/classify"
 )
 
 // fault is how a fake target spoils the answer to one request.
@@ -44,6 +45,10 @@
 		outcomes  map[uint64]platform.TransactionOutcome
 		nextID    uint64
 		stalled   map[topology.TargetID]bool
+		// unconfirmed is how many of the next commits find no evidence.
+		unconfirmed int
+		// unresolved is set while no outcome can be learned.
+		unresolved bool
 	}
 	targets []platform.Target
 	now     clock.Clock
@@ -145,13 +150,23 @@
 
 // ConfirmCommit implements group.Watcher.
 func (f *fakeTargets) ConfirmCommit(context.Context, group.Commit) (topology.Point, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.mu.unconfirmed > 0 {
+		f.mu.unconfirmed--
+		return topology.Point{}, group.ErrNoEvidence
+	}
 	return topology.Point{}, nil
 }
 
-// ResolveTransaction implements group.Watcher.
+// ResolveTransaction implements group.Watcher. It knows nothing of commits that
+// found no evidence.
 func (f *fakeTargets) ResolveTransaction(_ context.Context, _ group.Commit, id uint64) (platform.TransactionOutcome, topology.Point, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.mu.unresolved {
+		return platform.OutcomeUnknown, topology.Point{}, group.ErrNoEvidence
+	}
 	if f.mu.outcomes[id] != platform.OutcomeCommitted {
 		f.mu.outcomes[id] = platform.OutcomeAborted
 	}
@@ -240,7 +255,7 @@
 }
 
 func (c *fakeConn) run(query string) {
-	words := strings.Fields(query)
+	words := strings.Fields(strings.TrimPrefix(query, classify.IdempotentHint))
 	switch {
 	case words[0] == "BEGIN":
 		c.status = 'T'
--- a/request/execute/leg.go
+++ b/request/execute/leg.go
@@ -76,12 +76,17 @@
 }
 
 // shield keeps the end of the request's context from interrupting the
-// connection, and bounds what follows instead.
-func (l *leg) shield(timeout time.Duration) context.CancelFunc {
+// connection, and bounds what follows instead, until the returned function is
+// called. From then on nothing interrupts the connection.
+func (l *leg) shield(timeout time.Duration) (end func()) {
 	l.release()
 	ctx, stop := context.WithTimeout(context.WithoutCancel(l.request.ctx), timeout)
-	l.release = l.conn.InterruptAfter(ctx)
-	return stop
+	release := l.conn.InterruptAfter(ctx)
+	l.release = func() {}
+	return func() {
+		release()
+		stop()
+	}
 }
 
 // pause ends the use of the connection without giving it back.
--- a/request/execute/write.go
+++ b/request/execute/write.go
@@ -24,25 +24,48 @@
 		return err
 	}
 	var last error
+	uncertain := false
 	for range maxAttempts {
 		target, err := r.tryWrite()
 		if err == nil {
 			return r.finish()
 		}
-		if !errors.Is(err, errNotRun) {
-			return r.conclude(err)
+		repeats := r.mayRepeat(err)
+		if !errors.Is(err, errNotRun) && !repeats {
+			return r.conclude(doubt(err, uncertain))
 		}
+		uncertain = uncertain || repeats
 		if ended := r.ended(refusal.StepExchange); ended != nil {
 			return ended
 		}
 		if r.out.forwarded || r.plan.statement.Kind == classify.KindCopyIn {
-			return refusal.New(refusal.TransactionLost, refusal.StepExchange, string(target), err)
+			return doubt(refusal.New(refusal.TransactionLost, refusal.StepExchange, string(target), err), uncertain)
 		}
 		r.out.discard()
 		r.avoid(target, err)
 		last = err
 	}
-	return refusal.New(refusal.TransactionLost, refusal.StepExchange, string(r.failed[len(r.failed)-1]), last)
+	lost := refusal.New(refusal.TransactionLost, refusal.StepExchange, string(r.failed[len(r.failed)-1]), last)
+	return doubt(lost, uncertain)
+}
+
+// doubt turns a refusal that says "not run" into one that doesn't, when an
+// earlier attempt of the same write may have run.
+func doubt(err error, uncertain bool) error {
+	var refused *refusal.Refusal
+	if !uncertain || !errors.As(err, &refused) || refused.Kind.Outcome != refusal.NotRun {
+		return err
+	}
+	return refusal.New(refusal.OutcomeUnknown, refused.Step, refused.Peer, refused)
+}
+
+// mayRepeat reports whether a write whose outcome is unknown may run again.
+func (r *request) mayRepeat(err error) bool {
+	var refused *refusal.Refusal
+	if !errors.As(err, &refused) || refused.Kind.Outcome != refusal.Unknown {
+		return false
+	}
+	return (r.session.Idempotent || r.plan.statement.Idempotent) && !r.out.forwarded
 }
 
 // notRun marks an error as one after which the write is known not to have run,
