--- a/process/config/state.go
+++ b/process/config/state.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/store"
@@ -43,3 +44,5 @@
 	}
 	return fmt.Sprintf("configuration is stale: evidence is %d ms old", e.Age.Milliseconds())
 }
+
+func isHeartbeat(key string) bool { return strings.HasPrefix(key, HeartbeatPrefix) }
