--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -1,12 +1,14 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
 	"sync"
 
 	"github.com/go-logr/logr"
+	"github.com/jackc/pgx/v5"
 	"github.com/rotisserie/eris"
 
 	"samphirehitch.example/samphirehitch/daemon"
@@ -130,7 +132,7 @@
 		id := d.Shape.ServiceID(i)
 		service := record.Service{
 			ID: id, Database: "main", Credential: credentialName,
-			Connections: d.Shape.Connections, Slots: d.Shape.Slots,
+			Connections: d.Shape.Connections, Slots: cmp.Or(d.Shape.PoolSlots, d.Shape.Slots),
 		}
 		for _, target := range g.Targets() {
 			service.Targets = append(service.Targets, record.ServiceTarget{Target: target})
@@ -165,8 +167,9 @@
 	return nil
 }
 
-// StartDaemon adds a daemon to the deployment.
-func (d *Deployment) StartDaemon(id topology.InstanceID, domain topology.FailureDomain) (*Entry, error) {
+// StartDaemon adds a daemon to the deployment. Seeds are peers to dial before the
+// store has answered.
+func (d *Deployment) StartDaemon(id topology.InstanceID, domain topology.FailureDomain, seeds ...string) (*Entry, error) {
 	s, err := settings.Parse([]byte(fmt.Sprintf(`{
 		"instance": %q, "failure_domain": %q,
 		"listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0"},
@@ -176,6 +179,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.Seeds = seeds
 	running, err := daemon.New(daemon.Options{Settings: s, Platform: daemon.Dial(s), Logger: d.logger, Clock: d.clock})
 	if err != nil {
 		return nil, err
@@ -199,6 +203,13 @@
 		host, port, d.Shape.KeyID(customer), d.Secrets[customer], d.Shape.ServiceID(service))
 }
 
+// connectTarget connects to a target as a daemon does.
+func (d *Deployment) connectTarget(address string) (*pgx.Conn, error) {
+	host, port, _ := net.SplitHostPort(address)
+	return pgx.Connect(context.Background(), fmt.Sprintf("host=%s port=%s user=%s password=%s dbname=main sslmode=disable",
+		host, port, targetUser, targetPassword))
+}
+
 // Close stops the daemons, then the stand-ins.
 func (d *Deployment) Close() {
 	var stops sync.WaitGroup
--- a/demo/shape.go
+++ b/demo/shape.go
@@ -17,6 +17,8 @@
 	TargetsPerUnit int
 	// Slots is how many statements a target runs at once.
 	Slots int
+	// PoolSlots, when not zero, stands in the service records instead of Slots.
+	PoolSlots int
 	// Connections is the most connections of a target.
 	Connections int
 	ConnectCost time.Duration
--- a/request/execute/transaction.go
+++ b/request/execute/transaction.go
@@ -234,7 +234,7 @@
 // abandon rolls back the open transaction on the target.
 func (r *request) abandon() {
 	l := r.resume()
-	l.shield(rollbackTimeout)
+	defer l.shield(rollbackTimeout)()
 	_, err := l.run(queryRollback, tagRollback)
 	if err != nil {
 		l.conn.MarkBroken()
