Test the outage verdict with a missing change and an unknown fleet

Cause: a mutation that ignored newer content in peers' answers survived the tests. Ruled out: nothing else; the lists of instances, which the daemon sets every second, no longer cause a new placement when they are the same. Before and after: with the check of newer content disabled, before: all tests pass; after: TestOutageWaitsForNewerContent fails, 'with a change missing: store-outage'. go test -race ./process/config passes. Conclusion: callers pass nil for the known instances until they have read the list.

--- a/process/config/driver.go
+++ b/process/config/driver.go
@@ -137,7 +137,9 @@
 
 // SetMembers replaces the lists of instances: those believed alive, and those of
 // the platform's list as last read, reachable or not. The second decides what a
-// majority is; a caller that cannot read it passes the one that it read last.
+// majority is; a caller that cannot read it passes the one that it read last, and
+// nil before it has read any: an instance that takes itself for the whole fleet
+// would be a majority of its own.
 func (d *Driver) SetMembers(live, known []platform.Instance) {
 	d.members.Store(&MembersChanged{Live: live, Known: known})
 	select {
--- a/process/config/spread.go
+++ b/process/config/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/platform"
@@ -34,6 +35,7 @@
 	random    *rand.Rand
 	replica   replica
 	evidence  evidence
+	members   MembersChanged
 	placement *placement
 	watch     watch
 
@@ -107,6 +109,10 @@
 }
 
 func (s *Spread) changeMembers(event MembersChanged) {
+	if s.watch.placed && slices.Equal(s.members.Live, event.Live) && slices.Equal(s.members.Known, event.Known) {
+		return
+	}
+	s.members = MembersChanged{Live: slices.Clone(event.Live), Known: slices.Clone(event.Known)}
 	before, watched := s.placement.watcher()
 	s.placement = newPlacement(s.self, event.Live, event.Known)
 	after, watches := s.placement.watcher()
--- a/process/config/spread_test.go
+++ b/process/config/spread_test.go
@@ -214,6 +214,44 @@
 	}
 }
 
+// TestOutageWaitsForNewerContent lets an instance that lacks a change which its
+// peers know count as stale, although the store is out.
+func TestOutageWaitsForNewerContent(t *testing.T) {
+	w := newWorld(8, 3)
+	settle(t, w, 10*time.Second)
+	w.down = true
+	w.wake()
+	w.advance(2 * FreshLimit)
+	d := w.daemons[0]
+	now := w.now + d.offset
+	if got := d.spread.Verdict().Judge(now); got != FreshnessOutage {
+		t.Fatalf("before: %v", got)
+	}
+	d.spread.ask(now, w.daemons[1].self.ID)
+	id := d.spread.actions[len(d.spread.actions)-1].(Send).Message.Ask.ID
+	newer := d.spread.replica.complete + 1
+	answer := &Answer{ID: id, Loaded: true, Content: newer, Complete: newer}
+	d.spread.Handle(now, Received{From: w.daemons[1].self.ID, Message: Message{Answer: answer}})
+	if got := d.spread.Verdict().Judge(now); got != FreshnessStale {
+		t.Errorf("with a change missing: %v", got)
+	}
+}
+
+// TestUnknownFleetFailsClosed keeps an instance that has never seen the list of
+// instances from taking itself for a majority.
+func TestUnknownFleetFailsClosed(t *testing.T) {
+	w := newWorld(9, 1)
+	w.known = nil
+	w.refresh(w.daemons[0])
+	settle(t, w, 10*time.Second)
+	w.down = true
+	w.wake()
+	w.advance(FreshLimit)
+	if got := w.daemons[0].spread.Verdict().Judge(w.now + w.daemons[0].offset); got != FreshnessStale {
+		t.Errorf("without evidence: %v", got)
+	}
+}
+
 // TestRestoredStoreIsReported gives a heartbeat a revision from the past.
 func TestRestoredStoreIsReported(t *testing.T) {
 	w := newWorld(7, 1)
