Tell with a read which stand-in target served it

Cause: the load tool measures the share of reads that replicas serve; a counter at the targets mixes reads with writes. Ruled out: a second request for the target's name, which may go elsewhere. Conclusion: SELECT value, samphirehitch_target() FROM kv WHERE key = ... works.

--- a/standin/session/run.go
+++ b/standin/session/run.go
@@ -140,6 +140,10 @@
 		if found, exists := s.transaction.Get(value(st.Key, arguments)); exists {
 			answer.rows = [][]string{{found}}
 		}
+	case statement.GetWithTarget:
+		if found, exists := s.transaction.Get(value(st.Key, arguments)); exists {
+			answer.rows = [][]string{{found, s.cfg.Target}}
+		}
 	case statement.All:
 		answer.rows = sortedRows(s.transaction.Rows())
 	case statement.Count:
