--- a/connection/caller/frame.go
+++ b/connection/caller/frame.go
@@ -21,6 +21,9 @@
 // codec.
 const readBufferBytes = 4096
 
+// aheadBytes is how much of a request is read before a codec is borrowed.
+const aheadBytes = 512
+
 // frame hands the codec no more than one message at a time, so that between
 // messages the codec holds nothing and can serve another connection.
 type frame struct {
@@ -98,7 +101,8 @@
 	socket          net.Conn
 	codec           *codec
 	maxMessageBytes int
-	ahead           [1]byte
+	// ahead takes the beginning of a request, which is often all of it.
+	ahead [aheadBytes]byte
 }
 
 // attach borrows a codec whose first bytes are those read ahead.
@@ -134,10 +138,11 @@
 	if !w.detach() {
 		return nil
 	}
-	if _, err := io.ReadFull(w.socket, w.ahead[:]); err != nil {
+	n, err := w.socket.Read(w.ahead[:])
+	if n == 0 && err != nil {
 		return err
 	}
-	w.attach(w.ahead[:])
+	w.attach(w.ahead[:n])
 	return nil
 }
 
--- a/request/execute/fake_test.go
+++ b/request/execute/fake_test.go
@@ -123,7 +123,7 @@
 func (f *fakeTargets) View() *group.View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	view := &group.View{Service: testService, Primary: "f-1", Term: 1}
+	view := &group.View{Service: testService, Primary: "f-1", Term: 1, Frontiers: []group.Frontier{{Time: f.now()}}}
 	for _, target := range f.targets {
 		status := topology.Status{Target: target.ID, Role: topology.RoleReplica, Term: 1}
 		if target.ID == "f-1" {
--- a/request/execute/protocol_test.go
+++ b/request/execute/protocol_test.go
@@ -143,7 +143,7 @@
 	s.want("BindComplete", "row other", "done SELECT 1", "ready I")
 	for _, end := range []string{"DEALLOCATE p", "DEALLOCATE ALL", "DISCARD ALL"} {
 		s.send(&pgproto3.Query{String: end})
-		s.frontendSkipToReady()
+		s.skipToReady()
 		s.send(append(bindExecute("p"), &pgproto3.Sync{})...)
 		s.want("error 26000", "ready I")
 		s.send(&pgproto3.Parse{Name: "p", Query: "SELECT 'other'"}, &pgproto3.Sync{})
@@ -182,8 +182,8 @@
 	}
 }
 
-// frontendSkipToReady receives up to the next ReadyForQuery.
-func (s *script) frontendSkipToReady() {
+// skipToReady receives up to the next ReadyForQuery.
+func (s *script) skipToReady() {
 	s.t.Helper()
 	for {
 		message, err := s.frontend.Receive()
