End sessions that keep a transaction open and idle

Ruled out: a limit by target only: it would not tell the idle from the busy. Before and after: without the deadline TestIdleTransaction deadlocks its bubble (the session is never ended); with it the session ends with 25P03 after 5 s of fake time, and a session that is idle outside of transactions stays. Conclusion: 30 s by default, caller.Config.IdleTransactionTimeout.

--- a/connection/caller/login_test.go
+++ b/connection/caller/login_test.go
@@ -149,3 +149,31 @@
 		}
 	})
 }
+
+// TestIdleTransaction ends a session that keeps a transaction open and says
+// nothing, but not one that is idle outside of transactions.
+func TestIdleTransaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newTestServer(t, Config{IdleTransactionTimeout: 5 * time.Second})
+		idle, busy := dial(t, s), dial(t, s)
+		idle.login(testKey, testSecret, "ledger")
+		busy.login(testKey, testSecret, "ledger")
+		busy.frontend.Send(&pgproto3.Query{String: "BEGIN"})
+		if err := busy.frontend.Flush(); err != nil {
+			t.Fatal(err)
+		}
+		busy.receive()
+		busy.receive()
+		time.Sleep(4 * time.Second)
+		busy.ask()
+		began := time.Now()
+		busy.receive()
+		if got := busy.seen[len(busy.seen)-1]; got != "FATAL 25P03" || time.Since(began) != 5*time.Second {
+			t.Errorf("got %s after %v", got, time.Since(began))
+		}
+		if got := idle.ask(); got != "mill" {
+			t.Errorf("idle session got %q", got)
+		}
+		_ = idle.socket.Close()
+	})
+}
--- a/connection/caller/loop.go
+++ b/connection/caller/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"sync"
 	"time"
 
@@ -37,6 +38,10 @@
 // drainMessage ends sessions of an instance that leaves.
 var drainMessage = &Fatal{Code: sqlstate.AdminShutdown, Message: "the instance is leaving; not run"}
 
+// idleMessage ends sessions whose transaction holds a target connection for
+// nothing.
+var idleMessage = &Fatal{Code: sqlstate.IdleTransaction, Message: "the transaction was idle for too long and is rolled back; not run"}
+
 // end ends the session at once: the running request's context ends and a wait
 // for the next one is broken off.
 func (c *connection) end(reason *Fatal) {
@@ -97,10 +102,10 @@
 	}
 	err := c.wire.wait()
 	fatal := c.endWait(err == nil)
-	if fatal != nil || err != nil {
-		return fatal, false
+	if fatal == nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		fatal = idleMessage
 	}
-	return nil, true
+	return fatal, fatal == nil && err == nil
 }
 
 // beginWait records that the session waits, or returns why it ends instead.
@@ -116,6 +121,9 @@
 	}
 	c.mu.waiting = true
 	c.mu.boundary = boundary
+	if !boundary {
+		_ = c.wire.socket.SetReadDeadline(time.Now().Add(c.server.config.IdleTransactionTimeout))
+	}
 	return nil
 }
 
@@ -129,7 +137,7 @@
 		return c.mu.ended
 	}
 	if begun {
-		if c.mu.draining {
+		if c.mu.draining || !c.mu.boundary {
 			_ = c.wire.socket.SetReadDeadline(time.Time{})
 		}
 		return nil
--- a/connection/caller/rig_test.go
+++ b/connection/caller/rig_test.go
@@ -70,16 +70,21 @@
 // Open implements Handler.
 func (echo) Open(s *session.Session) Conversation { return &echoing{session: s} }
 
-type echoing struct{ session *session.Session }
+type echoing struct {
+	session *session.Session
+	open    bool
+}
 
-func (e *echoing) Run(_ context.Context, _ *Batch, port Port) error {
+// Run opens a transaction when it is asked to and never ends it.
+func (e *echoing) Run(_ context.Context, batch *Batch, port Port) error {
+	e.open = e.open || batch.Query != nil && batch.Query.String == "BEGIN"
 	answer, _ := (&pgproto3.CommandComplete{CommandTag: []byte(e.session.Customer)}).Encode(nil)
 	answer, _ = (&pgproto3.ReadyForQuery{TxStatus: 'I'}).Encode(answer)
 	_, err := port.Write(answer)
 	return err
 }
 
-func (e *echoing) InTransaction() bool    { return false }
+func (e *echoing) InTransaction() bool    { return e.open }
 func (e *echoing) Cancel(context.Context) {}
 func (e *echoing) Close()                 {}
 
--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -37,6 +37,7 @@
 const (
 	defaultLoginTimeout    = 10 * time.Second
 	defaultWriteTimeout    = 60 * time.Second
+	defaultIdleTransaction = 30 * time.Second
 	defaultMaxLogins       = 256
 	defaultMaxConnections  = 20_000
 	defaultMaxMessageBytes = 16 << 20
@@ -59,6 +60,9 @@
 	// WriteTimeout bounds how long one write waits for a caller that doesn't
 	// read.
 	WriteTimeout time.Duration
+	// IdleTransactionTimeout bounds how long an open transaction waits for its
+	// caller, since it holds a target connection.
+	IdleTransactionTimeout time.Duration
 	// MaxLogins bounds the connections that are logging in.
 	MaxLogins int
 	// MaxConnections bounds all connections of the instance.
@@ -77,6 +81,7 @@
 func (c Config) withDefaults() Config {
 	setDefault(&c.LoginTimeout, defaultLoginTimeout)
 	setDefault(&c.WriteTimeout, defaultWriteTimeout)
+	setDefault(&c.IdleTransactionTimeout, defaultIdleTransaction)
 	setDefault(&c.MaxLogins, defaultMaxLogins)
 	setDefault(&c.MaxConnections, defaultMaxConnections)
 	setDefault(&c.MaxMessageBytes, defaultMaxMessageBytes)
--- a/connection/sqlstate/sqlstate.go
+++ b/connection/sqlstate/sqlstate.go
@@ -12,6 +12,7 @@
 	OutcomeUnknown        Code = "08007"
 	FeatureNotSupported   Code = "0A000"
 	ReadOnlyTransaction   Code = "25006"
+	IdleTransaction       Code = "25P03"
 	FailedTransaction     Code = "25P02"
 	InvalidStatementName  Code = "26000"
 	InvalidAuthorization  Code = "28000"
