Test withdrawal during a commit, large answers and large pipelines

Cause: a commit in flight is exempt from the end of its session; targets stop reading while nobody takes their answers. Ruled out: a size of pipeline that fits the sockets' buffers (it passed either way).

--- a/request/execute/fake_test.go
+++ b/request/execute/fake_test.go
@@ -47,6 +47,8 @@
 		stalled   map[topology.TargetID]bool
 		// unconfirmed is how many of the next commits find no evidence.
 		unconfirmed int
+		// confirming, when set, is called with each confirmation of a commit.
+		confirming func()
 		// unresolved is set while no outcome can be learned.
 		unresolved bool
 	}
@@ -149,9 +151,17 @@
 }
 
 // ConfirmCommit implements group.Watcher.
-func (f *fakeTargets) ConfirmCommit(context.Context, group.Commit) (topology.Point, error) {
+func (f *fakeTargets) ConfirmCommit(ctx context.Context, _ group.Commit) (topology.Point, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if confirming := f.mu.confirming; confirming != nil {
+		f.mu.Unlock()
+		confirming()
+		f.mu.Lock()
+	}
+	if ctx.Err() != nil {
+		return topology.Point{}, group.ErrNoEvidence
+	}
 	if f.mu.unconfirmed > 0 {
 		f.mu.unconfirmed--
 		return topology.Point{}, group.ErrNoEvidence
@@ -185,6 +195,7 @@
 	settings map[string]string
 	written  []string
 	xid      uint64
+	bound    string
 	answer   []byte
 }
 
@@ -218,18 +229,36 @@
 		if err != nil {
 			return
 		}
-		query, ok := message.(*pgproto3.Query)
-		if !ok {
-			return
+		spoiled := noFault
+		if query, ok := message.(*pgproto3.Query); ok {
+			c.run(query.String)
+			c.add(&pgproto3.ReadyForQuery{TxStatus: c.status})
+			spoiled = c.targets.takeFault(c.id)
+		} else {
+			c.runExtended(message)
 		}
-		c.run(query.String)
-		c.add(&pgproto3.ReadyForQuery{TxStatus: c.status})
-		if c.flush(c.targets.takeFault(c.id)) != nil {
+		if c.flush(spoiled) != nil {
 			return
 		}
 	}
 }
 
+// runExtended answers each message at once. A portal returns its parameter.
+func (c *fakeConn) runExtended(message pgproto3.FrontendMessage) {
+	switch message := message.(type) {
+	case *pgproto3.Parse:
+		c.add(&pgproto3.ParseComplete{})
+	case *pgproto3.Bind:
+		c.bound = string(message.Parameters[0])
+		c.add(&pgproto3.BindComplete{})
+	case *pgproto3.Execute:
+		c.add(&pgproto3.DataRow{Values: [][]byte{[]byte(c.bound)}})
+		c.done("SELECT 1")
+	case *pgproto3.Sync:
+		c.add(&pgproto3.ReadyForQuery{TxStatus: c.status})
+	}
+}
+
 // flush sends the answer as the fault has it. It fails once the connection is
 // of no use.
 func (c *fakeConn) flush(spoiled fault) error {
@@ -278,6 +307,9 @@
 		c.done("INSERT 0 1")
 	case query == queryTransaction:
 		c.row(c.identify())
+	case words[0] == "TABLE":
+		count, _ := strconv.Atoi(words[1])
+		c.rows(words[2], count)
 	default:
 		c.row(strings.Trim(words[1], "'"))
 	}
@@ -285,10 +317,14 @@
 
 func (c *fakeConn) done(tag string) { c.add(&pgproto3.CommandComplete{CommandTag: []byte(tag)}) }
 
-func (c *fakeConn) row(value string) {
+func (c *fakeConn) row(value string) { c.rows(value, 1) }
+
+func (c *fakeConn) rows(value string, count int) {
 	c.add(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("v"), DataTypeOID: textOID}}})
-	c.add(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
-	c.done("SELECT 1")
+	for range count {
+		c.add(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
+	}
+	c.done("SELECT " + strconv.Itoa(count))
 }
 
 func (c *fakeConn) identify() string {
--- a/request/execute/session_test.go
+++ b/request/execute/session_test.go
@@ -142,3 +142,62 @@
 		t.Errorf("rows %v after the withdrawal", rows)
 	}
 }
+
+// TestWithdrawnDuringCommit withdraws the key while a commit waits for its
+// evidence. The commit is acknowledged and the session ends after it.
+func TestWithdrawnDuringCommit(t *testing.T) {
+	r, targets := newFakeRig(t, 1)
+	s := r.script(testKey, "")
+	targets.mu.Lock()
+	targets.mu.unresolved = true
+	targets.mu.confirming = func() {
+		r.directory.withdraw(testKey)
+		r.server.SnapshotChanged(r.directory)
+	}
+	targets.mu.Unlock()
+	s.send(queryMessage("INSERT a"))
+	s.want("done INSERT 0 1", "ready I", "error 28000")
+	if got := targets.count("a"); got != 1 {
+		t.Errorf("ran %d times", got)
+	}
+}
+
+// TestLargeAnswer streams an answer of many rows; the relay keeps a part of
+// fixed size only.
+func TestLargeAnswer(t *testing.T) {
+	r, _ := newFakeRig(t, 1)
+	s := r.script(testKey, "")
+	value := strings.Repeat("x", 1000)
+	s.send(queryMessage("SELECT 'small'"))
+	s.want("RowDescription", "row small", "done SELECT 1", "ready I")
+	s.send(queryMessage("TABLE 20000 " + value))
+	s.want("RowDescription")
+	for range 20000 {
+		s.want("row " + value)
+	}
+	s.want("done SELECT 20000", "ready I")
+}
+
+// TestLargePipeline sends a batch that is larger than the buffers of the
+// connections, while its answers fill them too.
+func TestLargePipeline(t *testing.T) {
+	const statements = 12000
+	r, _ := newFakeRig(t, 1)
+	s := r.script(testKey, "")
+	value := strings.Repeat("x", 1000)
+	batch := []pgproto3.FrontendMessage{&pgproto3.Parse{Name: "p", Query: "SELECT $1"}}
+	for range statements {
+		batch = append(batch, bindExecute("p", value)...)
+	}
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		s.send(append(batch, &pgproto3.Sync{})...)
+	}()
+	s.want("ParseComplete")
+	for range statements {
+		s.want("BindComplete", "row "+value, "done SELECT 1")
+	}
+	s.want("ready I")
+	<-sent
+}
