--- a/operator/change/change.go
+++ b/operator/change/change.go
@@ -93,6 +93,13 @@
 	return Signature{Change: s.Document.Change, Author: s.Document.Author}
 }
 
+// Signed returns the change and the author of the record, empty when it is not
+// readable.
+func (s *Stored) Signed() (record.ChangeID, string) {
+	signature := s.signature()
+	return signature.Change, signature.Author
+}
+
 func (s *Stored) revision() store.Revision {
 	if s == nil {
 		return 0
--- /dev/null
+++ b/operator/fleet/fleet.go
@@ -0,0 +1,201 @@
+// Package fleet gathers what the daemons and the store say about the fleet. It
+// changes nothing.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+	"samphirehitch.example/samphirehitch/operator/change"
+	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/store"
+	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/version/snapshot"
+)
+
+// Bounds of the questions to daemons.
+const (
+	daemonTimeout     = 3 * time.Second
+	parallelQuestions = 16
+)
+
+// SlotPrefix is the store prefix of the fleet's slots.
+const SlotPrefix = "fleet/"
+
+// Status is the part of a daemon's /status that operators' commands read.
+type Status struct {
+	Instance      topology.InstanceID    `json:"instance"`
+	FailureDomain topology.FailureDomain `json:"failure_domain"`
+	Draining      bool                   `json:"draining"`
+	Configuration Configuration          `json:"configuration"`
+	Services      []Service              `json:"services"`
+}
+
+// Configuration describes the configuration in force on a daemon.
+type Configuration struct {
+	Revision  store.Revision `json:"revision"`
+	Watching  bool           `json:"watching"`
+	Freshness string         `json:"freshness"`
+	// AgeMillis is the age of the evidence, negative without any.
+	AgeMillis int64 `json:"age_millis"`
+	Rejected  int   `json:"rejected"`
+}
+
+// Service is a service as a daemon sees it.
+type Service struct {
+	Service topology.ServiceID `json:"service"`
+	Primary topology.TargetID  `json:"primary"`
+	Term    topology.Term      `json:"term"`
+	Targets []Target           `json:"targets"`
+}
+
+// Target is a target as a daemon sees it.
+type Target struct {
+	Target    topology.TargetID `json:"target"`
+	Role      string            `json:"role"`
+	Reachable bool              `json:"reachable"`
+	Leaving   bool              `json:"leaving"`
+	Received  topology.Point    `json:"received"`
+	Replayed  topology.Point    `json:"replayed"`
+}
+
+// Daemon is the answer of one daemon.
+type Daemon struct {
+	// Address is the admin address, host:port.
+	Address string  `json:"address"`
+	Status  *Status `json:"status,omitempty"`
+	// Behind is set when the daemon's configuration is older than the store's.
+	Behind bool `json:"behind"`
+	// Error says why there is no status.
+	Error string `json:"error,omitempty"`
+}
+
+// Slot is a key of the fleet's slots, as stored.
+type Slot struct {
+	Key   string          `json:"key"`
+	Value json.RawMessage `json:"value"`
+}
+
+// Report is the state of the fleet.
+type Report struct {
+	// Latest is the revision of the last record written.
+	Latest    store.Revision      `json:"latest"`
+	Records   int                 `json:"records"`
+	Rejected  []string            `json:"rejected,omitempty"`
+	Instances []platform.Instance `json:"instances"`
+	Slots     []Slot              `json:"slots"`
+	Daemons   []Daemon            `json:"daemons,omitempty"`
+}
+
+// InOrder reports whether every record takes effect and every daemon answered,
+// holds the latest configuration and knows that it is fresh.
+func (r *Report) InOrder() bool {
+	for _, daemon := range r.Daemons {
+		if daemon.Status == nil || daemon.Behind || daemon.Status.Configuration.Freshness != "fresh" {
+			return false
+		}
+	}
+	return len(r.Rejected) == 0
+}
+
+// Gather reads the store, the platform's list and the daemons at some admin
+// addresses. A daemon that does not answer is part of the report.
+func Gather(ctx context.Context, service store.Store, instances platform.Instances, admins []string) (*Report, error) {
+	report := &Report{}
+	if err := report.readRecords(ctx, service); err != nil {
+		return nil, err
+	}
+	list, err := instances.Instances(ctx)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the list of instances")
+	}
+	report.Instances = list
+	slots, err := service.List(ctx, SlotPrefix)
+	if err != nil {
+		return nil, eris.Wrap(err, "list slots")
+	}
+	for _, entry := range slots.Entries {
+		report.Slots = append(report.Slots, Slot{Key: entry.Key, Value: jsonOrText(entry.Value)})
+	}
+	report.Daemons = Ask(ctx, admins)
+	for i := range report.Daemons {
+		if status := report.Daemons[i].Status; status != nil {
+			report.Daemons[i].Behind = status.Configuration.Revision < report.Latest
+		}
+	}
+	return report, nil
+}
+
+func (r *Report) readRecords(ctx context.Context, service store.Store) error {
+	state, err := change.Load(ctx, service)
+	if err != nil {
+		return err
+	}
+	built, _ := snapshot.Build(nil, state)
+	for _, rejection := range built.Rejections() {
+		r.Rejected = append(r.Rejected, rejection.Key+": "+rejection.Err.Error())
+	}
+	r.Records = len(state.Entries)
+	for _, entry := range state.Entries {
+		r.Latest = max(r.Latest, entry.Revision)
+	}
+	return nil
+}
+
+func jsonOrText(value []byte) json.RawMessage {
+	if json.Valid(value) {
+		return value
+	}
+	text, _ := json.Marshal(string(value))
+	return text
+}
+
+// Ask requests the status of the daemons at some admin addresses, in their
+// order.
+func Ask(ctx context.Context, admins []string) []Daemon {
+	daemons := make([]Daemon, len(admins))
+	var group errgroup.Group
+	group.SetLimit(parallelQuestions)
+	for i, address := range admins {
+		group.Go(func() error {
+			daemons[i] = askOne(ctx, address)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return daemons
+}
+
+func askOne(ctx context.Context, address string) Daemon {
+	status, err := fetch(ctx, address)
+	if err != nil {
+		return Daemon{Address: address, Error: err.Error()}
+	}
+	return Daemon{Address: address, Status: status}
+}
+
+func fetch(ctx context.Context, address string) (*Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, daemonTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	if err != nil {
+		return nil, eris.Wrapf(err, "request status of %s", address)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, eris.Wrapf(err, "request status of %s", address)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, eris.Errorf("status of %s: HTTP %s", address, response.Status)
+	}
+	status := new(Status)
+	if err := json.NewDecoder(response.Body).Decode(status); err != nil {
+		return nil, eris.Wrapf(err, "decode status of %s", address)
+	}
+	return status, nil
+}
--- /dev/null
+++ b/operator/fleet/fleet_test.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"samphirehitch.example/samphirehitch/daemon"
+	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/store"
+	"samphirehitch.example/samphirehitch/process/store/memstore"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+// TestStatusMatchesTheDaemons holds the names read here against those that
+// daemons write.
+func TestStatusMatchesTheDaemons(t *testing.T) {
+	status := Status{
+		Instance: "i1", FailureDomain: "kollam", Draining: true,
+		Configuration: Configuration{Revision: 3, Watching: true, Freshness: "fresh", AgeMillis: 5, Rejected: 1},
+		Services: []Service{{Service: "s", Primary: "t", Term: 2, Targets: []Target{{
+			Target: "t", Role: topology.RolePrimary.String(), Reachable: true, Leaving: true,
+			Received: topology.Point{Term: 2, Position: 9}, Replayed: topology.Point{Term: 2, Position: 8},
+		}}}},
+	}
+	written, err := json.Marshal(status)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(written))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(new(daemon.Status)); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestGather reports a daemon that is behind and one that does not answer.
+func TestGather(t *testing.T) {
+	service := memstore.New(memstore.Config{})
+	service.PutInstance(platform.Instance{ID: "i1", FailureDomain: "kollam", State: platform.InstanceLeaving})
+	for key, value := range map[string]string{
+		"config/customer/c": `{"kind":"customer","schema":1,"id":"c","spec":{"name":"C"}}`,
+		"config/limit/d":    `{"kind":"limit","schema":1,"id":"d","spec":{"rate_per_second":1,"burst":1}}`,
+		"fleet/slots/0":     "held by i1",
+	} {
+		if _, err := service.CompareAndSwap(t.Context(), store.Swap{Key: key, Value: []byte(value)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	admin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(Status{Instance: "i1", Configuration: Configuration{Freshness: "fresh"}})
+	}))
+	defer admin.Close()
+	gone := httptest.NewServer(http.NotFoundHandler())
+	defer gone.Close()
+	addresses := []string{strings.TrimPrefix(admin.URL, "http://"), strings.TrimPrefix(gone.URL, "http://")}
+	report, err := Gather(t.Context(), service, service, addresses)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Records != 2 || len(report.Rejected) != 1 || len(report.Instances) != 1 || string(report.Slots[0].Value) != `"held by i1"` {
+		t.Errorf("report %+v", report)
+	}
+	if !report.Daemons[0].Behind || report.Daemons[1].Status != nil || report.Daemons[1].Error == "" || report.InOrder() {
+		t.Errorf("daemons %+v", report.Daemons)
+	}
+}
