Drive a deployment with the load, its failures and a baseline

Cause: the properties must be checked under open-loop load while things fail, and the measures need a baseline in the same run. Conclusion: load.Run drives any deployment; the stand-in answers SELECT value, pg_is_in_recovery() so that reads tell who served them.

--- /dev/null
+++ b/load/inject/stand_ins.go
@@ -0,0 +1,173 @@
+package inject
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"samphirehitch.example/samphirehitch/process/store/memstore"
+	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/standin/admin"
+	"samphirehitch.example/samphirehitch/standin/group"
+)
+
+// Operator changes what only the deployment's owner can: keys and daemons.
+type Operator interface {
+	SetKeyWithdrawn(ctx context.Context, customer int, withdrawn bool) error
+	StopDaemon(ctx context.Context, daemon int, drain bool) error
+	StartDaemon(ctx context.Context, daemon int) error
+}
+
+// errNoOperator reports a step that needs an Operator where there is none.
+var errNoOperator = eris.New("the deployment's keys and daemons can't be changed from here")
+
+// NoOperator refuses every change.
+type NoOperator struct{}
+
+// SetKeyWithdrawn implements Operator.
+func (NoOperator) SetKeyWithdrawn(context.Context, int, bool) error { return errNoOperator }
+
+// StopDaemon implements Operator.
+func (NoOperator) StopDaemon(context.Context, int, bool) error { return errNoOperator }
+
+// StartDaemon implements Operator.
+func (NoOperator) StartDaemon(context.Context, int) error { return errNoOperator }
+
+// Local injects into stand-ins in this process. It implements Injector.
+type Local struct {
+	Operator
+	Groups []*group.Group
+	// Store may be nil.
+	Store *memstore.Store
+}
+
+func (l Local) member(service int, target topology.TargetID) (*group.Member, error) {
+	if service < 0 || service >= len(l.Groups) {
+		return nil, eris.Errorf("no service %d", service)
+	}
+	m := l.Groups[service].Member(target)
+	if m == nil {
+		return nil, eris.Errorf("service %d has no target %q", service, target)
+	}
+	return m, nil
+}
+
+// Primary implements Injector.
+func (l Local) Primary(_ context.Context, service int) (topology.TargetID, error) {
+	if service < 0 || service >= len(l.Groups) || l.Groups[service].Primary() == nil {
+		return "", eris.Errorf("service %d has no primary", service)
+	}
+	return l.Groups[service].Primary().Target().ID, nil
+}
+
+// SetMemberFaults implements Injector.
+func (l Local) SetMemberFaults(_ context.Context, service int, target topology.TargetID, faults group.Faults) error {
+	m, err := l.member(service, target)
+	if err != nil {
+		return err
+	}
+	m.SetFaults(faults)
+	return nil
+}
+
+// KillMember implements Injector.
+func (l Local) KillMember(_ context.Context, service int, target topology.TargetID) error {
+	m, err := l.member(service, target)
+	if err != nil {
+		return err
+	}
+	m.Kill()
+	return nil
+}
+
+// RestartMember implements Injector.
+func (l Local) RestartMember(_ context.Context, service int, target topology.TargetID) error {
+	m, err := l.member(service, target)
+	if err != nil {
+		return err
+	}
+	return m.Restart()
+}
+
+// SetStoreFaults implements Injector.
+func (l Local) SetStoreFaults(_ context.Context, faults memstore.Faults) error {
+	if l.Store == nil {
+		return eris.New("no store")
+	}
+	l.Store.SetFaults(faults)
+	return nil
+}
+
+// Remote injects into stand-in programs through their admin addresses. It
+// implements Injector.
+type Remote struct {
+	Operator
+	// Groups holds one caller for each service.
+	Groups []*admin.GroupCaller
+	// Store may be nil.
+	Store *admin.StoreCaller
+}
+
+func (r Remote) group(service int) (*admin.GroupCaller, error) {
+	if service < 0 || service >= len(r.Groups) {
+		return nil, eris.Errorf("no service %d", service)
+	}
+	return r.Groups[service], nil
+}
+
+// Primary implements Injector.
+func (r Remote) Primary(ctx context.Context, service int) (topology.TargetID, error) {
+	g, err := r.group(service)
+	if err != nil {
+		return "", err
+	}
+	members, err := g.Members(ctx)
+	if err != nil {
+		return "", err
+	}
+	var primary topology.Status
+	for _, m := range members {
+		if m.Status.Role == topology.RolePrimary && m.Status.Term >= primary.Term {
+			primary = m.Status
+		}
+	}
+	if primary.Target == "" {
+		return "", eris.Errorf("service %d has no primary", service)
+	}
+	return primary.Target, nil
+}
+
+// SetMemberFaults implements Injector.
+func (r Remote) SetMemberFaults(ctx context.Context, service int, target topology.TargetID, faults group.Faults) error {
+	g, err := r.group(service)
+	if err != nil {
+		return err
+	}
+	return g.SetFaults(ctx, target, faults)
+}
+
+// KillMember implements Injector.
+func (r Remote) KillMember(ctx context.Context, service int, target topology.TargetID) error {
+	g, err := r.group(service)
+	if err != nil {
+		return err
+	}
+	return g.Kill(ctx, target)
+}
+
+// RestartMember implements Injector.
+func (r Remote) RestartMember(ctx context.Context, service int, target topology.TargetID) error {
+	g, err := r.group(service)
+	if err != nil {
+		return err
+	}
+	return g.Restart(ctx, target)
+}
+
+// SetStoreFaults implements Injector.
+func (r Remote) SetStoreFaults(ctx context.Context, faults memstore.Faults) error {
+	if r.Store == nil {
+		return eris.New("no store")
+	}
+	return r.Store.SetFaults(ctx, faults)
+}
--- a/load/oracle/final.go
+++ b/load/oracle/final.go
@@ -8,25 +8,20 @@
 )
 
 // CheckEnd compares the rows of a primary, after every request has ended, with
-// the history. Rows maps keys to values; Owns selects the keys that the primary
-// is responsible for.
-func (o *Oracle) CheckEnd(rows map[string]string, owns func(key string) bool, now time.Duration) {
+// the history. Rows maps keys to values.
+func (o *Oracle) CheckEnd(rows map[string]string, now time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, key := range sortedKeys(o.mu.counters) {
-		if owns(key) {
-			o.endCounter(key, o.mu.counters[key], rows, now)
-		}
+		o.endCounter(key, o.mu.counters[key], rows, now)
 	}
 	for _, key := range sortedKeys(o.mu.orders) {
-		if owns(key) {
-			o.endOrder(key, o.mu.orders[key], rows, now)
-		}
+		o.endOrder(key, o.mu.orders[key], rows, now)
 	}
 	for _, pair := range o.mu.pairs {
 		_, first := rows[pair[0]]
 		_, second := rows[pair[1]]
-		if owns(pair[0]) && first != second {
+		if first != second {
 			o.report(Violation{RuleAtomic, now, pair[0], "one of two rows of a transaction is missing"})
 		}
 	}
--- a/load/oracle/oracle_test.go
+++ b/load/oracle/oracle_test.go
@@ -85,7 +85,7 @@
 	}
 	o.Together("half", "other")
 	rows := map[string]string{"c": "3", "ran": "v", "half": "v"}
-	o.CheckEnd(rows, func(string) bool { return true }, 0)
+	o.CheckEnd(rows, 0)
 	wantRules(t, o, RuleDoubledWrite, RuleLostWrite, RuleNotRun, RuleAtomic)
 }
 
--- a/load/workload/workload.go
+++ b/load/workload/workload.go
@@ -44,6 +44,9 @@
 	// PairedShare is the share of sessions that name themselves and are open
 	// through two daemons at once.
 	PairedShare float64 `json:"paired_share"`
+	// PreparedShare is the share of sessions that prepare their statements,
+	// which costs them requests that the load doesn't count.
+	PreparedShare float64 `json:"prepared_share"`
 	// SharedCounters is how many counters of a service all sessions increment.
 	SharedCounters int `json:"shared_counters"`
 	// TimeoutMillis bounds a request.
--- a/standin/group/host.go
+++ b/standin/group/host.go
@@ -4,6 +4,8 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"maps"
+	"slices"
 	"time"
 
 	"samphirehitch.example/samphirehitch/standin/database"
@@ -80,11 +82,19 @@
 
 // Seen returns the values of a startup parameter that callers have sent.
 func (m *Member) Seen(parameter string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Keys(m.mu.seen[parameter]))
+}
+
+// SeenValues returns every value of every startup parameter that callers have
+// sent.
+func (m *Member) SeenValues() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var values []string
-	for value := range m.mu.seen[parameter] {
-		values = append(values, value)
+	for _, of := range m.mu.seen {
+		values = slices.AppendSeq(values, maps.Keys(of))
 	}
 	return values
 }
--- a/standin/session/run.go
+++ b/standin/session/run.go
@@ -140,9 +140,9 @@
 		if found, exists := s.transaction.Get(value(st.Key, arguments)); exists {
 			answer.rows = [][]string{{found}}
 		}
-	case statement.GetWithTarget:
+	case statement.GetWithRole:
 		if found, exists := s.transaction.Get(value(st.Key, arguments)); exists {
-			answer.rows = [][]string{{found, s.cfg.Target}}
+			answer.rows = [][]string{{found, boolean(!s.cfg.Database.Primary())}}
 		}
 	case statement.All:
 		answer.rows = sortedRows(s.transaction.Rows())
--- a/standin/statement/statement.go
+++ b/standin/statement/statement.go
@@ -19,7 +19,7 @@
 	Commit
 	Rollback
 	Get
-	GetWithTarget
+	GetWithRole
 	All
 	Count
 	Insert
@@ -132,8 +132,8 @@
 var forms = []form{
 	newForm(``, Statement{Kind: Empty}, nil),
 	newForm(`select\s+value\s+from\s+kv`+keyPattern, selecting(Get, "value", Text), fillKey),
-	newForm(`select\s+value\s*,\s*samphirehitch_target\(\)\s+from\s+kv`+keyPattern,
-		Statement{Kind: GetWithTarget, Tag: "SELECT", Columns: []Column{{Name: "value"}, {Name: "samphirehitch_target"}}}, fillKey),
+	newForm(`select\s+value\s*,\s*pg_is_in_recovery\(\)\s+from\s+kv`+keyPattern,
+		Statement{Kind: GetWithRole, Tag: "SELECT", Columns: []Column{{Name: "value"}, {Name: "pg_is_in_recovery", Type: Boolean}}}, fillKey),
 	newForm(`update\s+kv\s+set\s+value\s*=\s*value\s*\+\s*`+operandPattern+keyPattern+`(\s+returning\s+value)?`,
 		Statement{Kind: Increment, Tag: "UPDATE"}, fillValueKey),
 	newForm(`update\s+kv\s+set\s+value\s*=\s*`+operandPattern+keyPattern+`(\s+returning\s+value)?`,
