Try requests again until another primary serves them

Cause: requests that met a dead primary were tried four times within milliseconds and then refused, while a promotion takes longer; a booking must go through. Ruled out: more attempts without a wait; a wait before the first retry, which a single lost connection doesn't need. A rollback of a refused statement could look at the group's view before it was looked up (nil); the pinned transaction now keeps its watcher.

--- a/request/execute/conversation.go
+++ b/request/execute/conversation.go
@@ -46,6 +46,7 @@
 // pin is a target connection that a transaction holds.
 type pin struct {
 	lease    Lease
+	watcher  group.Watcher
 	target   topology.TargetID
 	term     topology.Term
 	readOnly bool
--- a/request/execute/failure_test.go
+++ b/request/execute/failure_test.go
@@ -1,14 +1,37 @@
 package execute
 
 import (
+	"context"
 	"fmt"
+	"runtime"
 	"testing"
 
+	"github.com/jackc/pgx/v5"
+
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/request/refusal"
 	standin "samphirehitch.example/samphirehitch/standin/group"
 )
 
+// catchUp waits until t-2 holds the whole log of the primary.
+func (r *rig) catchUp() {
+	r.t.Helper()
+	for {
+		primary, err := r.group.Member("t-1").Database().Status(r.t.Context())
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		second, err := r.group.Member("t-2").Database().Status(r.t.Context())
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		if second.Received.Reaches(primary.Received) {
+			return
+		}
+		runtime.Gosched()
+	}
+}
+
 // promote makes t-2 the primary of the term by the votes of t-2 and t-3.
 func (r *rig) promote(term topology.Term) {
 	r.t.Helper()
@@ -54,6 +77,7 @@
 	r.exec(conn, "INSERT INTO kv VALUES ('n', '0')")
 	r.exec(conn, "BEGIN")
 	r.exec(conn, "UPDATE kv SET value = '1' WHERE key = 'n'")
+	r.catchUp()
 	r.group.Member("t-1").SetFaults(standin.Faults{CutFromMembers: true})
 	r.promote(2)
 	_, err := conn.Exec(t.Context(), "COMMIT")
@@ -70,6 +94,7 @@
 	r := newRig(t)
 	conn := r.connect(testKey, "")
 	r.exec(conn, "INSERT INTO kv VALUES ('n', '0')")
+	r.catchUp()
 	if _, err := r.group.Member("t-1").Database().Fence(t.Context(), 2); err != nil {
 		t.Fatal(err)
 	}
@@ -123,7 +148,7 @@
 		"plain":           {"off", "INSERT a", unknown, 1, 1},
 		"session":         {"on", "INSERT a", acknowledged, 1, 2},
 		"hint":            {"off", "/* samphirehitch: idempotent */ INSERT a", acknowledged, 1, 2},
-		"never confirmed": {"on", "INSERT a", unknown, 100, maxAttempts},
+		"never confirmed": {"on", "INSERT a", unknown, 100, maxRepeats},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r, targets := newFakeRig(t, 1)
@@ -142,3 +167,38 @@
 		})
 	}
 }
+
+// TestRequestsWaitForTheNextPrimary kills the primary and promotes another while
+// requests are under way. None of them is refused.
+func TestRequestsWaitForTheNextPrimary(t *testing.T) {
+	r := newRig(t)
+	conns := []*pgx.Conn{r.connect(testKey, ""), r.connect(testKey, "")}
+	r.exec(conns[0], "INSERT INTO kv VALUES ('n', '0')")
+	r.exec(conns[1], "SELECT value FROM kv WHERE key = 'n'")
+	r.catchUp()
+	r.group.Member("t-1").Kill()
+	ended := make(chan error, 1)
+	go func() {
+		tx, err := conns[1].Begin(context.Background())
+		if err == nil {
+			_, err = tx.Exec(context.Background(), "INSERT INTO kv VALUES ('m', '0')")
+		}
+		if err == nil {
+			err = tx.Commit(context.Background())
+		}
+		ended <- err
+	}()
+	go func() {
+		_, err := conns[0].Exec(context.Background(), "UPDATE kv SET value = value + 1 WHERE key = 'n'")
+		ended <- err
+	}()
+	r.promote(2)
+	for range conns {
+		if err := <-ended; err != nil {
+			t.Errorf("refused during the failover: %v", err)
+		}
+	}
+	if rows := r.group.Member("t-2").Database().Rows(); rows["n"] != "1" || rows["m"] != "0" {
+		t.Errorf("rows %v on the new primary", rows)
+	}
+}
--- a/request/execute/fake_test.go
+++ b/request/execute/fake_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"samphirehitch.example/samphirehitch/connection/caller"
 	"samphirehitch.example/samphirehitch/process/clock"
 	"samphirehitch.example/samphirehitch/process/group"
 	"samphirehitch.example/samphirehitch/process/platform"
@@ -72,7 +73,7 @@
 		go f.accept(id, listener)
 	}
 	r := &rig{t: t, watcher: f, limit: limit}
-	r.start(f.now, f.targets)
+	r.start(f.now, f.targets, func(c *Config, _ *caller.Config) { c.RetryPause = time.Millisecond })
 	return r, f
 }
 
--- a/request/execute/ports.go
+++ b/request/execute/ports.go
@@ -80,11 +80,14 @@
 	// ReplicaTimeout bounds the wait for a replica to replay the floor before
 	// the primary is asked.
 	ReplicaTimeout time.Duration
-	// PrimaryTimeout bounds the wait for a primary.
+	// PrimaryTimeout bounds the wait for a primary, and the time in which a
+	// request is tried again after failures of targets.
 	PrimaryTimeout time.Duration
 	// CommitTimeout bounds the time from the sending of a commit until its
 	// outcome is known.
 	CommitTimeout time.Duration
+	// RetryPause bounds the wait for another primary between two attempts.
+	RetryPause time.Duration
 	// StallTimeout is how long a target that answers no status request may keep
 	// a request.
 	StallTimeout time.Duration
@@ -96,6 +99,7 @@
 	defaultReplicaTimeout = 20 * time.Millisecond
 	defaultPrimaryTimeout = 10 * time.Second
 	defaultCommitTimeout  = 15 * time.Second
+	defaultRetryPause     = 100 * time.Millisecond
 	defaultStallTimeout   = time.Second
 )
 
@@ -104,6 +108,7 @@
 	setDefault(&c.ReplicaTimeout, defaultReplicaTimeout)
 	setDefault(&c.PrimaryTimeout, defaultPrimaryTimeout)
 	setDefault(&c.CommitTimeout, defaultCommitTimeout)
+	setDefault(&c.RetryPause, defaultRetryPause)
 	setDefault(&c.StallTimeout, defaultStallTimeout)
 	return c
 }
--- a/request/execute/read.go
+++ b/request/execute/read.go
@@ -12,9 +12,6 @@
 	"samphirehitch.example/samphirehitch/request/refusal"
 )
 
-// maxAttempts bounds the targets that one request is tried on.
-const maxAttempts = 4
-
 // errIsWrite reports that a target refused a read as a write; it did not run.
 var errIsWrite = errors.New("refused as a write")
 
@@ -32,8 +29,8 @@
 	if err := r.settleFloor(); err != nil {
 		return err
 	}
-	var last error
-	for range maxAttempts {
+	tries := r.newAttempts(quickReads)
+	for {
 		err := r.tryRead()
 		if err == nil {
 			return r.finish()
@@ -41,21 +38,31 @@
 		if errors.Is(err, errIsWrite) {
 			return r.moveToWrite()
 		}
-		var lost *lostError
-		if !errors.As(err, &lost) {
-			return r.conclude(err)
-		}
-		if ended := r.ended(refusal.StepExchange); ended != nil {
-			return ended
-		}
-		if r.out.forwarded {
-			return refusal.New(refusal.ReadLost, refusal.StepExchange, string(lost.target), err)
+		again, err := r.retry(tries, err, refusal.ReadLost)
+		if !again {
+			return err
 		}
-		r.out.discard()
-		r.avoid(lost.target, err)
-		last = err
 	}
-	return refusal.New(refusal.TargetUnreachable, refusal.StepExchange, string(r.failed[len(r.failed)-1]), last)
+}
+
+// retry decides on another attempt of a request that has changed nothing so far.
+// When there is none, the error is what the caller is told; kind is for an
+// answer that broke off.
+func (r *request) retry(tries *attempts, err error, kind refusal.Kind) (again bool, _ error) {
+	var lost *lostError
+	if !errors.As(err, &lost) {
+		return false, r.conclude(err)
+	}
+	if ended := r.ended(refusal.StepExchange); ended != nil {
+		return false, ended
+	}
+	if r.out.forwarded {
+		return false, refusal.New(kind, refusal.StepExchange, string(lost.target), err)
+	}
+	if !tries.again(lost.target, err) {
+		return false, refusal.New(refusal.TargetUnreachable, refusal.StepExchange, string(lost.target), err)
+	}
+	return true, nil
 }
 
 // lostError reports a failure of a target or of the connection to it.
@@ -132,6 +139,8 @@
 	if err := b.relay(); err != nil {
 		return err
 	}
+	// A statement that ends the transaction around it may have written.
+	escaped := l.primary && l.conn.Status() == statusIdle
 	if l.primary {
 		if _, err := l.await(tagCommit, tagRollback); err != nil {
 			return err
@@ -140,6 +149,10 @@
 	if b.code == sqlstate.ReadOnlyTransaction {
 		return errIsWrite
 	}
+	if escaped {
+		l.conn.MarkBroken()
+		return refusal.New(refusal.OutcomeUnknown, refusal.StepExchange, string(l.target), nil)
+	}
 	r.recordSetting(l, b)
 	return nil
 }
--- a/request/execute/transaction.go
+++ b/request/execute/transaction.go
@@ -24,25 +24,17 @@
 	if err := r.settleFloor(); err != nil {
 		return err
 	}
-	for range maxAttempts {
+	tries := r.newAttempts(quickWrites)
+	for {
 		err := r.tryBegin()
 		if err == nil {
 			return r.finish()
 		}
-		var lost *lostError
-		if !errors.As(err, &lost) {
-			return r.conclude(err)
-		}
-		if ended := r.ended(refusal.StepExchange); ended != nil {
-			return ended
-		}
-		if r.out.forwarded {
-			return refusal.New(refusal.TransactionLost, refusal.StepExchange, string(lost.target), err)
+		again, err := r.retry(tries, err, refusal.TransactionLost)
+		if !again {
+			return err
 		}
-		r.out.discard()
-		r.avoid(lost.target, err)
 	}
-	return refusal.New(refusal.TargetUnreachable, refusal.StepExchange, string(r.failed[len(r.failed)-1]), nil)
 }
 
 func (r *request) tryBegin() error {
@@ -61,7 +53,7 @@
 		return asLost(l.target, err)
 	}
 	l.pause()
-	r.pin = &pin{lease: l.lease, target: l.target, term: l.term, readOnly: !l.primary, settings: before}
+	r.pin = &pin{lease: l.lease, watcher: r.watcher, target: l.target, term: l.term, readOnly: !l.primary, settings: before}
 	r.status = l.conn.Status()
 	if b.code == sqlstate.ReadOnlyTransaction && l.primary && l.isReplaced() {
 		r.out.discard()
@@ -93,9 +85,7 @@
 
 // runPinned serves a batch inside of a transaction.
 func (r *request) runPinned() error {
-	if err := r.findGroup(); err != nil {
-		return r.failTransaction(err)
-	}
+	r.watcher = r.pin.watcher
 	if r.plan.statement.Kind != classify.KindRollback {
 		if err := r.gate(); err != nil {
 			return r.failTransaction(err)
@@ -225,6 +215,7 @@
 		return err
 	}
 	if r.pin != nil {
+		r.watcher = r.pin.watcher
 		r.abandon()
 	}
 	r.status = statusFailed
@@ -252,7 +243,8 @@
 	if err := r.findGroup(); err != nil {
 		return err
 	}
-	for range maxAttempts {
+	tries := r.newAttempts(quickWrites)
+	for {
 		decision, err := r.routePrimary(writing)
 		if err != nil {
 			return err
@@ -261,12 +253,11 @@
 		if err == nil {
 			return r.conclude(r.tryBare(l))
 		}
-		if isFinal(err) {
+		again, err := r.retry(tries, asLost(decision.Target.ID, err), refusal.TransactionLost)
+		if !again {
 			return err
 		}
-		r.avoid(decision.Target.ID, err)
 	}
-	return refusal.New(refusal.TargetUnreachable, refusal.StepAcquire, string(r.failed[len(r.failed)-1]), nil)
 }
 
 func (r *request) tryBare(l *leg) error {
@@ -275,7 +266,7 @@
 	b, err := l.exchange()
 	if err == nil && l.conn.Status() != statusIdle {
 		l.pause()
-		r.pin = &pin{lease: l.lease, target: l.target, term: l.term, settings: r.session.Settings}
+		r.pin = &pin{lease: l.lease, watcher: r.watcher, target: l.target, term: l.term, settings: r.session.Settings}
 		r.status = l.conn.Status()
 		return r.finish()
 	}
--- a/request/execute/write.go
+++ b/request/execute/write.go
@@ -23,32 +23,32 @@
 	if err := r.findGroup(); err != nil {
 		return err
 	}
-	var last error
-	uncertain := false
-	for range maxAttempts {
+	tries := r.newAttempts(quickWrites)
+	// uncertain counts the attempts that may have run.
+	uncertain := 0
+	for {
 		target, err := r.tryWrite()
 		if err == nil {
 			return r.finish()
 		}
-		repeats := r.mayRepeat(err)
-		if !errors.Is(err, errNotRun) && !repeats {
-			return r.conclude(doubt(err, uncertain))
+		if r.mayRepeat(err) {
+			uncertain++
+		} else if !errors.Is(err, errNotRun) {
+			return r.conclude(doubt(err, uncertain > 0))
 		}
-		uncertain = uncertain || repeats
 		if ended := r.ended(refusal.StepExchange); ended != nil {
-			return ended
+			return doubt(ended, uncertain > 0)
 		}
-		if r.out.forwarded || r.plan.statement.Kind == classify.KindCopyIn {
-			return doubt(refusal.New(refusal.TransactionLost, refusal.StepExchange, string(target), err), uncertain)
+		if r.out.forwarded || uncertain >= maxRepeats || !tries.again(target, err) {
+			lost := refusal.New(refusal.TransactionLost, refusal.StepExchange, string(target), err)
+			return doubt(lost, uncertain > 0)
 		}
-		r.out.discard()
-		r.avoid(target, err)
-		last = err
 	}
-	lost := refusal.New(refusal.TransactionLost, refusal.StepExchange, string(r.failed[len(r.failed)-1]), last)
-	return doubt(lost, uncertain)
 }
 
+// maxRepeats bounds how often an idempotent write may run.
+const maxRepeats = 4
+
 // doubt turns a refusal that says "not run" into one that doesn't, when an
 // earlier attempt of the same write may have run.
 func doubt(err error, uncertain bool) error {
@@ -128,6 +128,8 @@
 	if err := b.relay(); err != nil {
 		return notRun(err)
 	}
+	// A statement that ends the transaction around it leaves no id to ask for.
+	c.blind = b.code == "" && l.conn.Status() != statusInTransaction
 	if copies {
 		l.queue(queryTransaction)
 		if err := l.conn.Flush(); err != nil {
