--- a/load/limiter_test.go
+++ b/load/limiter_test.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -10,9 +11,13 @@
 // TestLimiterCountsEachMomentOnce has many askers whose clock readings would
 // come out of order if they were taken before the limiter's lock.
 func TestLimiterCountsEachMomentOnce(t *testing.T) {
-	const askers, asks, rate, burst = 8, 2000, 1000, 10
+	const askers, asks, rate, burst = 8, 2000, 1000, 8000
 	var now atomic.Int64
-	clock := func() time.Duration { return time.Duration(now.Add(int64(10 * time.Microsecond))) }
+	clock := func() time.Duration {
+		read := time.Duration(now.Add(int64(10 * time.Microsecond)))
+		runtime.Gosched()
+		return read
+	}
 	l := newLimiter(rate, burst, clock)
 	var admitted atomic.Int64
 	var wait sync.WaitGroup
