Test watches that fall silent and drop two checks that had no effect

Cause: mutations of the restart of silent watches, of the age filter in the count of the majority, and of peers' evidence in the outage verdict survived the tests. Ruled out: tests for the latter two: the count ends by the ages of the answers anyway, and a peer's evidence holds for this instance as soon as it lacks none of the peer's changes, which the verdict asks for; both were removed.

--- a/process/config/evidence.go
+++ b/process/config/evidence.go
@@ -91,10 +91,7 @@
 type heard struct {
 	// asked is when this instance sent the request.
 	asked time.Duration
-	// evident and evidenceAt give the peer's evidence on this instance's clock.
-	evident    bool
-	evidenceAt time.Duration
-	content    store.Revision
+	content store.Revision
 }
 
 // evidence collects proofs and answers.
@@ -178,8 +175,9 @@
 
 // verdict judges the answers of the panel. The store is out when a majority of
 // the panel, this instance included, answered requests younger than AnswerLimit,
-// none of the instances heard holds unexpired evidence, and none knows a change
-// that this one lacks.
+// none of the instances heard knows a change that this one lacks, and the evidence
+// is expired: this instance's own, which is no older than that of those heard,
+// since their evidence holds for it once it lacks none of their changes.
 func (e *evidence) verdict(now time.Duration, replica *replica, panel []topology.InstanceID) *Verdict {
 	v := &Verdict{loaded: replica.loaded, evident: e.evident, evidenceAt: e.at}
 	if panel == nil {
@@ -195,9 +193,6 @@
 		if answer.content > replica.complete {
 			return v
 		}
-		if answer.evident {
-			v.outageFrom = max(v.outageFrom, answer.evidenceAt+FreshLimit)
-		}
 	}
 	v.outageUntil = e.quorumUntil(now, panel)
 	return v
@@ -212,7 +207,7 @@
 	}
 	var asked []time.Duration
 	for _, id := range panel {
-		if answer, ok := e.heard[id]; ok && now-answer.asked < AnswerLimit {
+		if answer, ok := e.heard[id]; ok {
 			asked = append(asked, answer.asked)
 		}
 	}
--- a/process/config/exchange.go
+++ b/process/config/exchange.go
@@ -105,13 +105,12 @@
 	if known, ok := s.evidence.heard[from]; ok && known.asked > asked {
 		return
 	}
-	record := heard{asked: asked, content: answer.Content}
-	if answer.Evidence != nil {
-		record.evident = true
-		record.evidenceAt = asked - time.Duration(answer.Evidence.AgeMicros)*time.Microsecond
-		s.evidence.add(proof{at: record.evidenceAt, revision: answer.Evidence.Revision}, s.replica.complete)
+	s.evidence.heard[from] = heard{asked: asked, content: answer.Content}
+	if answer.Evidence == nil {
+		return
 	}
-	s.evidence.heard[from] = record
+	at := asked - time.Duration(answer.Evidence.AgeMicros)*time.Microsecond
+	s.evidence.add(proof{at: at, revision: answer.Evidence.Revision}, s.replica.complete)
 }
 
 // pushed applies a pushed change, or asks for what leads up to it.
--- a/process/config/spread_test.go
+++ b/process/config/spread_test.go
@@ -57,6 +57,7 @@
 				w.storeDelay = time.Duration(rapid.SampledFrom([]int{2, 2, 300, 3000}).Draw(t, "slow")) * time.Millisecond
 				w.wake()
 			},
+			"dropWatches": func(*rapid.T) { w.waiting = nil },
 			"network": func(t *rapid.T) {
 				w.loss = rapid.SampledFrom([]int{0, 0, 20, 80}).Draw(t, "loss")
 				w.double = rapid.SampledFrom([]int{0, 30}).Draw(t, "double")
@@ -124,6 +125,16 @@
 	settle(t, w, inForceTarget)
 }
 
+// TestSilentWatchesAreRestarted loses all waiting watches without an answer, as
+// dead connections do. The heartbeats, which pass, show that.
+func TestSilentWatchesAreRestarted(t *testing.T) {
+	w := newWorld(10, 7)
+	settle(t, w, 10*time.Second)
+	w.waiting = nil
+	w.commit(Prefix+"key/k", []byte("x"), false)
+	settle(t, w, heartbeatInterval*5/4+patienceMin+inForceTarget)
+}
+
 // TestStoreCallsAreBounded counts the calls of fleets of several sizes, with the
 // store up and down. The bound is 3 % of the store's 2,000 reads a second.
 func TestStoreCallsAreBounded(t *testing.T) {
