--- a/process/config/spread_test.go
+++ b/process/config/spread_test.go
@@ -130,6 +130,9 @@
 func TestSilentWatchesAreRestarted(t *testing.T) {
 	w := newWorld(10, 7)
 	settle(t, w, 10*time.Second)
+	for len(w.waiting) < len(w.daemons) {
+		w.advance(time.Millisecond)
+	}
 	w.waiting = nil
 	w.commit(Prefix+"key/k", []byte("x"), false)
 	settle(t, w, heartbeatInterval*5/4+patienceMin+inForceTarget)
