--- a/process/config/evidence.go
+++ b/process/config/evidence.go
@@ -90,7 +90,7 @@
 // heard is the latest answer of a peer.
 type heard struct {
 	// asked is when this instance sent the request.
-	asked time.Duration
+	asked   time.Duration
 	content store.Revision
 }
 
