Give tokens after writes and take them at login and by SET

Cause: a session's floor has to travel with a caller that roams between instances, at less than a status round for each read. Ruled out: a token as a row of some query only: drivers hand on a ParameterStatus with the write's own answer. Before and after: TestToken passes with the tokens of a test floor; without Present at login it reads the value before the write. Conclusion: session.Floor has Present and Token; caller.Deps.NewFloor makes one for each session. SHOW knows samphirehitch's own settings.

--- a/connection/caller/parameters.go
+++ b/connection/caller/parameters.go
@@ -36,12 +36,14 @@
 			return err
 		}
 	}
+	s.Floor = c.server.deps.NewFloor()
 	token := merged[parameterToken]
-	s.Floor, err = c.server.deps.NewFloor(token)
-	if err != nil {
+	if token == "" {
+		return nil
+	}
+	if err := s.Present(token); err != nil {
 		return &Fatal{Code: sqlstate.InvalidParameterValue, Message: "the token is not valid"}
 	}
-	s.Tracked = token != ""
 	return nil
 }
 
--- a/connection/caller/rig_test.go
+++ b/connection/caller/rig_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"sync/atomic"
@@ -94,13 +93,8 @@
 		Directory: func() session.Directory { return directory },
 		Fresh:     func() error { return nil },
 		Handler:   echo{},
-		NewFloor: func(token string) (session.Floor, error) {
-			if token == "bad" {
-				return nil, errors.New("bad token")
-			}
-			return &session.Point{}, nil
-		},
-		Logger: logr.Discard(),
+		NewFloor:  func() session.Floor { return &session.Point{} },
+		Logger:    logr.Discard(),
 	}), directory
 }
 
--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -104,9 +104,8 @@
 	// Fresh returns an error while the configuration is too old to let keys in.
 	Fresh   func() error
 	Handler Handler
-	// NewFloor returns the floor of a session, from the token that the caller
-	// presents or from none. An error refuses the token.
-	NewFloor func(token string) (session.Floor, error)
+	// NewFloor returns the floor of a new session.
+	NewFloor func() session.Floor
 	Logger   logr.Logger
 }
 
--- a/connection/session/session.go
+++ b/connection/session/session.go
@@ -5,6 +5,7 @@
 package session
 
 import (
+	"errors"
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/topology"
@@ -17,6 +18,10 @@
 	At(service topology.ServiceID) topology.Point
 	// Raise moves the point for a service up. A lower point changes nothing.
 	Raise(service topology.ServiceID, point topology.Point)
+	// Present raises the points to those of a token.
+	Present(token string) error
+	// Token returns a token for the points; empty when the floor has none.
+	Token() string
 }
 
 // Session is the state of a caller's connection.
@@ -53,6 +58,16 @@
 	s.Aged = age > 0
 }
 
+// Present raises the floor to a token. The caller thereby vouches that its
+// tokens cover what it wrote elsewhere.
+func (s *Session) Present(token string) error {
+	if err := s.Floor.Present(token); err != nil {
+		return err
+	}
+	s.Tracked = true
+	return nil
+}
+
 // NeedsArrivalFloor reports whether a read needs a point that covers every
 // write acknowledged before it arrived. A session that states an age or that
 // tracks its writes with a token doesn't, unless it has a name and may be open
@@ -64,7 +79,10 @@
 	return s.Name != "" || !s.Tracked
 }
 
-// Point is a floor for a session of one service.
+// ErrNoTokens reports a token where none are in use.
+var ErrNoTokens = errors.New("tokens are not in use")
+
+// Point is a floor for a session of one service, without tokens.
 type Point struct {
 	service topology.ServiceID
 	point   topology.Point
@@ -85,3 +103,9 @@
 	}
 	p.point = topology.MaxPoint(p.point, point)
 }
+
+// Present refuses every token.
+func (p *Point) Present(string) error { return ErrNoTokens }
+
+// Token returns no token.
+func (p *Point) Token() string { return "" }
--- a/request/classify/classify.go
+++ b/request/classify/classify.go
@@ -62,8 +62,8 @@
 	Local bool
 	// Feature names what an unsupported statement needs.
 	Feature string
-	// Name is the setting or the prepared statement that the statement names,
-	// in lower case; "all" for all of them.
+	// Name is the setting or the prepared statement that a SET, RESET, SHOW,
+	// DISCARD or DEALLOCATE names, in lower case; "all" for all of them.
 	Name string
 	// Value is the text after the name of a SET.
 	Value string
@@ -162,7 +162,7 @@
 	case "select", "with", "values", "table":
 		return scanQuery(s)
 	case "show":
-		return finish(s, Statement{Kind: KindRead})
+		return scanName(s, KindRead)
 	case "explain":
 		return finish(s, Statement{Kind: KindRead})
 	case "copy":
--- a/request/execute/answers_test.go
+++ b/request/execute/answers_test.go
@@ -56,7 +56,7 @@
 	s.send(queryMessage(query))
 	var answer []string
 	for {
-		message, err := s.frontend.Receive()
+		message, err := s.receive()
 		if err != nil {
 			s.t.Fatal(err)
 		}
--- a/request/execute/failure_test.go
+++ b/request/execute/failure_test.go
@@ -13,22 +13,23 @@
 	standin "samphirehitch.example/samphirehitch/standin/group"
 )
 
-// catchUp waits until t-2 holds the whole log of the primary.
+// catchUp waits until every member has replayed the log of the primary.
 func (r *rig) catchUp() {
 	r.t.Helper()
-	for {
-		primary, err := r.group.Member("t-1").Database().Status(r.t.Context())
-		if err != nil {
-			r.t.Fatal(err)
-		}
-		second, err := r.group.Member("t-2").Database().Status(r.t.Context())
-		if err != nil {
-			r.t.Fatal(err)
+	var statuses []topology.Status
+	for behind := true; behind; runtime.Gosched() {
+		statuses = statuses[:0]
+		for _, member := range r.group.Members() {
+			status, err := member.Database().Status(r.t.Context())
+			if err != nil {
+				r.t.Fatal(err)
+			}
+			statuses = append(statuses, status)
 		}
-		if second.Received.Reaches(primary.Received) {
-			return
+		behind = false
+		for _, status := range statuses {
+			behind = behind || !status.Replayed.Reaches(statuses[0].Received)
 		}
-		runtime.Gosched()
 	}
 }
 
--- a/request/execute/floor_test.go
+++ b/request/execute/floor_test.go
@@ -8,13 +8,21 @@
 	standin "samphirehitch.example/samphirehitch/standin/group"
 )
 
-// lag makes the replicas replay late.
+// lag makes the replicas replay late, once they have what is there.
 func (r *rig) lag(millis int) {
+	r.catchUp()
 	for _, member := range r.group.Members() {
 		member.SetFaults(standin.Faults{ReplayLagMillis: millis})
 	}
 }
 
+// keepUp ends the lag.
+func (r *rig) keepUp() {
+	for _, member := range r.group.Members() {
+		member.SetFaults(standin.Faults{})
+	}
+}
+
 const longLagMillis = 3_600_000
 
 // TestReadYourWritesOnOpenConnections writes on one connection and reads on
@@ -35,7 +43,7 @@
 			if got := r.text(reader, "SELECT value FROM kv WHERE key = 'n'"); got != want {
 				t.Errorf("read %s after a write of %s elsewhere", got, want)
 			}
-			r.lag(0)
+			r.keepUp()
 		})
 	}
 }
@@ -64,3 +72,30 @@
 		t.Errorf("read %s after the age was withdrawn, want 3", got)
 	}
 }
+
+// TestToken carries a floor to another session. A session that presents a token
+// takes no arrival floors, so it reads what the token covers and may read older
+// than what it was not told of.
+func TestToken(t *testing.T) {
+	r := newRig(t)
+	writer := r.script(testKey, "")
+	writer.ask("INSERT INTO kv VALUES ('n', '0')")
+	early := r.script(testKey, "samphirehitch.token="+writer.token)
+	wantValue := func(s *script, want string) {
+		t.Helper()
+		s.send(queryMessage("SELECT value FROM kv WHERE key = 'n'"))
+		s.want("RowDescription", "row "+want, "done SELECT 1", "ready I")
+	}
+	wantValue(early, "0")
+	r.lag(longLagMillis)
+	writer.ask("UPDATE kv SET value = '1' WHERE key = 'n'")
+	wantValue(early, "0")
+	early.ask("SET samphirehitch.token = '" + writer.token + "'")
+	wantValue(early, "1")
+	wantValue(r.script(testKey, "options='-c samphirehitch.token="+writer.token+"'"), "1")
+	writer.send(queryMessage("SHOW samphirehitch.token"))
+	writer.want("RowDescription", "row "+writer.token, "done SHOW", "ready I")
+	if got := writer.ask("SET samphirehitch.token = 'x'"); got[0] != "error 22023" {
+		t.Errorf("got %v for a broken token", got)
+	}
+}
--- a/request/execute/local.go
+++ b/request/execute/local.go
@@ -16,6 +16,8 @@
 	settingPrefix          = "samphirehitch."
 	settingMaxAge          = "samphirehitch.max_age"
 	settingIdempotent      = "samphirehitch.idempotent"
+	settingToken           = "samphirehitch.token"
+	settingSession         = "samphirehitch.session"
 	settingApplicationName = "application_name"
 	settingClientEncoding  = "client_encoding"
 	settingAll             = "all"
@@ -36,6 +38,8 @@
 		return r.runSet()
 	case classify.KindReset:
 		return r.runReset()
+	case classify.KindRead:
+		return r.runShow()
 	case classify.KindCommit, classify.KindRollback:
 		if r.pin != nil {
 			return false, nil
@@ -159,6 +163,10 @@
 			return invalid
 		}
 		r.session.SetMaxAge(age)
+	case settingToken:
+		if r.session.Present(value) != nil {
+			return invalid
+		}
 	case settingIdempotent:
 		switch strings.ToLower(value) {
 		case "on", "true":
@@ -198,49 +206,3 @@
 		return false, nil
 	}
 }
-
-// answerLocally answers the batch as a target would that returns the tag and no
-// rows. Statements that it parses are recorded.
-func (r *request) answerLocally(tag string) error {
-	if err := r.answerTag(tag); err != nil {
-		return err
-	}
-	return r.finish()
-}
-
-// answerTag answers the batch without its ReadyForQuery.
-func (r *request) answerTag(tag string) error {
-	if r.plan.batch.Query != nil {
-		return r.out.add(complete(tag))
-	}
-	for _, s := range r.plan.steps {
-		if err := r.answerStepLocally(s, tag); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (r *request) answerStepLocally(s step, tag string) error {
-	switch s.kind {
-	case stepParse:
-		if err := r.session.Statements.Put(s.name, s.statement); err != nil {
-			return err
-		}
-		return r.out.add(&pgproto3.ParseComplete{})
-	case stepBind:
-		return r.out.add(&pgproto3.BindComplete{})
-	case stepDescribeStatement:
-		if err := r.out.add(&pgproto3.ParameterDescription{}); err != nil {
-			return err
-		}
-		return r.out.add(&pgproto3.NoData{})
-	case stepDescribePortal:
-		return r.out.add(&pgproto3.NoData{})
-	case stepExecute:
-		return r.out.add(complete(tag))
-	default:
-		r.session.Statements.Delete(s.name)
-		return r.out.add(&pgproto3.CloseComplete{})
-	}
-}
--- a/request/execute/protocol_test.go
+++ b/request/execute/protocol_test.go
@@ -16,6 +16,8 @@
 	frontend *pgproto3.Frontend
 	process  uint32
 	secret   []byte
+	// token is the last that the server sent.
+	token string
 }
 
 func (r *rig) script(key topology.KeyID, extra string) *script {
@@ -29,7 +31,7 @@
 		r.t.Fatal(err)
 	}
 	r.t.Cleanup(func() { _ = hijacked.Conn.Close() })
-	return &script{r.t, hijacked.Frontend, hijacked.PID, hijacked.SecretKey}
+	return &script{t: r.t, frontend: hijacked.Frontend, process: hijacked.PID, secret: hijacked.SecretKey}
 }
 
 func (s *script) send(messages ...pgproto3.FrontendMessage) {
@@ -42,12 +44,24 @@
 	}
 }
 
+// receive returns the next message and takes tokens aside.
+func (s *script) receive() (pgproto3.BackendMessage, error) {
+	for {
+		message, err := s.frontend.Receive()
+		status, ok := message.(*pgproto3.ParameterStatus)
+		if !ok || status.Name != settingToken {
+			return message, err
+		}
+		s.token = status.Value
+	}
+}
+
 // want receives messages and compares their kinds, with SQLSTATEs, first values
 // and statuses.
 func (s *script) want(wanted ...string) {
 	s.t.Helper()
 	for _, want := range wanted {
-		message, err := s.frontend.Receive()
+		message, err := s.receive()
 		if err != nil {
 			s.t.Fatalf("%v, want %s", err, want)
 		}
@@ -186,7 +200,7 @@
 func (s *script) skipToReady() {
 	s.t.Helper()
 	for {
-		message, err := s.frontend.Receive()
+		message, err := s.receive()
 		if err != nil {
 			s.t.Fatal(err)
 		}
--- a/request/execute/rig_test.go
+++ b/request/execute/rig_test.go
@@ -157,6 +157,20 @@
 	return nil
 }
 
+// tokenFloor is a floor whose token is its point as text.
+type tokenFloor struct{ session.Point }
+
+func (f *tokenFloor) Token() string { return f.At(testService).String() }
+
+func (f *tokenFloor) Present(token string) error {
+	var point topology.Point
+	if _, err := fmt.Sscanf(token, "%d/%d", &point.Term, &point.Position); err != nil {
+		return err
+	}
+	f.Raise(testService, point)
+	return nil
+}
+
 type noPeers struct{}
 
 func (noPeers) Send(topology.InstanceID, peer.Kind, any) {}
@@ -263,7 +277,7 @@
 		Directory: func() session.Directory { return r.directory },
 		Fresh:     r.Fresh,
 		Handler:   handler,
-		NewFloor:  func(string) (session.Floor, error) { return &session.Point{}, nil },
+		NewFloor:  func() session.Floor { return &tokenFloor{} },
 		Logger:    logr.Discard(),
 	})
 	ctx, stop := context.WithCancel(context.Background())
--- a/request/execute/transaction.go
+++ b/request/execute/transaction.go
@@ -195,7 +195,7 @@
 		return refusal.New(refusal.OutcomeUnknown, refusal.StepCommit, string(target), nil)
 	}
 	r.out.discard()
-	return r.answerTag(queryCommit)
+	return r.answer(localAnswer{tag: queryCommit})
 }
 
 // settlePinned finds out what became of the commit of a transaction.
--- a/request/execute/write.go
+++ b/request/execute/write.go
@@ -228,8 +228,7 @@
 	if c.answered {
 		point, err := r.watcher.ConfirmCommit(ctx, at)
 		if err == nil {
-			r.acknowledge(point)
-			return nil
+			return r.acknowledge(point)
 		}
 		cause = err
 	}
@@ -263,8 +262,7 @@
 		"transaction", c.transaction, "outcome", uint8(outcome))
 	switch outcome {
 	case platform.OutcomeCommitted:
-		r.acknowledge(point)
-		return nil
+		return r.acknowledge(point)
 	case platform.OutcomeAbsent, platform.OutcomeAborted:
 		return errors.Join(errNotRun, errAbsent)
 	default:
@@ -275,7 +273,13 @@
 // errAbsent reports that a transaction is known not to have committed.
 var errAbsent = errors.New("transaction did not commit")
 
-// acknowledge raises the session's floor to cover its write.
-func (r *request) acknowledge(point topology.Point) {
+// acknowledge raises the session's floor to cover its write and gives the caller
+// a token for it.
+func (r *request) acknowledge(point topology.Point) error {
 	r.session.Floor.Raise(r.session.Service(), point)
+	token := r.session.Floor.Token()
+	if token == "" {
+		return nil
+	}
+	return r.out.add(&pgproto3.ParameterStatus{Name: settingToken, Value: token})
 }
