Give each failure domain its share of a large fleet's panels

Cause: the panel whose majority decides on an outage was a plain random choice in fleets over 31: a part that is cut off along failure domains could by chance hold a majority of some daemons' panels and keep a withdrawn key. Ruled out: larger panels (61 halve the risk again at twice the messages in an outage); asking the whole fleet (messages grow with its square). Before and after: with the plain choice TestPanelFollowsTheFailureDomains (400 instances, domains of 120, 120, 80, 80) fails: panel of fd0-21: map[fd0:6 fd1:9 fd2:8 fd3:8] and passes with the shares.

--- a/process/config/placement.go
+++ b/process/config/placement.go
@@ -88,21 +88,42 @@
 	return kept
 }
 
-// choosePanel takes all known instances of a small fleet and a fixed random
-// choice, other for each instance, of a large one.
+// choosePanel takes all known instances of a small fleet. Of a large one it takes
+// a fixed choice, other for each instance, in which each failure domain has the
+// share that it has of the fleet: domains that are cut off together hold a majority
+// of a panel only when they hold one of the fleet, to within rounding.
 func (p *placement) choosePanel(self platform.Instance, known []platform.Instance) {
 	if len(known) == 0 {
 		return
 	}
-	members := make([]ranked, 0, len(known))
+	domains := make(map[topology.FailureDomain][]ranked)
 	for _, instance := range known {
 		if instance.ID != self.ID {
-			members = append(members, rank(string(self.ID), instance))
+			domains[instance.FailureDomain] = append(domains[instance.FailureDomain], rank(string(self.ID), instance))
+		}
+	}
+	var places []place
+	for _, members := range domains {
+		sortRanked(members)
+		for i, member := range members {
+			places = append(places, place{ranked: member, share: (float64(i) + 0.5) / float64(len(members))})
 		}
 	}
-	sortRanked(members)
-	p.known = len(members) + 1
-	p.panel = ids(members[:min(panelSize-1, len(members))])
+	slices.SortFunc(places, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.share, b.share), cmp.Compare(b.weight, a.weight), cmp.Compare(a.id, b.id))
+	})
+	p.known = len(places) + 1
+	p.panel = make([]topology.InstanceID, 0, panelSize-1)
+	for _, member := range places[:min(panelSize-1, len(places))] {
+		p.panel = append(p.panel, member.id)
+	}
+}
+
+// place is an instance with the share of its failure domain that ranks before
+// it.
+type place struct {
+	ranked
+	share float64
 }
 
 func rank(purpose string, instance platform.Instance) ranked {
--- a/process/config/spread_test.go
+++ b/process/config/spread_test.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"pgregory.net/rapid"
+	"samphirehitch.example/samphirehitch/process/platform"
 	"samphirehitch.example/samphirehitch/process/store"
+	"samphirehitch.example/samphirehitch/process/topology"
 )
 
 // inForceTarget is the stated time within which a change is in force everywhere
@@ -251,6 +253,31 @@
 	}
 }
 
+// TestPanelFollowsTheFailureDomains gives each domain of a large fleet its share
+// of every panel, so that two small domains of four are never a majority.
+func TestPanelFollowsTheFailureDomains(t *testing.T) {
+	var known []platform.Instance
+	sizes := map[topology.FailureDomain]int{"fd0": 120, "fd1": 120, "fd2": 80, "fd3": 80}
+	domains := map[topology.InstanceID]topology.FailureDomain{}
+	for domain, size := range sizes {
+		for i := range size {
+			id := topology.InstanceID(fmt.Sprintf("%s-%d", domain, i))
+			domains[id] = domain
+			known = append(known, platform.Instance{ID: id, FailureDomain: domain})
+		}
+	}
+	for _, self := range known {
+		p := newPlacement(self, known, known)
+		held := map[topology.FailureDomain]int{self.FailureDomain: 1}
+		for _, id := range p.panel {
+			held[domains[id]]++
+		}
+		if len(p.panel) != panelSize-1 || held["fd2"]+held["fd3"] >= topology.Majority(panelSize) {
+			t.Fatalf("panel of %s: %v", self.ID, held)
+		}
+	}
+}
+
 // TestUnknownFleetFailsClosed keeps an instance that has never seen the list of
 // instances from taking itself for a majority.
 func TestUnknownFleetFailsClosed(t *testing.T) {
--- a/process/config/world_test.go
+++ b/process/config/world_test.go
@@ -60,11 +60,10 @@
 	island int
 	cut    bool
 	// isolated is when the daemon's island became a minority without the store.
-	isolated   time.Duration
-	watch      int
-	state      State
-	loaded     bool
-	stateSince time.Duration
+	isolated time.Duration
+	watch    int
+	state    State
+	loaded   bool
 }
 
 type waitingWatch struct {
@@ -195,7 +194,7 @@
 		w.call(d, func() Event { return w.swap(action.Swap) }, func() Event { return Swapped{Err: errDown} })
 	case Publish:
 		w.checkPublished(d, action.State)
-		d.state, d.loaded, d.stateSince = action.State, true, w.now
+		d.state, d.loaded = action.State, true
 	}
 }
 
