Measure how long impaired stores and networks close keyed routes

Cause: closing keyed routes without need is a wrongful refusal, and nobody had measured it. Ruled out: nothing.

--- a/process/config/bench_test.go
+++ b/process/config/bench_test.go
@@ -121,3 +121,47 @@
 		r.state()
 	}
 }
+
+// BenchmarkStale measures the share of an instance's time in which keyed routes
+// are closed on a fleet of 7 whose store or network is impaired for a minute.
+func BenchmarkStale(b *testing.B) {
+	impairments := []struct {
+		name   string
+		impair func(w *world)
+	}{
+		{"none", func(*world) {}},
+		{"store-down", func(w *world) { w.down = true; w.wake() }},
+		{"store-legs-to-300ms", func(w *world) { w.storeDelay = 300 * time.Millisecond }},
+		{"store-legs-to-1s", func(w *world) { w.storeDelay = time.Second }},
+		{"store-legs-to-3s", func(w *world) { w.storeDelay = 3 * time.Second }},
+		{"store-loses-half", func(w *world) { w.loseAnswers = true }},
+		{"stale-reads-2s", func(w *world) { w.staleBy = 2 * time.Second }},
+		{"stale-reads-8s", func(w *world) { w.staleBy = 8 * time.Second }},
+		{"messages-lost-20pct", func(w *world) { w.loss = 20 }},
+		{"messages-to-500ms", func(w *world) { w.netDelay = 500 * time.Millisecond }},
+		{"down-and-lost-20pct", func(w *world) { w.down, w.loss = true, 20; w.wake() }},
+		{"one-domain-cut-off-store", func(w *world) { w.daemons[0].cut, w.daemons[4].cut = true, true; w.wake() }},
+	}
+	for _, c := range impairments {
+		b.Run(c.name, func(b *testing.B) {
+			var stale, samples int
+			for seed := 0; b.Loop(); seed++ {
+				w := newWorld(uint64(seed), 7)
+				settle(b, w, 10*time.Second)
+				w.advance(2 * time.Second)
+				c.impair(w)
+				for range 1200 {
+					w.advance(50 * time.Millisecond)
+					for _, d := range w.daemons {
+						samples++
+						if d.spread.Verdict().Judge(w.now+d.offset) == FreshnessStale {
+							stale++
+						}
+					}
+				}
+			}
+			b.ReportMetric(100*float64(stale)/float64(samples), "stale-%")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
