Show the main job on embedded stand-ins with a failover in the middle

Cause: a newcomer needs one command that shows what the product does. Ruled out: starting processes from it (a process of the product starts none).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -41,6 +41,9 @@
 // errStopped is the reason with which Stop ends Run.
 var errStopped = eris.New("daemon stopped")
 
+// errAborted is the reason with which Abort ends Run.
+var errAborted = eris.New("daemon aborted")
+
 // Options are what a daemon is made from.
 type Options struct {
 	Settings *settings.Settings
@@ -149,7 +152,7 @@
 
 func (d *Daemon) buildAdmin() {
 	d.registerMetrics()
-	d.admin = admin.New(admin.Options{Registry: d.registry, Ready: d.ready, Status: d.status})
+	d.admin = admin.New(admin.Options{Registry: d.registry, Ready: d.Ready, Status: d.status})
 }
 
 // self describes this instance to peers.
@@ -183,10 +186,13 @@
 // Stop ends Run, which drains first.
 func (d *Daemon) Stop(error) { d.cancel(errStopped) }
 
+// Abort ends Run without draining: open requests are cut.
+func (d *Daemon) Abort() { d.cancel(errAborted) }
+
 // IsStop reports whether an error of Run means an ordinary stop.
 func IsStop(err error) bool {
 	var signal run.SignalError
-	return errors.Is(err, errStopped) || errors.Is(err, context.Canceled) || errors.As(err, &signal)
+	return errors.Is(err, errStopped) || errors.Is(err, errAborted) || errors.Is(err, context.Canceled) || errors.As(err, &signal)
 }
 
 // Run serves until Stop, then drains and ends every part.
@@ -223,20 +229,26 @@
 func (d *Daemon) serveCallers() error {
 	err := d.callers.Serve(d.ctx, d.listeners.callers)
 	<-d.ctx.Done()
-	eventDraining.Log(d.logger, "timeout", d.settings.DrainTimeout())
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainTimeout())
+	cause := context.Cause(d.ctx)
+	timeout := d.settings.DrainTimeout()
+	if errors.Is(cause, errAborted) {
+		timeout = 0
+	}
+	eventDraining.Log(d.logger, "timeout", timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	if drained := d.callers.Drain(ctx); drained != nil {
+	drained := d.callers.Drain(ctx)
+	if drained != nil && timeout > 0 {
 		return drained
 	}
 	if err != nil {
 		return err
 	}
-	return context.Cause(d.ctx)
+	return cause
 }
 
-// ready tells balancers whether to send callers here.
-func (d *Daemon) ready() error {
+// Ready returns nil when balancers may send callers here, or the reason why not.
+func (d *Daemon) Ready() error {
 	if d.ctx.Err() != nil {
 		return errStopped
 	}
--- a/daemon/floor.go
+++ b/daemon/floor.go
@@ -18,10 +18,11 @@
 	f[service] = topology.MaxPoint(f[service], point)
 }
 
-// newFloor returns empty floors. Tokens are refused.
-func newFloor(token string) (session.Floor, error) {
-	if token != "" {
-		return nil, eris.New("token not supported")
-	}
-	return floors{}, nil
-}
+// Present refuses every token.
+func (floors) Present(string) error { return eris.New("tokens are not supported") }
+
+// Token returns none.
+func (floors) Token() string { return "" }
+
+// newFloor returns empty floors.
+func newFloor() session.Floor { return floors{} }
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/jackc/pgx/v5"
@@ -28,8 +29,12 @@
 	credentialName = "targets"
 	targetUser     = "proxy"
 	targetPassword = "proxy-password"
+	databaseName   = "main"
 )
 
+// readyInterval is the time between two looks at a daemon's readiness.
+const readyInterval = 10 * time.Millisecond
+
 // Deployment is a running deployment. Close ends it.
 type Deployment struct {
 	Shape   Shape
@@ -83,6 +88,13 @@
 	if d.Store, err = kv.Start(kv.Config{Store: memstore.Config{Clock: d.clock}, Log: d.logger}); err != nil {
 		return err
 	}
+	d.Groups, err = startGroups(d)
+	return err
+}
+
+// startGroups starts a group for each service of the shape.
+func startGroups(d *Deployment) ([]*group.Group, error) {
+	var groups []*group.Group
 	for i := range d.Shape.Services {
 		members := group.Targets(string(d.Shape.ServiceID(i)), d.Shape.TargetsPerUnit, d.Shape.Domains...)
 		g, err := group.Start(group.Config{
@@ -92,11 +104,12 @@
 			User: targetUser, Password: targetPassword, Clock: d.clock, Log: d.logger,
 		})
 		if err != nil {
-			return err
+			closeGroups(groups)
+			return nil, err
 		}
-		d.Groups = append(d.Groups, g)
+		groups = append(groups, g)
 	}
-	return nil
+	return groups, nil
 }
 
 // writeRecords writes a record of each customer, key, limit, service and route.
@@ -131,7 +144,7 @@
 	for i, g := range d.Groups {
 		id := d.Shape.ServiceID(i)
 		service := record.Service{
-			ID: id, Database: "main", Credential: credentialName,
+			ID: id, Database: databaseName, Credential: credentialName,
 			Connections: d.Shape.Connections, Slots: cmp.Or(d.Shape.PoolSlots, d.Shape.Slots),
 		}
 		for _, target := range g.Targets() {
@@ -196,6 +209,24 @@
 	return e, nil
 }
 
+// AwaitReady waits until every daemon is ready to serve callers.
+func (d *Deployment) AwaitReady(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	ticker := time.NewTicker(readyInterval)
+	defer ticker.Stop()
+	for _, e := range d.Daemons {
+		for e.Daemon.Ready() != nil {
+			select {
+			case <-ctx.Done():
+				return eris.Wrap(e.Daemon.Ready(), "daemon is not ready")
+			case <-ticker.C:
+			}
+		}
+	}
+	return nil
+}
+
 // ConnString is where the customer's callers reach a service through a daemon.
 func (d *Deployment) ConnString(entry, customer, service int) string {
 	host, port, _ := net.SplitHostPort(d.Daemons[entry].Daemon.CallerAddress().String())
@@ -206,8 +237,8 @@
 // connectTarget connects to a target as a daemon does.
 func (d *Deployment) connectTarget(address string) (*pgx.Conn, error) {
 	host, port, _ := net.SplitHostPort(address)
-	return pgx.Connect(context.Background(), fmt.Sprintf("host=%s port=%s user=%s password=%s dbname=main sslmode=disable",
-		host, port, targetUser, targetPassword))
+	return pgx.Connect(context.Background(), fmt.Sprintf("host=%s port=%s user=%s password=%s dbname=%s sslmode=disable",
+		host, port, targetUser, targetPassword, databaseName))
 }
 
 // Close stops the daemons, then the stand-ins.
@@ -217,9 +248,7 @@
 		stops.Go(func() { _ = e.Stop() })
 	}
 	stops.Wait()
-	for _, g := range d.Groups {
-		g.Close()
-	}
+	closeGroups(d.Groups)
 	if d.Store != nil {
 		d.Store.Close()
 	}
