Wait until written records are in force on named daemons

Cause: whoever withdraws a key wants to know when it has stopped, and had to poll status by hand. Ruled out: waiting on all instances of the platform's list (it does not hold admin addresses).

--- a/operator/command/command.go
+++ b/operator/command/command.go
@@ -31,7 +31,8 @@
 	ExitNotFound = 4
 	// ExitUnknown reports a write whose outcome is unknown.
 	ExitUnknown = 5
-	// ExitDiffers reports differences (diff) or a fleet not in order (status).
+	// ExitDiffers reports differences (diff), a fleet not in order (status), a
+	// refusal (explain), or a change that is written and not yet in force.
 	ExitDiffers = 6
 )
 
@@ -143,8 +144,9 @@
 	var unsettled *change.UnsettledError
 	var conflict *change.ConflictError
 	var missing *change.NotFoundError
+	var late *notInForceError
 	switch {
-	case errors.Is(err, errDiffers):
+	case errors.Is(err, errDiffers), errors.As(err, &late):
 		return ExitDiffers
 	case errors.As(err, &unsettled):
 		return ExitUnknown
--- a/operator/command/keys.go
+++ b/operator/command/keys.go
@@ -26,7 +26,7 @@
 	withdraw := key.Command("withdraw", "Withdraw a key; its open sessions end.")
 	withdrawID := withdraw.Arg("id", "Id of the key.").Required().String()
 	var withdrawFlags writeFlags
-	withdraw.Flag("change", "Id of the change; settles an earlier run with an unknown outcome.").StringVar(&withdrawFlags.change)
+	withdrawFlags.addSettling(withdraw)
 	withdraw.Action(s.action(ctx, func(ctx context.Context) error { return s.withdrawKey(ctx, *withdrawID, withdrawFlags) }))
 
 	list := key.Command("list", "List keys.")
@@ -80,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	return s.results([]change.Result{result})
+	return s.finish(ctx, []change.Result{result}, flags.admins)
 }
 
 func withdrawn(name string, present *record.Document) (*record.Document, error) {
--- a/operator/command/records.go
+++ b/operator/command/records.go
@@ -23,12 +23,20 @@
 	overwrite bool
 	dangling  bool
 	change    string
+	// admins are the daemons that the command waits for.
+	admins []string
 }
 
 func (f *writeFlags) add(command *kingpin.CmdClause) {
+	f.addSettling(command)
 	command.Flag("overwrite", "Replace the version found, whatever it is.").BoolVar(&f.overwrite)
 	command.Flag("allow-dangling", "Write even if records are left that refer to what does not exist.").BoolVar(&f.dangling)
+}
+
+// addSettling adds the flags of every command that writes.
+func (f *writeFlags) addSettling(command *kingpin.CmdClause) {
 	command.Flag("change", "Id of the change; settles an earlier run with an unknown outcome.").StringVar(&f.change)
+	command.Flag("admin", "Wait until the daemon with this admin address, host:port, holds the change; may be repeated.").StringsVar(&f.admins)
 }
 
 // id returns the change's id and whether it is that of an earlier run.
@@ -132,7 +140,7 @@
 		results = append(results, result)
 		s.progress("%d/%d %s %s", i+1, len(documents), result.Outcome, result.Name)
 	}
-	return s.results(results)
+	return s.finish(ctx, results, flags.admins)
 }
 
 func (s *session) check(ctx context.Context, written []*record.Document, deleted []string) error {
@@ -336,5 +344,5 @@
 	if err != nil {
 		return err
 	}
-	return s.results([]change.Result{result})
+	return s.finish(ctx, []change.Result{result}, flags.admins)
 }
