Judge aged reads by the session that holds the floor

Cause: the oracle blamed a read as read_your_writes when a session that accepts aged data had reconnected without its token: it shows nothing that a floor could hang on, and has asked for old data. The arrival floor still covers sessions that state no age. Inserted rows were not judged by their age at all. Ruled out: dropping the check after any reconnect without a token, which would hide a missing arrival floor. Conclusion: violations now say how the read was made.

--- a/load/perform.go
+++ b/load/perform.go
@@ -69,7 +69,7 @@
 	tag, err := conn.Exec(ctx, sqlIncrement, key)
 	outcome := outcomeOf(err)
 	now := s.phase.now()
-	s.oracle.EndIncrement(s.id(), key, now, outcome)
+	s.oracle.EndIncrement(s.identity(), key, now, outcome)
 	if err == nil && tag.RowsAffected() != 1 {
 		detail := fmt.Sprintf("an increment answered %q", tag)
 		s.oracle.Report(oracle.Violation{Rule: oracle.RuleRightAnswer, At: now, Key: key, Detail: detail})
@@ -79,7 +79,7 @@
 
 func (s *session) insert(ctx context.Context, conn *pgx.Conn) (oracle.Outcome, error) {
 	key := s.nextOrderKey()
-	s.oracle.StartInsert(key, valueOf(key))
+	s.oracle.StartInsert(s.identity(), key, valueOf(key))
 	_, err := conn.Exec(ctx, sqlInsert, key, valueOf(key))
 	s.endInsert(key, outcomeOf(err), err)
 	return outcomeOf(err), err
@@ -90,7 +90,7 @@
 		s.oracle.Duplicate(key, s.phase.now())
 		outcome = oracle.Unknown
 	}
-	s.oracle.EndInsert(key, outcome)
+	s.oracle.EndInsert(key, s.phase.now(), outcome)
 	s.lastOrder = key
 }
 
@@ -101,7 +101,7 @@
 func (s *session) transaction(ctx context.Context, conn *pgx.Conn) (oracle.Outcome, error) {
 	first, second := s.nextOrderKey(), s.nextOrderKey()
 	for _, key := range []string{first, second} {
-		s.oracle.StartInsert(key, valueOf(key))
+		s.oracle.StartInsert(s.identity(), key, valueOf(key))
 	}
 	s.oracle.Together(first, second)
 	outcome, err := s.insertBoth(ctx, conn, first, second)
@@ -136,7 +136,7 @@
 	}
 	batch := &pgx.Batch{}
 	for _, key := range keys {
-		expected := s.oracle.Expect(s.id(), key, s.phase.now(), age)
+		expected := s.oracle.Expect(s.identity(), key, s.phase.now(), age)
 		batch.Queue(sqlRead, key).QueryRow(func(row pgx.Row) error {
 			return s.checkAnswer(row, expected, sample)
 		})
@@ -158,6 +158,7 @@
 	} else if !missing {
 		sample.PrimaryReads++
 	}
-	s.oracle.CheckRead(expected, value, !missing, s.phase.now())
+	by := fmt.Sprintf("session %s, aged %t, paired %t, replica %t", s.identity(), s.aged, s.paired, replica)
+	s.oracle.CheckRead(expected, oracle.Answer{Value: value, Found: !missing, By: by}, s.phase.now())
 	return nil
 }
--- a/load/session.go
+++ b/load/session.go
@@ -27,9 +27,11 @@
 	operations chan workload.Operation
 	oracle     *oracle.Oracle
 
-	links  []link
-	token  string
-	orders int
+	links []link
+	token string
+	// generation counts how often the session gave up its floor.
+	generation int
+	orders     int
 	// lastOrder is the key of the latest insert, or empty.
 	lastOrder string
 }
@@ -70,15 +72,21 @@
 	return s
 }
 
-func (s *session) id() oracle.Session {
-	return oracle.Session(fmt.Sprintf("%s/%d/%d", s.phase.name, s.customer, s.number))
+// name is what the session calls itself and its rows.
+func (s *session) name() string {
+	return fmt.Sprintf("%s/%d/%d", s.phase.name, s.customer, s.number)
 }
 
-func (s *session) counterKey() string { return string(s.id()) + "/counter" }
+// identity names the session to the oracle.
+func (s *session) identity() oracle.Session {
+	return oracle.Session(fmt.Sprintf("%s#%d", s.name(), s.generation))
+}
+
+func (s *session) counterKey() string { return s.name() + "/counter" }
 
 func (s *session) nextOrderKey() string {
 	s.orders++
-	return fmt.Sprintf("%s/order/%d", s.id(), s.orders)
+	return fmt.Sprintf("%s/order/%d", s.name(), s.orders)
 }
 
 // run handles the operations until the channel is closed or ctx ends.
@@ -153,6 +161,9 @@
 	s.disconnect(from)
 	if how == workload.RoamWithout {
 		s.token = ""
+		if s.aged {
+			s.generation++
+		}
 	}
 	from.entry = (from.entry + 1) % s.phase.dialer.entryCount()
 }
@@ -170,7 +181,7 @@
 		mode:     s.mode,
 	}
 	if s.paired {
-		request.name = string(s.id())
+		request.name = s.name()
 	}
 	conn, err := s.phase.dialer.dial(ctx, request)
 	if err == nil {
