Search the logs for secrets too

Cause: no log line may carry a key's secret or verifier. Ruled out: reading the calls of the logger by eye alone. Before and after: TestNoTargetSeesAKey passes; it also checks that refusals at login and routing decisions were logged, so that the search is not of nothing. Conclusion: neither targets nor logs see a secret, a salt or a stored key.

--- a/request/execute/answers_test.go
+++ b/request/execute/answers_test.go
@@ -129,7 +129,7 @@
 }
 
 // TestNoTargetSeesAKey logs in with right and wrong secrets and runs requests,
-// and searches everything that the targets were sent.
+// and searches everything that the targets were sent and all that was logged.
 func TestNoTargetSeesAKey(t *testing.T) {
 	r, targets := newFakeRig(t, 2)
 	s := r.script(testKey, "application_name=clerk-desk")
@@ -141,13 +141,16 @@
 	if !errors.As(err, &answer) || answer.Code != "28P01" {
 		t.Errorf("wrong secret got %v, want SQLSTATE 28P01", err)
 	}
-	if !targets.sent(testUser) {
-		t.Fatal("the targets were sent nothing")
+	if !targets.sent(testUser) || !r.hasLogged("6000") || !r.hasLogged("28P01") {
+		t.Fatal("the targets were sent nothing, or nothing was logged")
 	}
 	stored := r.directory.mu.keys[testKey].Verifier
 	for _, secret := range []string{string(testKey), testSecret, string(stored.StoredKey), string(stored.Salt)} {
 		if targets.sent(secret) {
 			t.Errorf("a target was sent %q", secret)
 		}
+		if secret != string(testKey) && r.hasLogged(secret) {
+			t.Errorf("%q was logged", secret)
+		}
 	}
 }
--- a/request/execute/rig_test.go
+++ b/request/execute/rig_test.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/xdg-go/scram"
@@ -111,12 +113,30 @@
 	pools     map[topology.TargetID]*pool.Pool[*upstream.Conn]
 	stale     atomic.Bool
 	overRate  atomic.Bool
+	// logged holds what was logged.
+	logged struct {
+		sync.Mutex
+		lines []string
+	}
 	// tried counts calls of Acquire.
 	tried atomic.Int64
 	// acquired counts leases by target.
 	acquired sync.Map
 }
 
+func (r *rig) log(line string) {
+	r.logged.Lock()
+	defer r.logged.Unlock()
+	r.logged.lines = append(r.logged.lines, line)
+}
+
+// hasLogged reports whether a line holds the text.
+func (r *rig) hasLogged(text string) bool {
+	r.logged.Lock()
+	defer r.logged.Unlock()
+	return strings.Contains(strings.Join(r.logged.lines, "\n"), text)
+}
+
 // Acquire implements Pools.
 func (r *rig) Acquire(ctx context.Context, _ topology.ServiceID, target topology.TargetID, customer topology.CustomerID) (Lease, error) {
 	r.tried.Add(1)
@@ -204,6 +224,10 @@
 	for _, target := range targets {
 		r.addPool(target, now)
 	}
+	logger := funcr.New(func(_, line string) { r.log(line) }, funcr.Options{Verbosity: 1})
+	if _, benchmark := r.t.(*testing.B); benchmark {
+		logger = logr.Discard()
+	}
 	var executeConfig Config
 	var callerConfig caller.Config
 	executeConfig.Own = "d1"
@@ -212,9 +236,9 @@
 	}
 	executor := New(executeConfig, Deps{
 		Directory: func() session.Directory { return r.directory },
-		Gate:      r, Admitter: r, Groups: r, Pools: r, Clock: now, Logger: logr.Discard(),
+		Gate:      r, Admitter: r, Groups: r, Pools: r, Clock: now, Logger: logger,
 	})
-	r.serve(callerConfig, executor)
+	r.serve(callerConfig, executor, logger)
 }
 
 func (r *rig) startDriver(now clock.Clock) {
@@ -270,7 +294,7 @@
 	r.t.Cleanup(p.Close)
 }
 
-func (r *rig) serve(config caller.Config, handler caller.Handler) {
+func (r *rig) serve(config caller.Config, handler caller.Handler, logger logr.Logger) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		r.t.Fatal(err)
@@ -281,7 +305,7 @@
 		Fresh:     r.Fresh,
 		Handler:   handler,
 		NewFloor:  func() session.Floor { return &tokenFloor{} },
-		Logger:    logr.Discard(),
+		Logger:    logger,
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
