--- a/process/group/resolution.go
+++ b/process/group/resolution.go
@@ -168,9 +168,9 @@
 // platform that does not say where the outcome was recorded is trusted not to
 // give an identifier twice.
 func (r *Rounds) committed(commit Commit, report platform.TransactionReport) platform.TransactionOutcome {
-	recorded := report.Recorded.Term
+	recorded := report.Commit.Term
 	switch {
-	case report.Recorded == topology.Point{}, recorded == commit.Term:
+	case report.Commit == topology.Point{}, recorded == commit.Term:
 		return platform.OutcomeCommitted
 	case recorded < commit.Term:
 		return platform.OutcomeAbsent
--- a/process/group/rounds_test.go
+++ b/process/group/rounds_test.go
@@ -62,9 +62,9 @@
 		d.ScanArgs(t, "outcome", &outcome)
 		d.MaybeScanArgs(t, "recorded", &recorded)
 		rounds.Reported(now, WaiterID(waiter), platform.TransactionReport{
-			Outcome:  platform.TransactionOutcome(outcome),
-			Recorded: topology.Point{Term: topology.Term(recorded)},
-			Status:   scanStatus(t, d),
+			Outcome: platform.TransactionOutcome(outcome),
+			Commit:  topology.Point{Term: topology.Term(recorded)},
+			Status:  scanStatus(t, d),
 		}, &out)
 	case "fail":
 		rounds.Failed(now, uint64(sequence), &out)
--- a/process/platform/platform.go
+++ b/process/platform/platform.go
@@ -33,12 +33,13 @@
 // with the state of the target that gave it.
 type TransactionReport struct {
 	Outcome TransactionOutcome `json:"outcome"`
-	// Recorded is the place of the log entry that settled the transaction. A
-	// primary of a later term can assign an identifier again that its
-	// predecessor had assigned without replicating it; the term tells the two
-	// apart. Zero means that the platform does not say.
-	Recorded topology.Point  `json:"recorded"`
-	Status   topology.Status `json:"status"`
+	// Commit is the point of the transaction's commit record when the outcome
+	// is OutcomeCommitted, or zero when the platform does not say. PostgreSQL
+	// numbers transactions on from the highest number in the log after a
+	// promotion, so a commit of a higher term than the asked transaction's may
+	// be another transaction of the same number.
+	Commit topology.Point  `json:"commit"`
+	Status topology.Status `json:"status"`
 }
 
 // Target addresses one member of a group.
--- a/standin/database/database.go
+++ b/standin/database/database.go
@@ -186,8 +186,9 @@
 			report.Outcome = platform.OutcomeInProgress
 		}
 	}
-	if _, found := d.mu.committed[id]; found {
+	if commit, found := d.mu.committed[id]; found {
 		report.Outcome = platform.OutcomeCommitted
+		report.Commit = commit
 	}
 	return report, nil
 }
