Merge changes into the sorted configuration and refuse absurd ages

Cause: each change sorted all records anew, and an age in a peer's answer could overflow into evidence of the present. Ruled out: inserting one by one (a batch of changes would move the records once for each).

--- a/process/config/driver_test.go
+++ b/process/config/driver_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
+	"pgregory.net/rapid"
 	"samphirehitch.example/samphirehitch/process/clock"
 	"samphirehitch.example/samphirehitch/process/peer"
 	"samphirehitch.example/samphirehitch/process/platform"
@@ -46,6 +47,28 @@
 	}
 }
 
+// TestReceiveSurvivesAnything hands damaged messages to a driver and its
+// coordinator.
+func TestReceiveSurvivesAnything(t *testing.T) {
+	whole, err := cbor.Marshal(Message{Answer: &Answer{ID: 1, Delta: &Delta{Updates: []Update{{Key: "k"}}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		driver := New(Config{Self: platform.Instance{ID: "a"}}, memstore.New(memstore.Config{}), port{&switchboard{}, "a"}, clock.System(), logr.Discard())
+		damaged := slices.Clone(whole)
+		for range rapid.IntRange(1, 4).Draw(t, "bytes") {
+			damaged[rapid.IntRange(0, len(damaged)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+		}
+		driver.Receive("b", damaged)
+		select {
+		case next := <-driver.inputs:
+			driver.handle(t.Context(), next.event)
+		default:
+		}
+	})
+}
+
 // TestDriversFollowTheStore runs three drivers on the in-memory store: a change
 // reaches all, also one whose subscriber came late, and the drivers end.
 func TestDriversFollowTheStore(t *testing.T) {
--- a/process/config/exchange.go
+++ b/process/config/exchange.go
@@ -106,7 +106,7 @@
 		return
 	}
 	s.evidence.heard[from] = heard{asked: asked, content: answer.Content}
-	if answer.Evidence == nil {
+	if answer.Evidence == nil || answer.Evidence.AgeMicros >= uint64(FreshLimit/time.Microsecond) {
 		return
 	}
 	at := asked - time.Duration(answer.Evidence.AgeMicros)*time.Microsecond
--- a/process/config/replica.go
+++ b/process/config/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"samphirehitch.example/samphirehitch/process/store"
@@ -19,8 +20,10 @@
 // replica is the configuration as this instance knows it: a prefix of the
 // store's history. It only moves forward.
 type replica struct {
-	loaded  bool
-	entries map[string]store.Entry
+	loaded bool
+	// entries is sorted by key. It is shared with subscribers and replaced, never
+	// changed in place.
+	entries []store.Entry
 	// content is at or after the last change of a record; no such change lies in
 	// (content, complete].
 	content store.Revision
@@ -31,8 +34,6 @@
 	log      []Update
 	logBase  store.Revision
 	logBytes int
-	// sorted caches the entries by key. It is never changed in place.
-	sorted []store.Entry
 }
 
 // load replaces the whole content. It reports false when that would not move the
@@ -42,13 +43,10 @@
 		return false
 	}
 	r.loaded = true
-	r.entries = make(map[string]store.Entry, len(entries))
-	for _, entry := range entries {
-		r.entries[entry.Key] = store.Entry{Key: entry.Key, Value: entry.Value, Revision: entry.Revision}
-	}
+	r.entries = slices.Clone(entries)
+	slices.SortFunc(r.entries, byKey)
 	r.content, r.complete = content, complete
 	r.log, r.logBase, r.logBytes = nil, content, 0
-	r.sorted = nil
 	return true
 }
 
@@ -63,21 +61,17 @@
 		if update.Revision <= r.complete || update.Revision > delta.Complete {
 			continue
 		}
-		r.applyUpdate(update)
+		r.keep(update)
 		applied = append(applied, update)
 	}
+	r.entries = merge(r.entries, applied)
 	r.complete = max(r.complete, delta.Complete)
 	return applied, true
 }
 
-func (r *replica) applyUpdate(update Update) {
-	if update.Deleted {
-		delete(r.entries, update.Key)
-	} else {
-		r.entries[update.Key] = store.Entry{Key: update.Key, Value: update.Value, Revision: update.Revision}
-	}
+// keep adds a change to the log.
+func (r *replica) keep(update Update) {
 	r.content = update.Revision
-	r.sorted = nil
 	r.log = append(r.log, update)
 	r.logBytes += len(update.Value)
 	for len(r.log) > logMaxUpdates || (r.logBytes > logMaxBytes && len(r.log) > 1) {
@@ -122,26 +116,43 @@
 }
 
 // state returns the content as handed to subscribers.
-func (r *replica) state() State {
-	if r.sorted == nil {
-		r.sorted = make([]store.Entry, 0, len(r.entries))
-		for _, entry := range r.entries {
-			r.sorted = append(r.sorted, entry)
+func (r *replica) state() State { return State{Revision: r.content, Entries: r.entries} }
+
+func byKey(a, b store.Entry) int { return cmp.Compare(a.Key, b.Key) }
+
+// merge returns sorted entries with changes applied, of which the last of each
+// key counts. The entries stay as they are.
+func merge(entries []store.Entry, updates []Update) []store.Entry {
+	if len(updates) == 0 {
+		return entries
+	}
+	last := make(map[string]Update, len(updates))
+	for _, update := range updates {
+		last[update.Key] = update
+	}
+	merged := make([]store.Entry, 0, len(entries)+len(last))
+	for _, key := range slices.Sorted(maps.Keys(last)) {
+		until, found := slices.BinarySearchFunc(entries, key, compareKey)
+		merged = append(merged, entries[:until]...)
+		if found {
+			until++
+		}
+		entries = entries[until:]
+		if update := last[key]; !update.Deleted {
+			merged = append(merged, store.Entry{Key: key, Value: update.Value, Revision: update.Revision})
 		}
-		slices.SortFunc(r.sorted, func(a, b store.Entry) int { return cmp.Compare(a.Key, b.Key) })
 	}
-	return State{Revision: r.content, Entries: r.sorted}
+	return append(merged, entries...)
 }
 
+func compareKey(entry store.Entry, key string) int { return cmp.Compare(entry.Key, key) }
+
 // page returns a page of the content from a key on.
 func (r *replica) page(id uint64, from string) *Page {
-	entries := r.state().Entries
-	first, _ := slices.BinarySearchFunc(entries, from, func(entry store.Entry, from string) int {
-		return cmp.Compare(entry.Key, from)
-	})
+	first, _ := slices.BinarySearchFunc(r.entries, from, compareKey)
 	page := &Page{ID: id, Content: r.content, Complete: r.complete}
 	bytes := 0
-	for _, entry := range entries[first:] {
+	for _, entry := range r.entries[first:] {
 		if bytes += len(entry.Key) + len(entry.Value); bytes > messageMaxBytes && len(page.Entries) > 0 {
 			page.Next = entry.Key
 			break
--- a/process/config/spread_test.go
+++ b/process/config/spread_test.go
@@ -293,6 +293,24 @@
 	}
 }
 
+// TestAbsurdAgeIsIgnored takes evidence whose age would overflow.
+func TestAbsurdAgeIsIgnored(t *testing.T) {
+	w := newWorld(11, 2)
+	settle(t, w, 10*time.Second)
+	d := w.daemons[0]
+	before := d.spread.evidence.at
+	for _, age := range []uint64{1 << 63, 1<<64 - 1, uint64(FreshLimit / time.Microsecond)} {
+		now := w.now + d.offset + FreshLimit
+		d.spread.ask(now, w.daemons[1].self.ID)
+		id := d.spread.actions[len(d.spread.actions)-1].(Send).Message.Ask.ID
+		answer := &Answer{ID: id, Loaded: true, Evidence: &Evidence{Revision: 1, AgeMicros: age}}
+		d.spread.Handle(now, Received{From: w.daemons[1].self.ID, Message: Message{Answer: answer}})
+		if d.spread.evidence.at != before {
+			t.Errorf("age %d moved the evidence by %v", age, d.spread.evidence.at-before)
+		}
+	}
+}
+
 // TestRestoredStoreIsReported gives a heartbeat a revision from the past.
 func TestRestoredStoreIsReported(t *testing.T) {
 	w := newWorld(7, 1)
