Run the fleet in processes under kills, freezes, cuts and store outages

Cause: failures had been tried on embedded daemons only; a process that is killed or stopped by a signal is another matter. Ruled out: a driver in Go that starts processes.

--- a/e2e/fleet.sh
+++ b/e2e/fleet.sh
@@ -28,6 +28,7 @@
   shift
   "$@" >"$FLEET_DIR/$name.out" 2>"$FLEET_DIR/$name.log" &
   FLEET_PIDS[$name]=$!
+  disown
 }
 
 # build: compiles every program once.
@@ -35,6 +36,7 @@
 
 start_store() {
   spawn store "$FLEET_DIR/bin/samphirehitch-standin" store --address "$store_address"
+  await "http://$store_address/admin/store/counts" '{}'
 }
 
 # member SERVICE MEMBER: describes a target as JSON.
@@ -81,11 +83,12 @@
 # post URL BODY: sends JSON and fails when the answer is an error.
 post() { curl --silent --show-error --fail --max-time 5 --data "$2" "$1" >/dev/null; }
 
-# await URL: waits until the URL answers well, at most 20 seconds.
+# await URL [BODY]: waits until the URL answers well, at most 20 seconds. With a
+# body it posts.
 await() {
   local i
   for i in $(seq 200); do
-    curl --silent --fail --max-time 1 "$1" >/dev/null 2>&1 && return 0
+    curl --silent --fail --max-time 1 ${2:+--data "$2"} "$1" >/dev/null 2>&1 && return 0
     sleep 0.1
   done
   echo "no good answer from $1" >&2
