--- a/request/execute/conversation.go
+++ b/request/execute/conversation.go
@@ -50,6 +50,8 @@
 	target   topology.TargetID
 	term     topology.Term
 	readOnly bool
+	// transaction is the id; zero when it is not known.
+	transaction uint64
 	// settings are those from before the transaction, to go back to.
 	settings session.Settings
 }
