Keep an instance that has met peers from being a fleet of one

Cause: the list of instances lags, and the daemon begins with a list of itself alone: an instance that is then cut off was a majority of its own and would have kept withdrawn keys. Ruled out: joining the live instances to the list (they are gone once it is cut off). Before and after: without the guard TestLaggingListIsNoMajority fails, 'cut off: store-outage'; with it go test -race ./process/config passes. An age without evidence is -1 s now; it was -1 ns, which status showed as 0 ms. Conclusion: a fleet that shrinks to one instance fails closed in an outage until that instance restarts.

--- a/process/config/evidence.go
+++ b/process/config/evidence.go
@@ -72,11 +72,14 @@
 	}
 }
 
+// noAge stands for the age of evidence that does not exist.
+const noAge = -time.Second
+
 // Age returns the age of the evidence at a moment, or a negative duration when
 // there is none.
 func (v *Verdict) Age(now time.Duration) time.Duration {
 	if !v.evident {
-		return -1
+		return noAge
 	}
 	return now - v.evidenceAt
 }
@@ -104,6 +107,8 @@
 	// pending holds proofs of revisions that the replica has not reached.
 	pending []proof
 	heard   map[topology.InstanceID]heard
+	// met is set once any peer has answered.
+	met bool
 }
 
 // add takes a proof into account.
@@ -199,10 +204,14 @@
 }
 
 // quorumUntil returns the moment up to which answers of a majority count, or
-// zero.
+// zero. An instance that has met peers is no fleet of one, even when the list of
+// instances says so: the list lags.
 func (e *evidence) quorumUntil(now time.Duration, panel []topology.InstanceID) time.Duration {
 	needed := topology.Majority(len(panel)+1) - 1
 	if needed == 0 {
+		if e.met {
+			return 0
+		}
 		return now + AnswerLimit
 	}
 	var asked []time.Duration
--- a/process/config/exchange.go
+++ b/process/config/exchange.go
@@ -105,6 +105,7 @@
 	if known, ok := s.evidence.heard[from]; ok && known.asked > asked {
 		return
 	}
+	s.evidence.met = true
 	s.evidence.heard[from] = heard{asked: asked, content: answer.Content}
 	if answer.Evidence == nil || answer.Evidence.AgeMicros >= uint64(FreshLimit/time.Microsecond) {
 		return
--- a/process/config/spread_test.go
+++ b/process/config/spread_test.go
@@ -293,6 +293,21 @@
 	}
 }
 
+// TestLaggingListIsNoMajority has a list of instances that names only this one,
+// which has met a peer.
+func TestLaggingListIsNoMajority(t *testing.T) {
+	w := newWorld(12, 2)
+	settle(t, w, 10*time.Second)
+	d := w.daemons[0]
+	d.spread.Handle(w.now+d.offset, MembersChanged{Known: w.known[:1]})
+	w.down, d.island = true, 1
+	w.wake()
+	w.advance(FreshLimit + AnswerLimit)
+	if got := d.spread.Verdict().Judge(w.now + d.offset); got != FreshnessStale {
+		t.Errorf("cut off: %v", got)
+	}
+}
+
 // TestAbsurdAgeIsIgnored takes evidence whose age would overflow.
 func TestAbsurdAgeIsIgnored(t *testing.T) {
 	w := newWorld(11, 2)
