Answer drivers that look for the primary, move reads that replay cancels

Cause: drivers with target_session_attrs ask transaction_read_only or pg_is_in_recovery(), and a replica's answer turns them away; a replica cancels reads that conflict with the replay of its log. Ruled out: sending every SHOW to the primary; passing 40001 on to callers of single reads. Before and after: without the answer of its own TestDriversFindAWritableServer fails at read-write; without the second try TestConflictMovesRead gets 40001. Conclusion: a read is tried elsewhere after a conflict while nothing of its answer has been sent.

--- a/request/classify/statements.go
+++ b/request/classify/statements.go
@@ -61,7 +61,7 @@
 		if previousInto && (t.is("temp") || t.is("temporary")) {
 			return finish(s, unsupported("temporary table"))
 		}
-		if isModification(t) || isTransactionLock(t) || t.is("into") || (previousFor && isLock(t)) {
+		if isModification(t) || isForPrimary(t) || t.is("into") || (previousFor && isLock(t)) {
 			result.Kind = KindWrite
 		}
 		previousFor = t.is("for")
@@ -75,11 +75,13 @@
 	return t.is("insert") || t.is("update") || t.is("delete") || t.is("merge")
 }
 
-// isTransactionLock reports the advisory locks of a transaction, which callers
-// of replicas would not share.
-func isTransactionLock(t token) bool {
+// isForPrimary reports functions whose answer on a replica would mislead: the
+// advisory locks of a transaction, which callers of other targets don't share,
+// and the question whether the server takes writes.
+func isForPrimary(t token) bool {
 	return t.is("pg_advisory_xact_lock") || t.is("pg_advisory_xact_lock_shared") ||
-		t.is("pg_try_advisory_xact_lock") || t.is("pg_try_advisory_xact_lock_shared")
+		t.is("pg_try_advisory_xact_lock") || t.is("pg_try_advisory_xact_lock_shared") ||
+		t.is("pg_is_in_recovery")
 }
 
 // isLock reports the words that follow FOR in a locking clause.
--- a/request/execute/answer.go
+++ b/request/execute/answer.go
@@ -16,14 +16,18 @@
 	value  string
 }
 
-// runShow answers SHOW for samphirehitch's own settings.
+// runShow answers SHOW for samphirehitch's own settings, and for the one by which
+// drivers look for a server that takes writes.
 func (r *request) runShow() (bool, error) {
 	name := r.plan.statement.Name
-	if !strings.HasPrefix(name, settingPrefix) || r.plan.statement.Multiple {
+	own := strings.HasPrefix(name, settingPrefix) || name == settingReadOnly && r.pin == nil
+	if !own || r.plan.statement.Multiple {
 		return false, nil
 	}
 	answer := localAnswer{tag: "SHOW", column: name}
 	switch name {
+	case settingReadOnly:
+		answer.value = "off"
 	case settingToken:
 		answer.value = r.session.Floor.Token()
 	case settingSession:
--- a/request/execute/body.go
+++ b/request/execute/body.go
@@ -35,6 +35,9 @@
 	// moves is set when the batch goes elsewhere once it is refused as a write;
 	// the refusal is then not the caller's.
 	moves bool
+	// replica is set when the batch also goes elsewhere after a conflict with
+	// the replay of the log (PostgreSQL documentation, chapter 27.4.2).
+	replica bool
 	// refusal is the refusal that moves was set for.
 	refusal *pgproto3.ErrorResponse
 	// code is the SQLSTATE of the error that ended the batch, if any.
@@ -168,7 +171,7 @@
 		return b.flight.lost(message)
 	}
 	b.code = sqlstate.Code(message.Code)
-	if b.moves && b.code == sqlstate.ReadOnlyTransaction {
+	if b.isMoved() {
 		kept := *message
 		b.refusal = &kept
 		return nil
@@ -176,6 +179,18 @@
 	return b.flight.out.add(message)
 }
 
+// isMoved reports whether the batch goes elsewhere after its error.
+func (b *body) isMoved() bool {
+	switch b.code {
+	case sqlstate.ReadOnlyTransaction:
+		return b.moves
+	case sqlstate.SerializationFailure:
+		return b.replica && !b.flight.out.forwarded
+	default:
+		return false
+	}
+}
+
 // take passes on one message of an answer.
 func (b *body) take(message pgproto3.BackendMessage) error {
 	if b.plan.batch.Query == nil {
--- a/request/execute/execute_test.go
+++ b/request/execute/execute_test.go
@@ -71,3 +71,21 @@
 		t.Errorf("%s rows after the rollback, want 0", got)
 	}
 }
+
+// TestDriversFindAWritableServer checks the questions by which drivers look for
+// a server that takes writes.
+func TestDriversFindAWritableServer(t *testing.T) {
+	r := newRig(t)
+	for _, attributes := range []string{"read-write", "primary", "any"} {
+		r.connect(testKey, "target_session_attrs="+attributes)
+	}
+}
+
+// TestConflictMovesRead has a replica give up a read for the replay of the log.
+func TestConflictMovesRead(t *testing.T) {
+	r, targets := newFakeRig(t, 1)
+	s := r.script(testKey, "")
+	targets.spoil(fault{cut: -1, conflict: true}, fault{cut: -1, conflict: true})
+	s.send(queryMessage("SELECT 'x'"))
+	s.want("RowDescription", "row x", "done SELECT 1", "ready I")
+}
--- a/request/execute/fake_test.go
+++ b/request/execute/fake_test.go
@@ -24,6 +24,8 @@
 	twice bool
 	// late keeps the answer until the connection is given up.
 	late bool
+	// conflict answers that the replay of the log comes first.
+	conflict bool
 }
 
 var noFault = fault{cut: -1}
--- a/request/execute/fakeconn_test.go
+++ b/request/execute/fakeconn_test.go
@@ -90,6 +90,10 @@
 func (c *fakeConn) flush(spoiled fault) error {
 	answer := c.answer
 	c.answer = nil
+	if spoiled.conflict {
+		answer, _ = (&pgproto3.ErrorResponse{Severity: "ERROR", Code: "40001"}).Encode(nil)
+		answer, _ = (&pgproto3.ReadyForQuery{TxStatus: c.status}).Encode(answer)
+	}
 	if spoiled.twice {
 		answer = append(answer, answer...)
 	}
--- a/request/execute/leg.go
+++ b/request/execute/leg.go
@@ -2,20 +2,13 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"samphirehitch.example/samphirehitch/connection/session"
-	"samphirehitch.example/samphirehitch/connection/upstream"
-	"samphirehitch.example/samphirehitch/process/group"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/request/route"
 )
 
-// guardInterval is how often a running request looks whether its target still
-// serves it.
-const guardInterval = 50 * time.Millisecond
-
 // leg is one attempt of a request on one target connection.
 type leg struct {
 	*flight
@@ -33,7 +26,7 @@
 // embark acquires a connection to the chosen target.
 func (r *request) embark(decision route.Decision) (*leg, error) {
 	target := decision.Target.ID
-	lease, err := r.acquire(target)
+	lease, err := r.acquireGuarded(decision)
 	if err != nil {
 		return nil, err
 	}
@@ -72,7 +65,7 @@
 	l.flight = &flight{conn: conn, out: &l.request.out}
 	l.request.setRunning(conn)
 	l.release = conn.InterruptAfter(l.request.ctx)
-	l.guard = newGuard(l)
+	l.guard = newGuard(l.request, l.target, l.term, l.primary, conn.Interrupt)
 }
 
 // shield keeps the end of the request's context from interrupting the
@@ -148,62 +141,3 @@
 	}
 	return nil
 }
-
-// guard takes a request off a target that stopped answering or was replaced.
-type guard struct {
-	conn    *upstream.Conn
-	request *request
-	target  topology.TargetID
-	term    topology.Term
-	primary bool
-
-	mu struct {
-		sync.Mutex
-		timer   *time.Timer
-		stopped bool
-	}
-}
-
-func newGuard(l *leg) *guard {
-	g := &guard{conn: l.conn, request: l.request, target: l.target, term: l.term, primary: l.primary}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.mu.timer = time.AfterFunc(guardInterval, g.check)
-	return g
-}
-
-// check interrupts the connection when the group's view is against the target.
-func (g *guard) check() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.mu.stopped {
-		return
-	}
-	if g.condemned(g.request.watcher.View()) {
-		eventInterrupt.Log(g.request.executor.deps.Logger, "session", g.request.session.ID, "target", string(g.target))
-		g.conn.Interrupt()
-		return
-	}
-	g.mu.timer.Reset(guardInterval)
-}
-
-// condemned reports whether the view shows that the target was replaced as
-// primary, or that it has not answered for the stall timeout.
-func (g *guard) condemned(view *group.View) bool {
-	if g.primary && view.Term > g.term {
-		return true
-	}
-	target := view.Target(g.target)
-	if target == nil {
-		return false
-	}
-	silent := g.request.executor.deps.Clock() - target.Answered
-	return target.Known && !target.Reachable && silent > g.request.executor.config.StallTimeout
-}
-
-func (g *guard) stop() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.mu.stopped = true
-	g.mu.timer.Stop()
-}
--- a/request/execute/local.go
+++ b/request/execute/local.go
@@ -18,6 +18,7 @@
 	settingIdempotent      = "samphirehitch.idempotent"
 	settingToken           = "samphirehitch.token"
 	settingSession         = "samphirehitch.session"
+	settingReadOnly        = "transaction_read_only"
 	settingApplicationName = "application_name"
 	settingClientEncoding  = "client_encoding"
 	settingAll             = "all"
--- a/request/execute/read.go
+++ b/request/execute/read.go
@@ -21,6 +21,9 @@
 // Error describes the refusal.
 func (e *settingError) Error() string { return "setting refused: " + e.response.Code }
 
+// errConflict reports that a replica gave up a read for the replay of the log.
+var errConflict = errors.New("read conflicts with the replay of the log")
+
 // runRead serves a batch that only reads, as far as is known.
 func (r *request) runRead() error {
 	if err := r.findGroup(); err != nil {
@@ -122,6 +125,7 @@
 	}
 	b := l.queueBody(r.session, r.plan)
 	b.moves = true
+	b.replica = !l.primary
 	if l.primary {
 		l.queue(queryCommit)
 	}
@@ -149,6 +153,9 @@
 	if b.code == sqlstate.ReadOnlyTransaction {
 		return errIsWrite
 	}
+	if b.refusal != nil {
+		return errConflict
+	}
 	if escaped {
 		l.conn.MarkBroken()
 		return refusal.New(refusal.OutcomeUnknown, refusal.StepExchange, string(l.target), nil)
--- a/request/execute/routing.go
+++ b/request/execute/routing.go
@@ -144,9 +144,9 @@
 
 // acquire leases a connection to the target. A connection that turns out dead
 // is replaced once for each that the pool may hold.
-func (r *request) acquire(target topology.TargetID) (Lease, error) {
+func (r *request) acquire(ctx context.Context, target topology.TargetID) (Lease, error) {
 	for range maxDeadConnections {
-		lease, err := r.executor.deps.Pools.Acquire(r.ctx, r.session.Service(), target, r.session.Customer)
+		lease, err := r.executor.deps.Pools.Acquire(ctx, r.session.Service(), target, r.session.Customer)
 		if err != nil {
 			return nil, r.acquireFailure(target, err)
 		}
