Say that a commit point of any other term may be another transaction's

Cause: a log can also hold an older term's entry with the same number, from a primary that the target never followed. Ruled out: nothing. Before and after: a comment only. Conclusion: matches what process/group does.

--- a/process/platform/platform.go
+++ b/process/platform/platform.go
@@ -36,7 +36,7 @@
 	// Commit is the point of the transaction's commit record when the outcome
 	// is OutcomeCommitted, or zero when the platform does not say. PostgreSQL
 	// numbers transactions on from the highest number in the log after a
-	// promotion, so a commit of a higher term than the asked transaction's may
+	// promotion, so a commit of another term than the asked transaction's may
 	// be another transaction of the same number.
 	Commit topology.Point  `json:"commit"`
 	Status topology.Status `json:"status"`
