Prove passwords at the stand-in targets by SCRAM on request

Cause: the daemons' login at targets speaks SCRAM, which PostgreSQL asks for by default, and no stand-in asked for it. Ruled out: SCRAM alone: its key derivation costs the tests time at every new connection. Before and after: TestPasswordIsProvenByScram without the check of the start-up user, in a scratch copy: 'got <nil>, want SQLSTATE 28P01'; with it ok.

--- a/load/inject/stand_ins.go
+++ b/load/inject/stand_ins.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/rotisserie/eris"
 
+	"samphirehitch.example/samphirehitch/load/oracle"
 	"samphirehitch.example/samphirehitch/process/store/memstore"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/standin/admin"
@@ -98,6 +100,23 @@
 	return nil
 }
 
+// KeysSeen returns a violation for each secret or key name that callers show to
+// daemons and a target was shown as well.
+func (l Local) KeysSeen(keys []string) []oracle.Violation {
+	var found []oracle.Violation
+	for _, g := range l.Groups {
+		for _, m := range g.Members() {
+			for _, value := range m.SeenValues() {
+				if slices.Contains(keys, value) {
+					detail := "target " + string(m.Target().ID) + " was shown a caller's key"
+					found = append(found, oracle.Violation{Rule: oracle.RuleKeySecret, Detail: detail})
+				}
+			}
+		}
+	}
+	return found
+}
+
 // Remote injects into stand-in programs through their admin addresses. It
 // implements Injector.
 type Remote struct {
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -76,6 +76,10 @@
 	if !hasRule(got, oracle.RuleRate) {
 		t.Error("nothing limits the second customer, and the oracle says nothing")
 	}
+	local := inject.Local{Groups: []*group.Group{g}}
+	if len(local.KeysSeen([]string{"key-1"})) == 0 || len(local.KeysSeen([]string{"key-9"})) != 0 {
+		t.Error("the caller's key at the target went unseen")
+	}
 	if got.Sums.Requests == 0 || got.Sums.Confirmed != got.Sums.Requests || got.Sums.ReplicaReads != 0 {
 		t.Errorf("sums %+v, refusals %+v", got.Sums, got.Refusals)
 	}
--- a/load/perform.go
+++ b/load/perform.go
@@ -158,7 +158,14 @@
 	} else if !missing {
 		sample.PrimaryReads++
 	}
-	by := fmt.Sprintf("session %s, aged %t, paired %t, replica %t", s.identity(), s.aged, s.paired, replica)
+	from := "primary"
+	switch {
+	case missing:
+		from = "unknown target"
+	case replica:
+		from = "replica"
+	}
+	by := fmt.Sprintf("session %s, aged %t, paired %t, read from %s", s.identity(), s.aged, s.paired, from)
 	s.oracle.CheckRead(expected, oracle.Answer{Value: value, Found: !missing, By: by}, s.phase.now())
 	return nil
 }
--- a/standin/group/group.go
+++ b/standin/group/group.go
@@ -16,6 +16,7 @@
 	"samphirehitch.example/samphirehitch/process/clock"
 	"samphirehitch.example/samphirehitch/process/platform"
 	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/standin/session"
 )
 
 // Config sets up a Group.
@@ -41,6 +42,9 @@
 	// that none is asked for.
 	User     string
 	Password string
+	// SCRAM asks for a proof of the password by SCRAM-SHA-256 instead of the
+	// password in clear text.
+	SCRAM bool
 	// TLS is nil when members refuse encryption.
 	TLS *tls.Config
 	// ReuseTransactionIDs is as in database.Config.
@@ -61,9 +65,16 @@
 	if cfg.Clock == nil {
 		cfg.Clock = clock.System()
 	}
+	var verifier *session.Verifier
+	if cfg.SCRAM {
+		var err error
+		if verifier, err = session.NewVerifier(cfg.Password); err != nil {
+			return nil, err
+		}
+	}
 	g := &Group{}
 	for _, target := range cfg.Members {
-		g.members = append(g.members, newMember(cfg, target))
+		g.members = append(g.members, newMember(cfg, target, verifier))
 	}
 	for _, m := range g.members {
 		m.peers = g.peersOf(m, cfg.Remote)
--- a/standin/group/group_test.go
+++ b/standin/group/group_test.go
@@ -117,6 +117,18 @@
 	wantCode(t, err, "28P01")
 }
 
+func TestPasswordIsProvenByScram(t *testing.T) {
+	g := start(t, Config{User: "app", Password: "secret", SCRAM: true})
+	connect(t, g.Member("db-1"))
+	for _, wrong := range []string{
+		strings.Replace(dsn(g.Member("db-1")), "secret", "wrong", 1),
+		strings.Replace(dsn(g.Member("db-1")), "app", "other", 1),
+	} {
+		_, err := pgx.Connect(t.Context(), wrong)
+		wantCode(t, err, "28P01")
+	}
+}
+
 func TestTransactionsAndPipelines(t *testing.T) {
 	g := start(t, Config{})
 	conn := connect(t, g.Member("db-1"))
--- a/standin/group/member.go
+++ b/standin/group/member.go
@@ -32,6 +32,7 @@
 type Member struct {
 	cfg      Config
 	target   platform.Target
+	verifier *session.Verifier
 	database *database.Database
 	peers    []peer
 	slots    chan struct{}
@@ -72,8 +73,8 @@
 	conns    map[net.Conn]struct{}
 }
 
-func newMember(cfg Config, target platform.Target) *Member {
-	m := &Member{cfg: cfg, target: target, gates: newGates()}
+func newMember(cfg Config, target platform.Target, verifier *session.Verifier) *Member {
+	m := &Member{cfg: cfg, target: target, verifier: verifier, gates: newGates()}
 	m.database = database.New(database.Config{
 		ID:                  target.ID,
 		Clock:               cfg.Clock,
@@ -216,6 +217,7 @@
 		Target:   string(m.target.ID),
 		User:     m.cfg.User,
 		Password: m.cfg.Password,
+		Verifier: m.verifier,
 		TLS:      m.cfg.TLS,
 	}, conn)
 	// How a session ends is its caller's business.
--- a/standin/program/program.go
+++ b/standin/program/program.go
@@ -45,6 +45,7 @@
 	serviceTime  time.Duration
 	user         string
 	password     string
+	scram        bool
 	certificate  string
 	key          string
 	reuseIDs     bool
@@ -112,6 +113,7 @@
 	c.Flag("service-time", "How long a statement keeps its slot.").Default("0s").DurationVar(&f.serviceTime)
 	c.Flag("user", "The user that sessions log in as.").StringVar(&f.user)
 	c.Flag("password", "The password of the user; none is asked for when it is empty.").Envar("SAMPHIREHITCH_STANDIN_PASSWORD").StringVar(&f.password)
+	c.Flag("scram", "Ask for a proof of the password by SCRAM-SHA-256.").BoolVar(&f.scram)
 	c.Flag("tls-certificate", "File with the certificate for encrypted sessions, PEM.").StringVar(&f.certificate)
 	c.Flag("tls-key", "File with the certificate's private key, PEM.").StringVar(&f.key)
 	c.Flag("reuse-transaction-ids", "Number transactions after a promotion as PostgreSQL does.").BoolVar(&f.reuseIDs)
@@ -146,6 +148,7 @@
 		ServiceTime:         f.serviceTime,
 		User:                f.user,
 		Password:            f.password,
+		SCRAM:               f.scram,
 		ReuseTransactionIDs: f.reuseIDs,
 		Log:                 log,
 	}
--- a/standin/session/session.go
+++ b/standin/session/session.go
@@ -53,6 +53,9 @@
 	// User and Password are checked when Password is not empty.
 	User     string
 	Password string
+	// Verifier, when not nil, proves the password by SCRAM; otherwise it is
+	// asked for in clear text.
+	Verifier *Verifier
 	// TLS is nil when the server refuses encryption.
 	TLS *tls.Config
 }
--- a/standin/session/startup.go
+++ b/standin/session/startup.go
@@ -1,7 +1,6 @@
 package session
 
 import (
-	"crypto/subtle"
 	"crypto/tls"
 	"encoding/binary"
 	"errors"
@@ -79,10 +78,8 @@
 	if err != nil {
 		return s.refuse(err)
 	}
-	if s.cfg.Password != "" {
-		if err := s.checkPassword(startup.Parameters["user"]); err != nil {
-			return s.refuse(err)
-		}
+	if err := s.authenticate(startup.Parameters["user"]); err != nil {
+		return s.refuse(err)
 	}
 	s.backend.Send(&pgproto3.AuthenticationOk{})
 	for _, parameter := range s.parameters() {
@@ -105,27 +102,6 @@
 	return errors.Join(s.flush(), err)
 }
 
-func (s *Session) checkPassword(user string) error {
-	s.backend.Send(&pgproto3.AuthenticationCleartextPassword{})
-	if err := s.backend.SetAuthType(pgproto3.AuthTypeCleartextPassword); err != nil {
-		return eris.Wrap(err, "ask for the password")
-	}
-	if err := s.flush(); err != nil {
-		return err
-	}
-	message, err := s.backend.Receive()
-	if err != nil {
-		return eris.Wrap(err, "receive the password")
-	}
-	answer, isPassword := message.(*pgproto3.PasswordMessage)
-	right := isPassword && user == s.cfg.User &&
-		subtle.ConstantTimeCompare([]byte(answer.Password), []byte(s.cfg.Password)) == 1
-	if !right {
-		return &database.Error{Code: "28P01", Message: "password authentication failed"}
-	}
-	return nil
-}
-
 func (s *Session) parameters() []pgproto3.ParameterStatus {
 	standby := "on"
 	if s.cfg.Database.Primary() {
