--- a/connection/caller/login_test.go
+++ b/connection/caller/login_test.go
@@ -177,3 +177,23 @@
 		_ = idle.socket.Close()
 	})
 }
+
+// TestSlowReader gives up on a caller that takes its answer a row a second.
+func TestSlowReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newTestServer(t, Config{WriteTimeout: 7 * time.Second})
+		c := dial(t, s)
+		c.login(testKey, testSecret, "ledger")
+		c.frontend.Send(&pgproto3.Query{String: "ENDLESS"})
+		if err := c.frontend.Flush(); err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		for c.receive() != nil {
+			time.Sleep(time.Second)
+		}
+		if took := time.Since(began); took < 7*time.Second || took > 8*time.Second {
+			t.Errorf("given up after %v, want 7s", took)
+		}
+	})
+}
--- a/connection/caller/loop.go
+++ b/connection/caller/loop.go
@@ -22,6 +22,8 @@
 	conversation Conversation
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
+	// blocked is how long the running request has waited for its caller to read.
+	blocked time.Duration
 
 	mu struct {
 		sync.Mutex
@@ -84,6 +86,7 @@
 			c.finish(c.readFailure(err))
 			return
 		}
+		c.blocked = 0
 		err = c.conversation.Run(c.ctx, batch, (*port)(c))
 		if err != nil {
 			var fatal *Fatal
@@ -182,11 +185,14 @@
 
 // Write sends encoded messages to the caller.
 func (p *port) Write(encoded []byte) (int, error) {
-	deadline := time.Now().Add(p.server.config.WriteTimeout)
+	began := time.Now()
+	deadline := began.Add(p.server.config.WriteTimeout - p.blocked)
 	if err := p.wire.socket.SetWriteDeadline(deadline); err != nil {
 		return 0, err
 	}
-	return p.wire.socket.Write(encoded)
+	n, err := p.wire.socket.Write(encoded)
+	p.blocked += time.Since(began)
+	return n, err
 }
 
 // Receive returns the caller's next message.
--- a/connection/caller/rig_test.go
+++ b/connection/caller/rig_test.go
@@ -74,9 +74,18 @@
 	open    bool
 }
 
-// Run opens a transaction when it is asked to and never ends it.
+// Run opens a transaction when it is asked to and never ends it. It also gives
+// answers without an end.
 func (e *echoing) Run(_ context.Context, batch *Batch, port Port) error {
 	e.open = e.open || batch.Query != nil && batch.Query.String == "BEGIN"
+	if batch.Query != nil && batch.Query.String == "ENDLESS" {
+		row, _ := (&pgproto3.DataRow{}).Encode(nil)
+		for {
+			if _, err := port.Write(row); err != nil {
+				return err
+			}
+		}
+	}
 	answer, _ := (&pgproto3.CommandComplete{CommandTag: []byte(e.session.Customer)}).Encode(nil)
 	answer, _ = (&pgproto3.ReadyForQuery{TxStatus: 'I'}).Encode(answer)
 	_, err := port.Write(answer)
--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -36,7 +36,7 @@
 // Defaults of Config.
 const (
 	defaultLoginTimeout    = 10 * time.Second
-	defaultWriteTimeout    = 60 * time.Second
+	defaultWriteTimeout    = 20 * time.Second
 	defaultIdleTransaction = 30 * time.Second
 	defaultMaxLogins       = 256
 	defaultMaxConnections  = 20_000
@@ -57,8 +57,8 @@
 	RequireTLS bool
 	// LoginTimeout bounds the time from accept to the end of the login.
 	LoginTimeout time.Duration
-	// WriteTimeout bounds how long one write waits for a caller that doesn't
-	// read.
+	// WriteTimeout bounds how long, in sum, the answer to one request waits for
+	// its caller to read, since it holds a target connection.
 	WriteTimeout time.Duration
 	// IdleTransactionTimeout bounds how long an open transaction waits for its
 	// caller, since it holds a target connection.
