Read tables on replicas also beside pg_is_in_recovery

Ruled out: another question in the load tool (callers may ask this beside rows). Conclusion: only a question that reads no table is a driver's probe.

--- a/request/classify/statements.go
+++ b/request/classify/statements.go
@@ -45,19 +45,27 @@
 	}
 }
 
-// scanQuery classifies what follows SELECT, WITH, VALUES or TABLE.
+// scanQuery classifies what follows SELECT, WITH, VALUES or TABLE. Drivers that
+// look for a writable server ask pg_is_in_recovery() alone, which a replica's
+// answer would mislead; beside a table it is a part of a read like any other.
 func scanQuery(s *scanner) Statement {
 	result := Statement{Kind: KindRead}
 	previousFor := false
 	previousInto := false
+	asksRole, readsTable := false, false
 	for {
 		t := s.next()
 		if t.kind == tokenEnd || t.text == ";" {
+			if asksRole && !readsTable {
+				result.Kind = KindWrite
+			}
 			return result
 		}
 		if feature := sessionFunction(t); feature != "" {
 			return finish(s, unsupported(feature))
 		}
+		asksRole = asksRole || t.is("pg_is_in_recovery")
+		readsTable = readsTable || t.is("from")
 		if previousInto && (t.is("temp") || t.is("temporary")) {
 			return finish(s, unsupported("temporary table"))
 		}
@@ -75,13 +83,11 @@
 	return t.is("insert") || t.is("update") || t.is("delete") || t.is("merge")
 }
 
-// isForPrimary reports functions whose answer on a replica would mislead: the
-// advisory locks of a transaction, which callers of other targets don't share,
-// and the question whether the server takes writes.
+// isForPrimary reports the advisory locks of a transaction, which callers of
+// other targets don't share.
 func isForPrimary(t token) bool {
 	return t.is("pg_advisory_xact_lock") || t.is("pg_advisory_xact_lock_shared") ||
-		t.is("pg_try_advisory_xact_lock") || t.is("pg_try_advisory_xact_lock_shared") ||
-		t.is("pg_is_in_recovery")
+		t.is("pg_try_advisory_xact_lock") || t.is("pg_try_advisory_xact_lock_shared")
 }
 
 // isLock reports the words that follow FOR in a locking clause.
