Tell a replica's answer by its in_hot_standby setting

Ruled out: samphirehitch_target(), which only the stand-in has. Conclusion: current_setting('in_hot_standby') (PostgreSQL 14 and later) beside the value; refusals in the report carry their outcome.

--- a/load/measure/measure.go
+++ b/load/measure/measure.go
@@ -48,7 +48,7 @@
 		customers []customer
 		services  []service
 		buckets   []Bucket
-		refusals  map[string]int
+		refusals  map[Refusal]int
 	}
 }
 
@@ -97,7 +97,7 @@
 		c.mu.customers[i].latency = hdrhistogram.New(1, longestLatency.Microseconds(), significantDigits)
 	}
 	c.mu.services = make([]service, services)
-	c.mu.refusals = make(map[string]int)
+	c.mu.refusals = make(map[Refusal]int)
 	return c
 }
 
@@ -112,7 +112,7 @@
 		// Longer latencies count as the longest.
 		_ = of.latency.RecordValue(min(s.End-s.Arrival, longestLatency).Microseconds())
 	} else {
-		c.mu.refusals[s.Code]++
+		c.mu.refusals[Refusal{Code: s.Code, Outcome: s.Outcome.String()}]++
 	}
 	if s.Outcome == oracle.Confirmed && s.Write {
 		to := &c.mu.services[s.Service]
--- a/load/measure/measure_test.go
+++ b/load/measure/measure_test.go
@@ -29,7 +29,7 @@
 	if spans := c.Spans(0); len(spans) != 3 || spans[1] != (oracle.Span{Start: at(1500), End: at(1600)}) {
 		t.Errorf("spans %v", spans)
 	}
-	if len(got.Refusals) != 2 || got.Refusals[1] != (Refusal{Code: "53400", Count: 2}) {
+	if len(got.Refusals) != 2 || got.Refusals[1] != (Refusal{Code: "53400", Outcome: "not run", Count: 2}) {
 		t.Errorf("refusals %v", got.Refusals)
 	}
 }
--- a/load/measure/summary.go
+++ b/load/measure/summary.go
@@ -1,8 +1,9 @@
 package measure
 
 import (
-	"maps"
+	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"samphirehitch.example/samphirehitch/load/oracle"
@@ -63,8 +64,13 @@
 // Refusal counts the requests that ended with a SQLSTATE; without one, the
 // connection failed.
 type Refusal struct {
-	Code  string `json:"code"`
-	Count int    `json:"count"`
+	Code    string `json:"code"`
+	Outcome string `json:"outcome"`
+	Count   int    `json:"count"`
+}
+
+func compareRefusals(a, b Refusal) int {
+	return cmp.Or(strings.Compare(a.Code, b.Code), strings.Compare(a.Outcome, b.Outcome))
 }
 
 // Summary sums up the samples of a run of that length.
@@ -93,9 +99,11 @@
 		phase.Services = append(phase.Services, gap)
 		phase.FailoverGapMillis = max(phase.FailoverGapMillis, gap.GapMillis)
 	}
-	for _, code := range slices.Sorted(maps.Keys(c.mu.refusals)) {
-		phase.Refusals = append(phase.Refusals, Refusal{Code: code, Count: c.mu.refusals[code]})
+	for refusal, count := range c.mu.refusals {
+		refusal.Count = count
+		phase.Refusals = append(phase.Refusals, refusal)
 	}
+	slices.SortFunc(phase.Refusals, compareRefusals)
 	return phase
 }
 
--- a/load/perform.go
+++ b/load/perform.go
@@ -14,7 +14,7 @@
 
 // Statements of the load. The table kv has a key and a value, both text.
 const (
-	sqlRead      = "SELECT value, pg_is_in_recovery() FROM kv WHERE key = $1"
+	sqlRead      = "SELECT value, current_setting('in_hot_standby') FROM kv WHERE key = $1"
 	sqlIncrement = "UPDATE kv SET value = value + 1 WHERE key = $1"
 	sqlInsert    = "INSERT INTO kv VALUES ($1, $2)"
 )
@@ -146,13 +146,13 @@
 }
 
 func (s *session) checkAnswer(row pgx.Row, expected oracle.Expectation, sample *measure.Sample) error {
-	var value string
-	var replica bool
-	err := row.Scan(&value, &replica)
+	var value, standby string
+	err := row.Scan(&value, &standby)
 	missing := errors.Is(err, pgx.ErrNoRows)
 	if err != nil && !missing {
 		return err
 	}
+	replica := standby == "on"
 	if replica {
 		sample.ReplicaReads++
 	} else if !missing {
--- a/load/report/text.go
+++ b/load/report/text.go
@@ -87,7 +87,7 @@
 	}
 	_ = table.Flush()
 	for _, refusal := range phase.Refusals {
-		fmt.Fprintf(text, "not confirmed with SQLSTATE %q: %d\n", refusal.Code, refusal.Count)
+		fmt.Fprintf(text, "%s with SQLSTATE %q: %d\n", refusal.Outcome, refusal.Code, refusal.Count)
 	}
 	for i, service := range phase.Services {
 		fmt.Fprintf(text, "service %d: %d writes confirmed, longest gap %.0f ms from %.0f ms\n",
--- a/standin/session/run.go
+++ b/standin/session/run.go
@@ -142,7 +142,7 @@
 		}
 	case statement.GetWithRole:
 		if found, exists := s.transaction.Get(value(st.Key, arguments)); exists {
-			answer.rows = [][]string{{found, boolean(!s.cfg.Database.Primary())}}
+			answer.rows = [][]string{{found, s.setting("in_hot_standby")}}
 		}
 	case statement.All:
 		answer.rows = sortedRows(s.transaction.Rows())
--- a/standin/statement/statement.go
+++ b/standin/statement/statement.go
@@ -132,8 +132,8 @@
 var forms = []form{
 	newForm(``, Statement{Kind: Empty}, nil),
 	newForm(`select\s+value\s+from\s+kv`+keyPattern, selecting(Get, "value", Text), fillKey),
-	newForm(`select\s+value\s*,\s*pg_is_in_recovery\(\)\s+from\s+kv`+keyPattern,
-		Statement{Kind: GetWithRole, Tag: "SELECT", Columns: []Column{{Name: "value"}, {Name: "pg_is_in_recovery", Type: Boolean}}}, fillKey),
+	newForm(`select\s+value\s*,\s*current_setting\(\s*'in_hot_standby'\s*\)\s+from\s+kv`+keyPattern,
+		Statement{Kind: GetWithRole, Tag: "SELECT", Columns: []Column{{Name: "value"}, {Name: "current_setting"}}}, fillKey),
 	newForm(`update\s+kv\s+set\s+value\s*=\s*value\s*\+\s*`+operandPattern+keyPattern+`(\s+returning\s+value)?`,
 		Statement{Kind: Increment, Tag: "UPDATE"}, fillValueKey),
 	newForm(`update\s+kv\s+set\s+value\s*=\s*`+operandPattern+keyPattern+`(\s+returning\s+value)?`,
