--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -128,7 +128,7 @@
 func (d *Daemon) buildCallers() error {
 	executor := execute.New(execute.Config{Own: d.settings.FailureDomain}, execute.Deps{
 		Directory: d.directory,
-		Gate:      d.config,
+		Gate:      gate{d.config},
 		Admitter:  d.admitter(),
 		Groups:    d.services,
 		Pools:     d.services,
@@ -141,7 +141,7 @@
 	}
 	d.callers = caller.New(cfg, caller.Deps{
 		Directory: d.directory,
-		Fresh:     d.config.Fresh,
+		Fresh:     gate{d.config}.Fresh,
 		Handler:   executor,
 		NewFloor:  newFloor,
 		Logger:    d.logger,
