Take floors from connection/floor and retries from request/retry

Cause: both packages are there; the stand-ins for them in session and execute are not needed any more. Ruled out: MaxAttempts of the default policy (8): a request would give up within about a second of a failover; one budget for each request. Before and after: go test -race ./request/... ./connection/... passes; TestToken carries real tokens, TestRequestsWaitForTheNextPrimary waits by the policy's delays. A request that meets no failure costs one atomic addition. Conclusion: retries are bounded by 10 s, 100 attempts and a fifth of the requests plus 2000 saved up; a change of the group's view ends a delay at once.

--- a/connection/caller/rig_test.go
+++ b/connection/caller/rig_test.go
@@ -12,6 +12,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/xdg-go/scram"
 
+	"samphirehitch.example/samphirehitch/connection/floor"
 	"samphirehitch.example/samphirehitch/connection/session"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/version/record"
@@ -102,7 +103,7 @@
 		Directory: func() session.Directory { return directory },
 		Fresh:     func() error { return nil },
 		Handler:   echo{},
-		NewFloor:  func() session.Floor { return &session.Point{} },
+		NewFloor:  func() session.Floor { return floor.New() },
 		Logger:    logr.Discard(),
 	}), directory
 }
--- a/connection/session/session.go
+++ b/connection/session/session.go
@@ -5,14 +5,14 @@
 package session
 
 import (
-	"errors"
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/version/record"
 )
 
-// Floor holds the points that a session's reads have to reach.
+// Floor holds the points that a session's reads have to reach. *floor.Floor
+// implements it.
 type Floor interface {
 	// At returns the point for a service; zero when there is none.
 	At(service topology.ServiceID) topology.Point
@@ -78,34 +78,3 @@
 	}
 	return s.Name != "" || !s.Tracked
 }
-
-// ErrNoTokens reports a token where none are in use.
-var ErrNoTokens = errors.New("tokens are not in use")
-
-// Point is a floor for a session of one service, without tokens.
-type Point struct {
-	service topology.ServiceID
-	point   topology.Point
-}
-
-// At returns the point when it is for the service.
-func (p *Point) At(service topology.ServiceID) topology.Point {
-	if p.service != service {
-		return topology.Point{}
-	}
-	return p.point
-}
-
-// Raise moves the point up.
-func (p *Point) Raise(service topology.ServiceID, point topology.Point) {
-	if p.service != service {
-		*p = Point{service: service}
-	}
-	p.point = topology.MaxPoint(p.point, point)
-}
-
-// Present refuses every token.
-func (p *Point) Present(string) error { return ErrNoTokens }
-
-// Token returns no token.
-func (p *Point) Token() string { return "" }
--- a/request/execute/conversation.go
+++ b/request/execute/conversation.go
@@ -160,6 +160,7 @@
 	if err := r.admit(); err != nil {
 		return err
 	}
+	r.executor.budget.Request()
 	statement := &r.plan.statement
 	switch {
 	case statement.Kind == classify.KindBegin:
--- a/request/execute/executor.go
+++ b/request/execute/executor.go
@@ -9,6 +9,7 @@
 	"samphirehitch.example/samphirehitch/connection/caller"
 	"samphirehitch.example/samphirehitch/connection/session"
 	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/request/retry"
 )
 
 // Executor runs the requests of all sessions of an instance. It is safe for
@@ -19,11 +20,12 @@
 	loads  loads
 	writes learnedWrites
 	turn   atomic.Uint64
+	budget *retry.Budget
 }
 
 // New returns an executor.
 func New(config Config, deps Deps) *Executor {
-	return &Executor{config: config.withDefaults(), deps: deps}
+	return &Executor{config: config.withDefaults(), deps: deps, budget: retry.NewBudget(retryShare, retryBurst)}
 }
 
 // Open implements caller.Handler.
--- a/request/execute/ports.go
+++ b/request/execute/ports.go
@@ -88,6 +88,8 @@
 	CommitTimeout time.Duration
 	// RetryPause bounds the wait for another primary between two attempts.
 	RetryPause time.Duration
+	// MaxAttempts bounds the attempts of one request.
+	MaxAttempts int
 	// StallTimeout is how long a target that answers no status request may keep
 	// a request.
 	StallTimeout time.Duration
@@ -99,7 +101,8 @@
 	defaultReplicaTimeout = 20 * time.Millisecond
 	defaultPrimaryTimeout = 10 * time.Second
 	defaultCommitTimeout  = 15 * time.Second
-	defaultRetryPause     = 100 * time.Millisecond
+	defaultRetryPause     = 250 * time.Millisecond
+	defaultMaxAttempts    = 100
 	defaultStallTimeout   = time.Second
 )
 
@@ -109,11 +112,12 @@
 	setDefault(&c.PrimaryTimeout, defaultPrimaryTimeout)
 	setDefault(&c.CommitTimeout, defaultCommitTimeout)
 	setDefault(&c.RetryPause, defaultRetryPause)
+	setDefault(&c.MaxAttempts, defaultMaxAttempts)
 	setDefault(&c.StallTimeout, defaultStallTimeout)
 	return c
 }
 
-func setDefault(field *time.Duration, value time.Duration) {
+func setDefault[T int | time.Duration](field *T, value T) {
 	if *field == 0 {
 		*field = value
 	}
--- a/request/execute/retry.go
+++ b/request/execute/retry.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/request/retry"
 )
 
 // Attempts after which a request waits for the group to change before the next.
@@ -14,54 +16,70 @@
 	quickWrites = 2
 )
 
-// attempts bounds in time how often a request is tried.
+// Budget of the instance's retries: a share of its requests, and how many can be
+// saved up for a failover.
+const (
+	retryShare = 0.2
+	retryBurst = 2000
+)
+
+// attempts decides how often a request is tried.
 type attempts struct {
 	request *request
+	retries retry.Request
 	// quick is how many attempts follow each other without a wait.
-	quick    int
-	deadline time.Duration
-	count    int
+	quick int
+	count int
 }
 
+// newAttempts returns the attempts of a request whose failures, as far as it is
+// tried again, have had no effect or may be repeated.
 func (r *request) newAttempts(quick int) *attempts {
-	return &attempts{
-		request:  r,
-		quick:    quick,
-		deadline: r.executor.deps.Clock() + r.executor.config.PrimaryTimeout,
-	}
+	return &attempts{request: r, quick: quick}
+}
+
+// begin is called at the first failure, since most requests have none.
+func (a *attempts) begin() {
+	x := a.request.executor
+	policy := retry.DefaultPolicy()
+	policy.MaxAttempts = x.config.MaxAttempts
+	policy.MaxDelay = x.config.RetryPause
+	random := rand.New(rand.NewPCG(x.turn.Add(1), uint64(a.request.session.ID)))
+	a.retries = retry.NewRequest(policy, x.budget, random, x.deps.Clock()+x.config.PrimaryTimeout, true)
 }
 
 // again prepares another attempt after one that failed on a target. It reports
-// false once the time is up.
+// false once there is none left.
 func (a *attempts) again(target topology.TargetID, err error) bool {
 	r := a.request
-	r.out.discard()
-	r.avoid(target, err)
+	if a.count == 0 {
+		a.begin()
+	}
 	a.count++
-	if r.executor.deps.Clock() >= a.deadline {
+	decision, delay := a.retries.Failed(r.executor.deps.Clock(), retry.EffectNone)
+	r.out.discard()
+	r.avoid(target, err, decision)
+	if decision != retry.Again {
 		return false
 	}
 	if a.count >= a.quick {
-		a.awaitChange()
+		a.awaitChange(delay)
 		r.failed = nil
 	}
 	return true
 }
 
-// awaitChange waits until the group has another primary or a new term, but not
-// longer than the pause.
-func (a *attempts) awaitChange() {
+// awaitChange waits for the delay, or until the group has another primary or a
+// new term.
+func (a *attempts) awaitChange(delay time.Duration) {
 	r := a.request
 	before := r.watcher.View()
-	ctx, stop := context.WithTimeout(r.ctx, r.executor.config.RetryPause)
+	ctx, stop := context.WithTimeout(r.ctx, delay)
 	defer stop()
-	for {
+	for ctx.Err() == nil {
 		view, err := r.watcher.Refresh(ctx)
 		if err != nil || view.Term != before.Term || view.Primary != before.Primary {
 			return
 		}
-		if ctx.Err() != nil {
-			return
-		}
 	}
 }
--- a/request/execute/rig_test.go
+++ b/request/execute/rig_test.go
@@ -18,6 +18,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"samphirehitch.example/samphirehitch/connection/caller"
+	"samphirehitch.example/samphirehitch/connection/floor"
 	"samphirehitch.example/samphirehitch/connection/session"
 	"samphirehitch.example/samphirehitch/connection/upstream"
 	"samphirehitch.example/samphirehitch/process/clock"
@@ -119,20 +120,6 @@
 	return nil
 }
 
-// tokenFloor is a floor whose token is its point as text.
-type tokenFloor struct{ session.Point }
-
-func (f *tokenFloor) Token() string { return f.At(testService).String() }
-
-func (f *tokenFloor) Present(token string) error {
-	var point topology.Point
-	if _, err := fmt.Sscanf(token, "%d/%d", &point.Term, &point.Position); err != nil {
-		return err
-	}
-	f.Raise(testService, point)
-	return nil
-}
-
 type noPeers struct{}
 
 func (noPeers) Send(topology.InstanceID, peer.Kind, any) {}
@@ -243,7 +230,7 @@
 		Directory: func() session.Directory { return r.directory },
 		Fresh:     r.Fresh,
 		Handler:   handler,
-		NewFloor:  func() session.Floor { return &tokenFloor{} },
+		NewFloor:  func() session.Floor { return floor.New() },
 		Logger:    logger,
 	})
 	ctx, stop := context.WithCancel(context.Background())
--- a/request/execute/routing.go
+++ b/request/execute/routing.go
@@ -8,6 +8,7 @@
 	"samphirehitch.example/samphirehitch/process/pool"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/request/refusal"
+	"samphirehitch.example/samphirehitch/request/retry"
 	"samphirehitch.example/samphirehitch/request/route"
 )
 
@@ -189,9 +190,9 @@
 }
 
 // avoid keeps the request away from a target that has failed it.
-func (r *request) avoid(target topology.TargetID, err error) {
+func (r *request) avoid(target topology.TargetID, err error, decision retry.Decision) {
 	eventRetried.Log(r.executor.deps.Logger, "session", r.session.ID,
-		"target", string(target), "reason", err.Error())
+		"target", string(target), "decision", decision.String(), "reason", err.Error())
 	r.watcher.Suspect(target)
 	r.failed = append(r.failed, target)
 }
