Pass over daemons that can't be reached, as a balancer does

Cause: trials counted connection attempts at a killed daemon as requests that were not served, though the platform's balancer stands in front; and requests of a withdrawn key made their customer the worst-served one. Ruled out: retrying refused requests, which would hide refusals. Conclusion: within rate means that the key is valid as well.

--- a/load/phase.go
+++ b/load/phase.go
@@ -177,6 +177,8 @@
 	}
 }
 
+func (p *phase) keyWithdrawn(customer int) bool { return p.withdrawn[customer].Load() >= 0 }
+
 // keyExpired reports whether a withdrawn key should have stopped working before
 // start.
 func (p *phase) keyExpired(customer int, start time.Duration) bool {
--- a/load/session.go
+++ b/load/session.go
@@ -117,7 +117,7 @@
 		Write:      op.Kind.Writes(),
 		Arrival:    op.At,
 		Start:      start,
-		WithinRate: s.phase.reference[s.customer].allow(),
+		WithinRate: s.phase.reference[s.customer].allow() && !s.phase.keyWithdrawn(s.customer),
 	}
 	err := s.connect(ctx, to)
 	switch {
@@ -142,7 +142,7 @@
 		})
 	}
 	if from.conn == nil {
-		from.entry = (from.entry + 1) % s.phase.dialer.entryCount()
+		s.moveOn(from)
 		return
 	}
 	if token := from.conn.PgConn().ParameterStatus(parameterToken); token != "" {
@@ -150,7 +150,7 @@
 	}
 	if from.conn.IsClosed() {
 		s.disconnect(from)
-		from.entry = (from.entry + 1) % s.phase.dialer.entryCount()
+		s.moveOn(from)
 	}
 }
 
@@ -165,17 +165,31 @@
 			s.generation++
 		}
 	}
-	from.entry = (from.entry + 1) % s.phase.dialer.entryCount()
+	s.moveOn(from)
 }
 
+// connect opens the link when it is closed. A daemon that can't be reached is
+// passed over for the next one, as the balancer in front of the daemons does.
 func (s *session) connect(ctx context.Context, to *link) error {
 	if to.conn != nil {
 		return nil
 	}
+	var err error
+	for range s.phase.dialer.entryCount() {
+		to.conn, err = s.phase.dialer.dial(ctx, s.connectRequest(to.entry))
+		if err == nil || sqlState(err) != "" || ctx.Err() != nil {
+			return err
+		}
+		s.moveOn(to)
+	}
+	return err
+}
+
+func (s *session) connectRequest(entry int) connectRequest {
 	request := connectRequest{
 		customer: s.customer,
 		service:  &s.phase.services[s.service],
-		entry:    to.entry,
+		entry:    entry,
 		token:    s.token,
 		aged:     s.aged,
 		mode:     s.mode,
@@ -183,11 +197,12 @@
 	if s.paired {
 		request.name = s.name()
 	}
-	conn, err := s.phase.dialer.dial(ctx, request)
-	if err == nil {
-		to.conn = conn
-	}
-	return err
+	return request
+}
+
+// moveOn makes the link's next connection go to another daemon.
+func (s *session) moveOn(from *link) {
+	from.entry = (from.entry + 1) % s.phase.dialer.entryCount()
 }
 
 func (s *session) disconnect(from *link) {
