Read the callers' certificate again when it changes

Cause: the daemon loaded the certificate once; connection/caller has a reload that watches the files. Ruled out: a signal for reloads. Measured: the reload is tested in connection/caller; the daemon's tests pass. Conclusion: certificates are exchanged without a restart.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -67,9 +67,11 @@
 	records  snapshot.Holder
 	services *services
 	callers  *caller.Server
-	admin    *admin.Server
-	registry *prometheus.Registry
-	metrics  metrics
+	// certificate is shown to callers; nil without TLS.
+	certificate *caller.Certificate
+	admin       *admin.Server
+	registry    *prometheus.Registry
+	metrics     metrics
 
 	listeners listeners
 	ctx       context.Context
@@ -215,7 +217,7 @@
 
 // parts returns what runs beside the callers. Each ends with its context.
 func (d *Daemon) parts() []func(context.Context) error {
-	return []func(context.Context) error{
+	parts := []func(context.Context) error{
 		d.mesh.Run,
 		d.servePeers,
 		d.config.Run,
@@ -223,6 +225,10 @@
 		d.services.groups.Run,
 		func(ctx context.Context) error { return d.admin.Serve(ctx, d.listeners.admin) },
 	}
+	if d.certificate != nil {
+		parts = append(parts, d.certificate.Run)
+	}
+	return parts
 }
 
 // serveCallers accepts callers until Stop, then drains them. The other parts go
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -1,13 +1,8 @@
 package daemon
 
 import (
-	"crypto/tls"
-
-	"github.com/rotisserie/eris"
-
 	"samphirehitch.example/samphirehitch/connection/caller"
 	"samphirehitch.example/samphirehitch/process/config"
-	"samphirehitch.example/samphirehitch/process/settings"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/version/record"
 	"samphirehitch.example/samphirehitch/version/snapshot"
@@ -42,21 +37,15 @@
 // callerConfig sets the bounds of the caller server and its certificate.
 func (d *Daemon) callerConfig() (caller.Config, error) {
 	var cfg caller.Config
-	if pair := d.settings.TLS.Callers; pair != nil {
-		config, err := certificate(pair)
-		if err != nil {
-			return cfg, err
-		}
-		cfg.TLS = config
+	pair := d.settings.TLS.Callers
+	if pair == nil {
+		return cfg, nil
 	}
-	return cfg, nil
-}
-
-// certificate loads a certificate for a server.
-func certificate(pair *settings.KeyPair) (*tls.Config, error) {
-	loaded, err := tls.LoadX509KeyPair(pair.Certificate, pair.Key)
+	certificate, err := caller.LoadCertificate(pair.Certificate, pair.Key, d.logger)
 	if err != nil {
-		return nil, eris.Wrapf(err, "load certificate %s", pair.Certificate)
+		return cfg, err
 	}
-	return &tls.Config{Certificates: []tls.Certificate{loaded}, MinVersion: tls.VersionTLS12}, nil
+	d.certificate = certificate
+	cfg.TLS = certificate.Config()
+	return cfg, nil
 }
