Share a target's connections over the fleet

Cause: 15 or 35 connections of a target must not be exceeded by seven instances together, and an idle instance's share has to serve a busy one. A connection outlives the clock of a paused borrower, so a term alone can't give it back. Ruled out: loans that end at the lender by a term; counting a connection as free when the pool was told to close it (it counts until the pool reports it closed, after the last limit change). Conclusion: a share comes back by the borrower's word, by its process being gone, or with a new holder of the slot after the 30 s term that the borrower enforces by closing. Left: a borrower paused past that term beside a lender that was replaced keeps its connections open at the target.

--- a/process/ledger/fleet_test.go
+++ b/process/ledger/fleet_test.go
@@ -18,7 +18,9 @@
 	sequence  int
 	instances []*instance
 	limits    []Limit
-	oracles   map[topology.CustomerID]*oracle
+	// connections limits the connections of the fake pools' target.
+	connections []ConnectionLimit
+	oracles     map[topology.CustomerID]*oracle
 	// latency is the one-way delay of a message; jitter is added at random.
 	latency, jitter time.Duration
 	// lossPercent and doublePercent apply to each message.
@@ -31,6 +33,8 @@
 type instance struct {
 	id    topology.InstanceID
 	shard *Shard
+	conns *Connections
+	pool  fakePool
 	// offset and drift make the instance's clock differ from the fleet's.
 	offset, drift time.Duration
 	paused        bool
@@ -128,8 +132,11 @@
 // start gives the instance a new process.
 func (f *fleet) start(in *instance) {
 	in.down = false
-	in.shard = NewShard(uint64(f.now) + 1)
+	firstID := uint64(f.now) + 1
+	in.shard, in.conns, in.pool = NewShard(firstID), NewConnections(firstID), fakePool{}
 	now := in.clock(f.now)
+	in.conns.SetSlots(now, &in.slots)
+	in.conns.SetLimits(now, f.connections)
 	in.shard.SetSlots(now, &in.slots)
 	in.shard.SetLimits(now, f.limits)
 	in.tickAt = 0
@@ -222,7 +229,11 @@
 		}
 	}
 	in.waiting = rest
-	out := in.shard.Outbox()
+	f.sendAll(in, in.shard.Outbox())
+	f.sendAll(in, in.conns.Outbox())
+}
+
+func (f *fleet) sendAll(in *instance, out map[topology.InstanceID]*Message) {
 	for _, to := range f.instances {
 		if m := out[to.id]; m != nil {
 			f.send(in, to, m)
@@ -242,7 +253,10 @@
 	for range copies {
 		delay := f.latency + time.Duration(f.rng.Int64N(int64(f.jitter)+1))
 		f.after(delay, func() {
-			f.on(to, to.shard, func() { to.shard.Receive(to.clock(f.now), from.id, m) })
+			f.on(to, to.shard, func() {
+				to.shard.Receive(to.clock(f.now), from.id, m)
+				to.conns.Receive(to.clock(f.now), from.id, m)
+			})
 		})
 	}
 }
--- a/process/ledger/ledger.go
+++ b/process/ledger/ledger.go
@@ -39,7 +39,7 @@
 	// loans of the former holder have ended.
 	partDelay = lenderTerm
 	// MaxAdmitWait bounds the time that a request waits for tokens.
-	MaxAdmitWait = 250 * time.Millisecond
+	MaxAdmitWait = 240 * time.Millisecond
 )
 
 // Limit bounds a customer's requests: at most Rate*w+Burst start in any window
--- a/process/ledger/message.go
+++ b/process/ledger/message.go
@@ -58,9 +58,47 @@
 	Loan     LoanID              `cbor:"3,keyasint"`
 }
 
-// Message is what the rate ledgers of two instances send each other.
+// ConnectionAsk tells the holder of a slot how many connections of its share the
+// sender keeps, and asks for more. After sending it the sender uses no more than
+// Kept and takes no answer to an older ask.
+type ConnectionAsk struct {
+	Target topology.TargetID `cbor:"1,keyasint"`
+	Slot   int               `cbor:"2,keyasint"`
+	// ID grows with every ask of the sender for the target and slot.
+	ID uint64 `cbor:"3,keyasint"`
+	// Epoch is the epoch of the slot in which the kept connections were lent.
+	Epoch uint64 `cbor:"4,keyasint,omitempty"`
+	Kept  int    `cbor:"5,keyasint,omitempty"`
+	// Wanted is the number of connections wanted beside those kept.
+	Wanted int `cbor:"6,keyasint,omitempty"`
+}
+
+// ConnectionGrant answers a connection ask.
+type ConnectionGrant struct {
+	Target topology.TargetID `cbor:"1,keyasint"`
+	Slot   int               `cbor:"2,keyasint"`
+	// ID is that of the ask.
+	ID    uint64 `cbor:"3,keyasint"`
+	Epoch uint64 `cbor:"4,keyasint,omitempty"`
+	// Lent is the number of connections that the receiver may have open on this
+	// slot's share. When it is less than what the ask kept, the lender does not
+	// know the loan, which is then not renewed.
+	Lent int `cbor:"5,keyasint,omitempty"`
+}
+
+// ConnectionRecall asks a borrower to give connections back as they come free.
+type ConnectionRecall struct {
+	Target topology.TargetID `cbor:"1,keyasint"`
+	Slot   int               `cbor:"2,keyasint"`
+	Count  int               `cbor:"3,keyasint"`
+}
+
+// Message is what the ledgers of two instances send each other.
 type Message struct {
-	Asks    []Ask    `cbor:"1,keyasint,omitempty"`
-	Grants  []Grant  `cbor:"2,keyasint,omitempty"`
-	Recalls []Recall `cbor:"3,keyasint,omitempty"`
+	Asks              []Ask              `cbor:"1,keyasint,omitempty"`
+	Grants            []Grant            `cbor:"2,keyasint,omitempty"`
+	Recalls           []Recall           `cbor:"3,keyasint,omitempty"`
+	ConnectionAsks    []ConnectionAsk    `cbor:"4,keyasint,omitempty"`
+	ConnectionGrants  []ConnectionGrant  `cbor:"5,keyasint,omitempty"`
+	ConnectionRecalls []ConnectionRecall `cbor:"6,keyasint,omitempty"`
 }
--- a/process/ledger/shard_test.go
+++ b/process/ledger/shard_test.go
@@ -71,7 +71,76 @@
 	}
 	in.slots.Holders = holders
 	slots := in.slots
-	a.f.on(in, in.shard, func() { in.shard.SetSlots(in.clock(a.f.now), &slots) })
+	a.f.on(in, in.shard, func() {
+		in.shard.SetSlots(in.clock(a.f.now), &slots)
+		in.conns.SetSlots(in.clock(a.f.now), &slots)
+	})
+}
+
+// newAuthority takes over the slots that the fleet starts with.
+func newAuthority(f *fleet) *authority {
+	a := &authority{f: f, epoch: 100}
+	for slot := range exploredSlots {
+		a.holder = append(a.holder, f.instances[slot%exploredInstances])
+	}
+	for _, in := range f.instances {
+		for i := range in.slots.Owned {
+			in.slots.Owned[i].Until = in.clock(f.now) + exploredRight
+		}
+	}
+	return a
+}
+
+// restart gives an instance a new process, which takes its slots again.
+func (a *authority) restart(in *instance) {
+	in.paused, in.held, in.waiting = false, nil, nil
+	for slot, holder := range a.holder {
+		if holder == in {
+			a.release(slot, true)
+			a.grant(slot, in)
+		}
+	}
+	a.f.start(in)
+}
+
+// move passes a slot on, given up by its holder or after the right has ended.
+func (a *authority) move(t *rapid.T, to *instance) {
+	slot := rapid.IntRange(0, exploredSlots-1).Draw(t, "slot")
+	from := a.holder[slot]
+	givesUp := !from.paused && rapid.Bool().Draw(t, "gives up")
+	if to == from || to.paused || !a.release(slot, givesUp) {
+		return
+	}
+	a.grant(slot, to)
+	a.publish(from)
+	a.publish(to)
+}
+
+// resume lets a paused instance run what waited.
+func (f *fleet) resume(in *instance) {
+	held := in.held
+	in.paused, in.held = false, nil
+	for _, step := range held {
+		step()
+	}
+}
+
+// drawNetwork changes the faults of the network.
+func (f *fleet) drawNetwork(t *rapid.T) {
+	f.lossPercent = rapid.SampledFrom([]int{0, 10, 60, 100}).Draw(t, "loss")
+	f.doublePercent = rapid.IntRange(0, 60).Draw(t, "double")
+	f.jitter = time.Duration(rapid.SampledFrom([]int{0, 5, 45, 150, 500}).Draw(t, "jitter ms")) * time.Millisecond
+}
+
+// failOnBreach turns the panic of an oracle into a failure of the exploration.
+func failOnBreach(t *rapid.T) {
+	breach := recover()
+	if text, ok := breach.(string); ok {
+		t.Fatal(text)
+	}
+	if breach != nil {
+		panic(breach)
+	}
 }
 
 // TestWindowsHold explores requests, lost, doubled and late messages, pauses,
@@ -82,27 +151,14 @@
 	rapid.Check(t, func(t *rapid.T) {
 		limits := []Limit{{Customer: "fast", Rate: 200, Burst: 40}, {Customer: "slow", Rate: 4, Burst: 3}}
 		f := newFleet(rapid.Uint64().Draw(t, "seed"), exploredInstances, exploredSlots, limits)
-		a := &authority{f: f, epoch: 100}
-		for slot := range exploredSlots {
-			a.holder = append(a.holder, f.instances[slot%exploredInstances])
-		}
+		a := newAuthority(f)
 		for _, in := range f.instances {
 			in.offset = time.Duration(rapid.IntRange(0, 1000).Draw(t, "offset ms")) * time.Millisecond
 			in.drift = time.Duration(rapid.IntRange(-10, 10).Draw(t, "drift ms/s")) * time.Millisecond
-			for i := range in.slots.Owned {
-				in.slots.Owned[i].Until = in.clock(0) + exploredRight
-			}
 			f.start(in)
 		}
 		pick := func() *instance { return f.instances[rapid.IntRange(0, exploredInstances-1).Draw(t, "instance")] }
-		defer func() {
-			if breach := recover(); breach != nil {
-				if text, ok := breach.(string); ok {
-					t.Fatal(text)
-				}
-				panic(breach)
-			}
-		}()
+		defer failOnBreach(t)
 		quiet := false
 		var load func()
 		load = func() {
@@ -127,48 +183,17 @@
 					f.request(in, customer)
 				}
 			},
-			"load": func(t *rapid.T) { quiet = rapid.Bool().Draw(t, "quiet") },
-			"network": func(t *rapid.T) {
-				f.lossPercent = rapid.IntRange(0, 60).Draw(t, "loss")
-				f.doublePercent = rapid.IntRange(0, 60).Draw(t, "double")
-				f.jitter = time.Duration(rapid.SampledFrom([]int{0, 5, 45, 150, 500}).Draw(t, "jitter ms")) * time.Millisecond
-			},
-			"pause": func(*rapid.T) { pick().paused = true },
-			"resume": func(*rapid.T) {
-				in := pick()
-				held := in.held
-				in.paused, in.held = false, nil
-				for _, step := range held {
-					step()
-				}
-			},
-			"restart": func(*rapid.T) {
-				in := pick()
-				in.paused, in.held, in.waiting = false, nil, nil
-				for slot, holder := range a.holder {
-					if holder == in {
-						a.release(slot, true)
-						a.grant(slot, in)
-					}
-				}
-				f.start(in)
-			},
+			"load":    func(t *rapid.T) { quiet = rapid.Bool().Draw(t, "quiet") },
+			"network": func(t *rapid.T) { f.drawNetwork(t) },
+			"pause":   func(*rapid.T) { pick().paused = true },
+			"resume":  func(*rapid.T) { f.resume(pick()) },
+			"restart": func(*rapid.T) { a.restart(pick()) },
 			"renew": func(*rapid.T) {
 				for _, in := range f.instances {
 					a.renew(in)
 				}
 			},
-			"move slot": func(t *rapid.T) {
-				slot := rapid.IntRange(0, exploredSlots-1).Draw(t, "slot")
-				from, to := a.holder[slot], pick()
-				givesUp := !from.paused && rapid.Bool().Draw(t, "gives up")
-				if to == from || to.paused || !a.release(slot, givesUp) {
-					return
-				}
-				a.grant(slot, to)
-				a.publish(from)
-				a.publish(to)
-			},
+			"move slot": func(t *rapid.T) { a.move(t, pick()) },
 		})
 	})
 }
--- a/process/pool/coordinator.go
+++ b/process/pool/coordinator.go
@@ -160,11 +160,11 @@
 	return c.dispatch(now)
 }
 
-// revokeExcess takes leases away, the latest first, until the connections not
-// being closed fit the limit.
-func (c *coordinator[C]) revokeExcess(now time.Duration) actions[C] {
+// revokeExcess takes leases away, the latest first, until at most most
+// connections are left that are not being closed.
+func (c *coordinator[C]) revokeExcess(now time.Duration, most int) actions[C] {
 	a := c.dispatch(now)
-	for len(c.leases) > 0 && c.open()-c.closing > c.limit {
+	for len(c.leases) > 0 && c.open()-c.closing > most {
 		var latest *Lease[C]
 		for lease := range c.leases {
 			if latest == nil || lease.sequence > latest.sequence {
--- a/process/pool/coordinator_test.go
+++ b/process/pool/coordinator_test.go
@@ -162,7 +162,7 @@
 				m.take(m.state.setLimit(m.now, rapid.IntRange(0, 5).Draw(t, "limit")))
 			},
 			"excess is revoked": func(t *rapid.T) {
-				m.take(m.state.revokeExcess(m.now))
+				m.take(m.state.revokeExcess(m.now, m.state.limit))
 				if m.state.open()-m.state.closing > m.state.limit+m.dials {
 					t.Fatal("connections over the limit stay open after a revocation")
 				}
--- a/process/pool/pool.go
+++ b/process/pool/pool.go
@@ -197,11 +197,11 @@
 	p.update(func(now time.Duration, s *coordinator[C]) actions[C] { return s.setMaxInFlight(now, most) })
 }
 
-// RevokeExcess closes leased connections until the limit holds, the latest
-// leases first. Their use fails.
-func (p *Pool[C]) RevokeExcess() {
+// RevokeExcess closes leased connections until at most most are open, the latest
+// leases first. Their use fails. Idle connections go before by SetLimit.
+func (p *Pool[C]) RevokeExcess(most int) {
 	p.update(func(now time.Duration, s *coordinator[C]) actions[C] {
-		a := s.revokeExcess(now)
+		a := s.revokeExcess(now, most)
 		if len(a.closes) > 0 {
 			eventRevoked.Log(p.logger, "count", len(a.closes))
 		}
--- a/process/pool/pool_test.go
+++ b/process/pool/pool_test.go
@@ -91,7 +91,7 @@
 		if s := p.Stats(); s.Open != 1 || s.Waiting != 0 {
 			t.Fatalf("%+v", s)
 		}
-		p.RevokeExcess()
+		p.RevokeExcess(0)
 		<-lease.Conn().closed
 		synctest.Wait()
 		lease.Release(true)
