--- a/process/group/fleet_test.go
+++ b/process/group/fleet_test.go
@@ -17,6 +17,7 @@
 	"samphirehitch.example/samphirehitch/process/group/promotion"
 	"samphirehitch.example/samphirehitch/process/peer"
 	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/store/memstore"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
@@ -305,3 +306,42 @@
 		})
 	})
 }
+
+func TestFleetPromotesBesideAbandonedClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runFleet(t, 6, 1500*time.Microsecond, func(f *fleet) {
+			swap := store.Swap{Key: promotion.ClaimKey("ledger"), Value: []byte{0}}
+			if _, err := f.store.CompareAndSwap(t.Context(), swap); err != nil {
+				t.Fatal(err)
+			}
+			gaps := f.failover(8 * time.Second)
+			if len(gaps) == 0 || gaps[0].Claimed || f.outage() > 13*time.Second {
+				t.Errorf("gaps = %+v after %v, want one without the claim and at most 13 s", gaps, f.outage())
+			}
+		})
+	})
+}
+
+func TestFleetPromotesWithSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runFleet(t, 7, 1500*time.Microsecond, func(f *fleet) {
+			f.store.SetFaults(memstore.Faults{DelayMillis: 3000})
+			gaps := f.failover(8 * time.Second)
+			if len(gaps) == 0 || f.outage() > 13*time.Second {
+				t.Errorf("gaps = %+v after %v, want one within 13 s", gaps, f.outage())
+			}
+		})
+	})
+}
+
+func TestFleetPromotesWhenClaimAnswerIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runFleet(t, 8, 1500*time.Microsecond, func(f *fleet) {
+			f.store.SetFaults(memstore.Faults{DelayMillis: 3, LoseProbability: 1})
+			gaps := f.failover(4 * time.Second)
+			if len(gaps) != 1 || f.outage() > 1500*time.Millisecond {
+				t.Errorf("gaps = %+v after %v, want one within 1.5 s", gaps, f.outage())
+			}
+		})
+	})
+}
