Draw scripts of overlapping failures from a seed

Cause: any failure may come at any moment, together or twice; written scripts cover a few of these. Ruled out: drawing while the run goes on, which a seed would not repeat.

--- a/load/program/program.go
+++ b/load/program/program.go
@@ -22,6 +22,7 @@
 	"samphirehitch.example/samphirehitch/load/report"
 	"samphirehitch.example/samphirehitch/load/workload"
 	"samphirehitch.example/samphirehitch/process/platform/httpgroup"
+	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/standin/admin"
 )
 
@@ -47,6 +48,7 @@
 	duration   time.Duration
 	seed       uint64
 	rate       float64
+	faults     int
 	verbose    bool
 }
 
@@ -58,6 +60,7 @@
 	app.Flag("deployment", "JSON file with entries, logins, services, baseline, store, group_admins and baseline_admins.").Required().StringVar(&f.deployment)
 	app.Flag("load", "JSON file with the load; the default has one customer for each login, the last one over its rate.").StringVar(&f.loadFile)
 	app.Flag("script", "JSON file with the script of failures.").StringVar(&f.script)
+	app.Flag("faults", "How many random faults to inject, from the seed; instead of a script.").IntVar(&f.faults)
 	app.Flag("out", "Directory for report.json, report.txt and the plots.").StringVar(&f.out)
 	app.Flag("duration", "How long requests arrive; overrides the load file.").DurationVar(&f.duration)
 	app.Flag("seed", "Seed of the arrivals; overrides the load file.").Uint64Var(&f.seed)
@@ -80,6 +83,9 @@
 	if err != nil {
 		return err
 	}
+	if f.faults > 0 {
+		cfg.Script = f.randomScript(cfg.Load, deployment.Services)
+	}
 	log, err := f.logger()
 	if err != nil {
 		return err
@@ -102,6 +108,19 @@
 	return nil
 }
 
+// randomScript leaves keys and daemons alone, which this program can't change.
+func (f *flags) randomScript(cfg workload.Config, services []load.Service) inject.Script {
+	plan := inject.Plan{Seed: cfg.Seed, Duration: cfg.Duration(), Faults: f.faults}
+	for _, service := range services {
+		var names []topology.TargetID
+		for _, target := range service.Targets {
+			names = append(names, target.ID)
+		}
+		plan.Targets = append(plan.Targets, names)
+	}
+	return inject.Random(plan)
+}
+
 func (f *flags) logger() (logr.Logger, error) {
 	if !f.verbose {
 		return logr.Discard(), nil
