Judge a silent watch by the time that writes take

Ruled out: a constant patience (a store that takes longer would never answer a watch); several watches at once (each counts as a call). Before and after: TestSilentWatchAfterOldReads before: 'not settled after 10.251s'; after: passes. Conclusion: the patience is 1.5 s and twice the last heartbeat's duration.

--- a/process/config/spread.go
+++ b/process/config/spread.go
@@ -64,7 +64,7 @@
 		verdict:   &Verdict{},
 	}
 	s.evidence.heard = make(map[topology.InstanceID]heard)
-	s.watch.reset()
+	s.watch.heartbeats = make(map[string]store.Revision)
 	return s
 }
 
--- a/process/config/watch.go
+++ b/process/config/watch.go
@@ -19,10 +19,11 @@
 	// retryMin and retryMax bound the wait after a failed call.
 	retryMin = 100 * time.Millisecond
 	retryMax = 2 * time.Second
-	// patienceMin and patienceMax bound how long a watch may hold back a
-	// heartbeat that was written before it is begun anew.
-	patienceMin = 1500 * time.Millisecond
-	patienceMax = 24 * time.Second
+	// watchPatience is how long a watch may hold back a heartbeat that was written
+	// before it is begun anew, beyond patienceTrips times the duration of the last
+	// write.
+	watchPatience = 1500 * time.Millisecond
+	patienceTrips = 2
 	// membersWait is how long an instance that has just started waits for the
 	// list of members before it reads the store by itself.
 	membersWait = time.Second
@@ -41,9 +42,10 @@
 	watchedAt time.Duration
 	next      time.Duration
 	failures  int
-	patience  time.Duration
 
 	swapping bool
+	// swapTook is the duration of the last heartbeat that was answered.
+	swapTook time.Duration
 	// swappedAt is when the current or last heartbeat was sent and swapKnown the
 	// revision known then.
 	swappedAt time.Duration
@@ -55,11 +57,6 @@
 	heartbeats map[string]store.Revision
 }
 
-func (w *watch) reset() {
-	w.patience = patienceMin
-	w.heartbeats = make(map[string]store.Revision)
-}
-
 // tickStore starts the calls that are due.
 func (s *Spread) tickStore(now time.Duration) {
 	if !s.watch.started {
@@ -107,15 +104,13 @@
 }
 
 // restartStuckWatch begins the watch anew when it does not show a heartbeat that
-// the store has accepted. The patience doubles each time, for a store that is
-// slow.
+// the store has accepted. A store that is slow to write is given more time.
 func (s *Spread) restartStuckWatch(now time.Duration) {
 	oldest, ok := s.evidence.oldestPending()
-	if !ok || !s.watch.watching || now-max(oldest, s.watch.watchedAt) < s.watch.patience {
-		return
+	patience := watchPatience + patienceTrips*s.watch.swapTook
+	if ok && s.watch.watching && now-max(oldest, s.watch.watchedAt) >= patience {
+		s.stopWatch()
 	}
-	s.watch.patience = min(2*s.watch.patience, patienceMax)
-	s.stopWatch()
 }
 
 // startSwap writes a heartbeat when the evidence, also of this instance's own
@@ -170,7 +165,7 @@
 		s.watch.next = max(s.watch.next, now+s.retryIn())
 		return
 	}
-	s.watch.failures, s.watch.patience = 0, patienceMin
+	s.watch.failures = 0
 	delta := Delta{After: s.replica.complete, Complete: event.Complete}
 	for _, change := range event.Changes {
 		if isHeartbeat(change.Key) {
@@ -215,6 +210,7 @@
 		s.act(StoreReverted{Known: s.watch.swapKnown, Returned: event.Revision})
 		return
 	}
+	s.watch.swapTook = now - s.watch.swappedAt
 	s.watch.heartbeats[s.watch.swapKey] = event.Revision
 	s.evidence.add(proof{at: s.watch.swappedAt, revision: event.Revision}, s.replica.complete)
 }
