--- a/request/execute/read.go
+++ b/request/execute/read.go
@@ -115,9 +115,25 @@
 	return asLost(l.target, l.read())
 }
 
-// read exchanges the messages of a read. On the primary a read-only transaction
-// keeps a statement that turns out to write from running unconfirmed.
+// read runs the batch and decides from its errors where it has to go.
 func (l *leg) read() error {
+	b, err := l.readOnly()
+	switch {
+	case err != nil:
+		return err
+	case b.code == sqlstate.ReadOnlyTransaction:
+		return errIsWrite
+	case b.refusal != nil:
+		return errConflict
+	}
+	l.request.recordSetting(l, b)
+	return nil
+}
+
+// readOnly exchanges the messages of a read. On the primary a read-only
+// transaction keeps a statement that turns out to write from running
+// unconfirmed.
+func (l *leg) readOnly() (*body, error) {
 	r := l.request
 	settings := l.queueSettings(r.session.Settings)
 	if l.primary {
@@ -130,37 +146,33 @@
 		l.queue(queryCommit)
 	}
 	if err := b.start(); err != nil {
-		return err
+		return b, err
 	}
 	if err := l.awaitSettings(settings); err != nil {
-		return err
+		return b, err
 	}
 	if l.primary {
-		if _, err := l.await(tagBegin); err != nil {
-			return err
+		if err := l.awaitBegin(); err != nil {
+			return b, err
 		}
 	}
-	if err := b.relay(); err != nil {
-		return err
+	if err := b.relay(); err != nil || !l.primary {
+		return b, err
 	}
-	// A statement that ends the transaction around it may have written.
-	escaped := l.primary && l.conn.Status() == statusIdle
-	if l.primary {
-		if _, err := l.await(tagCommit, tagRollback); err != nil {
-			return err
-		}
-	}
-	if b.code == sqlstate.ReadOnlyTransaction {
-		return errIsWrite
-	}
-	if b.refusal != nil {
-		return errConflict
+	return b, l.awaitReadOnlyEnd(b)
+}
+
+// awaitReadOnlyEnd takes the answer to the COMMIT of a read-only transaction. A
+// statement that had ended it before may have written.
+func (l *leg) awaitReadOnlyEnd(b *body) error {
+	escaped := b.code == "" && l.conn.Status() == statusIdle
+	if _, err := l.await(tagCommit, tagRollback); err != nil {
+		return err
 	}
 	if escaped {
 		l.conn.MarkBroken()
 		return refusal.New(refusal.OutcomeUnknown, refusal.StepExchange, string(l.target), nil)
 	}
-	r.recordSetting(l, b)
 	return nil
 }
 
--- a/request/execute/write.go
+++ b/request/execute/write.go
@@ -102,52 +102,68 @@
 
 // write runs the transaction up to the answer to COMMIT.
 func (l *leg) write(c *commit) error {
+	b, err := l.writeUncommitted(c)
+	if err != nil {
+		return notRun(err)
+	}
+	if b.code != "" {
+		return l.rollback(b)
+	}
+	return l.commit(c)
+}
+
+// writeUncommitted runs the caller's messages in a new transaction and learns
+// its id.
+func (l *leg) writeUncommitted(c *commit) (*body, error) {
 	r := l.request
 	settings := l.queueSettings(r.session.Settings)
 	l.queue(queryBegin)
 	l.holding = true
 	b := l.queueBody(r.session, r.plan)
+	// Behind a COPY FROM STDIN a target takes nothing but its data.
 	copies := r.plan.statement.Kind == classify.KindCopyIn
 	if !copies {
 		l.queue(queryTransaction)
 	}
 	if err := b.start(); err != nil {
-		return notRun(err)
+		return b, err
 	}
 	if err := l.awaitSettings(settings); err != nil {
-		return notRun(err)
-	}
-	begun, err := l.await(tagBegin)
-	if err != nil {
-		return notRun(err)
+		return b, err
 	}
-	if begun.failure != nil {
-		l.conn.MarkBroken()
-		return notRun(errors.New("BEGIN refused: " + begun.failure.Code))
+	if err := l.awaitBegin(); err != nil {
+		return b, err
 	}
 	if err := b.relay(); err != nil {
-		return notRun(err)
+		return b, err
 	}
+	l.conn.Dirty = l.conn.Dirty || r.plan.statement.Dirty
 	// A statement that ends the transaction around it leaves no id to ask for.
 	c.blind = b.code == "" && l.conn.Status() != statusInTransaction
 	if copies {
 		l.queue(queryTransaction)
 		if err := l.conn.Flush(); err != nil {
-			return notRun(err)
+			return b, err
 		}
 	}
 	id, err := l.await(tagSelect)
-	if err != nil {
-		return notRun(err)
+	if err == nil && b.code == "" {
+		c.transaction, err = l.transactionID(id)
 	}
-	l.conn.Dirty = l.conn.Dirty || r.plan.statement.Dirty
-	if b.code != "" {
-		return l.rollback(b)
+	return b, err
+}
+
+// awaitBegin takes the answer to BEGIN.
+func (l *leg) awaitBegin() error {
+	begun, err := l.await(tagBegin)
+	if err != nil {
+		return err
 	}
-	if c.transaction, err = l.transactionID(id); err != nil {
-		return notRun(err)
+	if begun.failure != nil {
+		l.conn.MarkBroken()
+		return errors.New("BEGIN refused: " + begun.failure.Code)
 	}
-	return l.commit(c)
+	return nil
 }
 
 // rollback ends a transaction whose statement failed. A primary that refuses
