--- a/version/snapshot/build.go
+++ b/version/snapshot/build.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strings"
 
@@ -61,6 +60,7 @@
 
 // held is what a snapshot keeps of a store entry for the next build.
 type held struct {
+	key string
 	// revision is that of the entry as last seen.
 	revision store.Revision
 	// accepted is the revision of the entry that value comes from.
@@ -74,8 +74,8 @@
 // builder collects a snapshot.
 type builder struct {
 	snapshot *Snapshot
-	// names lists the store keys with a value, in order.
-	names []string
+	// values lists the records with a value by kind, in the order of their keys.
+	values map[record.Kind][]*held
 }
 
 // Build reads a state. Records that previous has read already are not read
@@ -86,43 +86,56 @@
 	if previous == nil {
 		previous = &Snapshot{}
 	}
-	b := &builder{snapshot: &Snapshot{
-		revision:  state.Revision,
-		held:      make(map[string]held, len(state.Entries)),
-		customers: make(map[topology.CustomerID]record.Customer),
-		keys:      make(map[topology.KeyID]record.Key),
-		services:  make(map[topology.ServiceID]record.Service),
-		routes:    make(map[string]record.Route),
-		allowed:   make(map[access]struct{}),
-	}}
-	for _, entry := range state.Entries {
-		b.read(previous.held[entry.Key], entry)
+	b := &builder{
+		snapshot: &Snapshot{revision: state.Revision, held: make([]held, 0, len(state.Entries))},
+		values:   make(map[record.Kind][]*held),
+	}
+	known := previous.held
+	for _, entry := range sorted(state.Entries) {
+		for len(known) > 0 && known[0].key < entry.Key {
+			known = known[1:]
+		}
+		before := held{key: entry.Key}
+		if len(known) > 0 && known[0].key == entry.Key {
+			before = known[0]
+		}
+		b.read(before, entry)
 	}
 	b.index()
 	return b.snapshot, b.fresh(previous)
 }
 
+// sorted returns the entries by key; states of package config come so.
+func sorted(entries []store.Entry) []store.Entry {
+	byKey := func(a, b store.Entry) int { return cmp.Compare(a.Key, b.Key) }
+	if slices.IsSortedFunc(entries, byKey) {
+		return entries
+	}
+	return slices.SortedFunc(slices.Values(entries), byKey)
+}
+
 // read decodes an entry, or takes over what is known of it.
 func (b *builder) read(before held, entry store.Entry) {
-	now := before
 	if before.revision != entry.Revision {
-		now = decode(before, entry)
+		before = decode(before, entry)
 	}
-	b.snapshot.held[entry.Key] = now
+	b.snapshot.held = append(b.snapshot.held, before)
+	now := &b.snapshot.held[len(b.snapshot.held)-1]
 	if now.err != nil {
 		effect := EffectPrevious
 		if now.value == nil {
 			effect = EffectAbsent
 		}
-		b.reject(entry.Key, effect, now.err)
+		b.reject(now, effect, now.err)
 	}
 	if now.value != nil {
-		b.names = append(b.names, entry.Key)
+		kind := now.value.Kind()
+		b.values[kind] = append(b.values[kind], now)
 	}
 }
 
 func decode(before held, entry store.Entry) held {
-	now := held{revision: entry.Revision, accepted: entry.Revision}
+	now := held{key: entry.Key, revision: entry.Revision, accepted: entry.Revision}
 	document, err := record.Decode(entry.Value)
 	if err == nil {
 		err = checkPlace(entry.Key, document)
@@ -148,8 +161,8 @@
 	return nil
 }
 
-func (b *builder) reject(key string, effect Effect, err error) {
-	rejection := Rejection{Key: key, Revision: b.snapshot.held[key].revision, Effect: effect, Err: err}
+func (b *builder) reject(h *held, effect Effect, err error) {
+	rejection := Rejection{Key: h.key, Revision: h.revision, Effect: effect, Err: err}
 	b.snapshot.rejections = append(b.snapshot.rejections, rejection)
 }
 
@@ -171,55 +184,52 @@
 
 // index fills the lookups: what others refer to comes first.
 func (b *builder) index() {
-	values := make(map[record.Kind][]string)
-	for _, name := range b.names {
-		kind := b.snapshot.held[name].value.Kind()
-		values[kind] = append(values[kind], name)
-	}
-	for _, name := range values[record.KindCustomer] {
-		customer := b.snapshot.held[name].value.(record.Customer)
-		b.snapshot.customers[customer.ID] = customer
+	s := b.snapshot
+	s.customers = make(map[topology.CustomerID]record.Customer, len(b.values[record.KindCustomer]))
+	for _, h := range b.values[record.KindCustomer] {
+		customer := h.value.(record.Customer)
+		s.customers[customer.ID] = customer
 	}
-	b.indexServices(values[record.KindService])
-	for _, name := range values[record.KindKey] {
-		key := b.snapshot.held[name].value.(record.Key)
-		if b.customerExists(name, EffectAbsent, key.Customer) {
-			b.snapshot.keys[key.ID] = key
+	b.indexServices(b.values[record.KindService])
+	s.keys = make(map[topology.KeyID]record.Key, len(b.values[record.KindKey]))
+	for _, h := range b.values[record.KindKey] {
+		key := h.value.(record.Key)
+		if b.customerExists(h, EffectAbsent, key.Customer) {
+			s.keys[key.ID] = key
 		}
 	}
-	for _, name := range values[record.KindLimit] {
-		limit := b.snapshot.held[name].value.(record.Limit)
-		if b.customerExists(name, EffectAbsent, limit.Customer) {
-			b.snapshot.limitList = append(b.snapshot.limitList, limit)
+	s.limitList = make([]record.Limit, 0, len(b.values[record.KindLimit]))
+	for _, h := range b.values[record.KindLimit] {
+		limit := h.value.(record.Limit)
+		if b.customerExists(h, EffectAbsent, limit.Customer) {
+			s.limitList = append(s.limitList, limit)
 		}
 	}
-	for _, name := range values[record.KindRoute] {
-		b.indexRoute(name)
+	s.routes = make(map[string]record.Route, len(b.values[record.KindRoute]))
+	s.allowed = make(map[access]struct{})
+	for _, h := range b.values[record.KindRoute] {
+		b.indexRoute(h)
 	}
-	b.snapshot.routeList = slices.SortedFunc(maps.Values(b.snapshot.routes), func(a, b record.Route) int {
-		return cmp.Compare(a.Database, b.Database)
-	})
 }
 
-func (b *builder) customerExists(name string, effect Effect, customer topology.CustomerID) bool {
+func (b *builder) customerExists(h *held, effect Effect, customer topology.CustomerID) bool {
 	if _, ok := b.snapshot.customers[customer]; ok {
 		return true
 	}
-	b.reject(name, effect, &ReferenceError{Missing: record.Name(record.KindCustomer, string(customer))})
+	b.reject(h, effect, &ReferenceError{Missing: record.Name(record.KindCustomer, string(customer))})
 	return false
 }
 
 // indexServices takes the services in the order in which they were accepted, so
 // that a later record cannot take a target away from an earlier one.
-func (b *builder) indexServices(names []string) {
-	slices.SortStableFunc(names, func(x, y string) int {
-		return cmp.Compare(b.snapshot.held[x].accepted, b.snapshot.held[y].accepted)
-	})
+func (b *builder) indexServices(services []*held) {
+	b.snapshot.services = make(map[topology.ServiceID]record.Service, len(services))
+	slices.SortStableFunc(services, func(x, y *held) int { return cmp.Compare(x.accepted, y.accepted) })
 	owners := make(map[topology.TargetID]topology.ServiceID)
-	for _, name := range names {
-		service := b.snapshot.held[name].value.(record.Service)
+	for _, h := range services {
+		service := h.value.(record.Service)
 		if err := takenTarget(service, owners); err != nil {
-			b.reject(name, EffectAbsent, err)
+			b.reject(h, EffectAbsent, err)
 			continue
 		}
 		for _, target := range service.Targets {
@@ -243,18 +253,19 @@
 // indexRoute takes a route whose service, and open customer if any, exist. Of
 // the customers listed, those that do not exist are reported only: a list that
 // lost its last member must not turn into one that admits everybody.
-func (b *builder) indexRoute(name string) {
-	route := b.snapshot.held[name].value.(record.Route)
+func (b *builder) indexRoute(h *held) {
+	route := h.value.(record.Route)
 	if _, ok := b.snapshot.services[route.Service]; !ok {
-		b.reject(name, EffectAbsent, &ReferenceError{Missing: record.Name(record.KindService, string(route.Service))})
+		b.reject(h, EffectAbsent, &ReferenceError{Missing: record.Name(record.KindService, string(route.Service))})
 		return
 	}
-	if route.Access == record.AccessOpen && !b.customerExists(name, EffectAbsent, route.OpenCustomer) {
+	if route.Access == record.AccessOpen && !b.customerExists(h, EffectAbsent, route.OpenCustomer) {
 		return
 	}
 	for _, customer := range route.Customers {
-		b.customerExists(name, EffectReported, customer)
+		b.customerExists(h, EffectReported, customer)
 		b.snapshot.allowed[access{database: route.Database, customer: customer}] = struct{}{}
 	}
 	b.snapshot.routes[route.Database] = route
+	b.snapshot.routeList = append(b.snapshot.routeList, route)
 }
--- a/version/snapshot/snapshot.go
+++ b/version/snapshot/snapshot.go
@@ -13,8 +13,9 @@
 // Snapshot is the configuration in force as of a revision. It is immutable and
 // safe for concurrent use; callers do not change the slices that it returns.
 type Snapshot struct {
-	revision   store.Revision
-	held       map[string]held
+	revision store.Revision
+	// held is sorted by store key.
+	held       []held
 	rejections []Rejection
 
 	customers map[topology.CustomerID]record.Customer
--- a/version/snapshot/snapshot_test.go
+++ b/version/snapshot/snapshot_test.go
@@ -98,6 +98,18 @@
 	}
 }
 
+// TestOrderDoesNotMatter builds from entries in another order than by key.
+func TestOrderDoesNotMatter(t *testing.T) {
+	ordered := large(5)
+	shuffled := config.State{Revision: ordered.Revision + 1, Entries: slices.Clone(ordered.Entries)}
+	slices.Reverse(shuffled.Entries)
+	previous, _ := Build(nil, ordered)
+	built, rejections := Build(previous, shuffled)
+	if len(rejections) != 0 || !slices.EqualFunc(built.held, previous.held, func(a, b held) bool { return a.key == b.key && a.value != nil }) {
+		t.Errorf("rejections %v", rejections)
+	}
+}
+
 // TestErrorsAreTyped finds the typed errors behind rejections.
 func TestErrorsAreTyped(t *testing.T) {
 	entry := store.Entry{Key: config.Prefix + "customer/a", Revision: 1, Value: []byte(`{"kind":"customer","schema":1,"id":"b","spec":{"name":"B"}}`)}
@@ -153,14 +165,18 @@
 	}
 }
 
-// BenchmarkBuild builds from 3,000 records of which one changed.
+// BenchmarkBuild builds from records of which one changed.
 func BenchmarkBuild(b *testing.B) {
-	before := large(1000)
-	previous, _ := Build(nil, before)
-	after := config.State{Revision: before.Revision + 1, Entries: slices.Clone(before.Entries)}
-	after.Entries[0].Revision = after.Revision
-	b.ReportAllocs()
-	for b.Loop() {
-		Build(previous, after)
+	for _, customers := range []int{1000, 30000} {
+		b.Run(fmt.Sprintf("records=%d", 3*customers), func(b *testing.B) {
+			before := large(customers)
+			previous, _ := Build(nil, before)
+			after := config.State{Revision: before.Revision + 1, Entries: slices.Clone(before.Entries)}
+			after.Entries[0].Revision = after.Revision
+			b.ReportAllocs()
+			for b.Loop() {
+				Build(previous, after)
+			}
+		})
 	}
 }
