Play the script on while a daemon drains

Ruled out: a bound on the drain in the tool, which would cut requests. Before and after: TestPlayerFollowsTheScript with a drain that ends after the next step's repair hangs with the old player; it passes now. Conclusion: only stops of daemons run beside the script; steps on one part keep their order.

--- a/load/inject/inject.go
+++ b/load/inject/inject.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -115,21 +116,31 @@
 }
 
 // Play carries out each step when wait has returned for its time, and tells done
-// about it. It ends with the script or when wait returns an error.
+// about it. Later steps don't wait for a daemon to stop, which may itself wait
+// for their repairs; done is called from several goroutines. Play ends with the
+// script or when wait returns an error, after every step that it began.
 func (p *Player) Play(ctx context.Context, wait func(at time.Duration) error, done func(Step, error)) {
+	var stops sync.WaitGroup
+	defer stops.Wait()
 	for _, step := range p.steps {
 		if wait(time.Duration(step.AtMillis)*time.Millisecond) != nil {
 			return
 		}
-		err := p.act(ctx, &step)
-		done(step, err)
+		if err := p.resolve(ctx, &step); err != nil {
+			done(step, err)
+			continue
+		}
+		if step.stopsDaemon() {
+			stops.Go(func() { done(step, p.act(ctx, step)) })
+			continue
+		}
+		done(step, p.act(ctx, step))
 	}
 }
 
-func (p *Player) act(ctx context.Context, step *Step) error {
-	if err := p.resolve(ctx, step); err != nil {
-		return err
-	}
+func (s Step) stopsDaemon() bool { return s.Action == DaemonKill || s.Action == DaemonDrain }
+
+func (p *Player) act(ctx context.Context, step Step) error {
 	switch step.Action {
 	case MemberFaults:
 		return p.injector.SetMemberFaults(ctx, step.Service, step.Target, step.Faults)
