Give a transaction its target connection with its first statement

Cause: a caller that sent BEGIN and then thought held one of a target's few connections, and BEGIN cost a round trip to the target of its own. Ruled out: deferring a BEGIN with words other than its modes, or one that comes with other statements. Before and after: with BEGIN sent at once TestDeferredBegin fails, since another session's write finds the only connection taken; deferred, it passes. Reads in a READ ONLY transaction lease no connection of the primary. Conclusion: BEGIN travels with the first statement. A transaction that is idle after it is ended after 10 s (was 30 s).

--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -37,7 +37,7 @@
 const (
 	defaultLoginTimeout    = 10 * time.Second
 	defaultWriteTimeout    = 20 * time.Second
-	defaultIdleTransaction = 30 * time.Second
+	defaultIdleTransaction = 10 * time.Second
 	defaultMaxLogins       = 256
 	defaultMaxConnections  = 20_000
 	defaultMaxMessageBytes = 16 << 20
--- a/request/classify/classify.go
+++ b/request/classify/classify.go
@@ -53,6 +53,8 @@
 	Dirty bool
 	// ReadOnly is set for a BEGIN with READ ONLY.
 	ReadOnly bool
+	// Plain is set for a BEGIN that has no words but those of its modes.
+	Plain bool
 	// Chain is set for a COMMIT or ROLLBACK with AND CHAIN.
 	Chain bool
 	// Idempotent is set when a leading comment says that the statement may run
--- a/request/classify/statements.go
+++ b/request/classify/statements.go
@@ -131,7 +131,7 @@
 
 // scanBegin looks for READ ONLY among the modes of a transaction.
 func scanBegin(s *scanner) Statement {
-	result := Statement{Kind: KindBegin}
+	result := Statement{Kind: KindBegin, Plain: true}
 	previousRead := false
 	for {
 		t := s.next()
@@ -142,6 +142,19 @@
 			result.ReadOnly = t.is("only")
 		}
 		previousRead = t.is("read")
+		result.Plain = result.Plain && isMode(t)
+	}
+}
+
+// isMode reports the words of a transaction's modes.
+func isMode(t token) bool {
+	var word [longestKeyword]byte
+	switch string(lower(word[:0], t.text)) {
+	case "work", "transaction", "isolation", "level", "serializable", "repeatable", "read",
+		"committed", "uncommitted", "only", "write", "not", "deferrable", ",":
+		return t.kind == tokenWord || t.kind == tokenPunctuation
+	default:
+		return false
 	}
 }
 
--- a/request/execute/answer.go
+++ b/request/execute/answer.go
@@ -20,7 +20,7 @@
 // drivers look for a server that takes writes.
 func (r *request) runShow() (bool, error) {
 	name := r.plan.statement.Name
-	own := strings.HasPrefix(name, settingPrefix) || name == settingReadOnly && r.pin == nil
+	own := strings.HasPrefix(name, settingPrefix) || name == settingReadOnly && r.status == statusIdle
 	if !own || r.plan.statement.Multiple {
 		return false, nil
 	}
--- a/request/execute/conversation.go
+++ b/request/execute/conversation.go
@@ -31,6 +31,8 @@
 	skipping bool
 	// pin is the open transaction's target connection; nil outside of one.
 	pin *pin
+	// deferred is the BEGIN of a transaction that has no connection yet.
+	deferred *deferred
 
 	mu struct {
 		sync.Mutex
@@ -101,7 +103,7 @@
 	if r.plan, err = newPlan(r.session, batch); err != nil {
 		return r.failTransaction(err)
 	}
-	if batch.Flush && r.pin == nil && !r.flushes() {
+	if batch.Flush && r.status == statusIdle && !r.flushes() {
 		return r.unsupported("Flush after Execute outside of a transaction")
 	}
 	if r.status == statusFailed && r.pin == nil {
@@ -110,10 +112,14 @@
 	if served, err := r.runLocal(); served || err != nil {
 		return err
 	}
-	if r.pin != nil {
+	switch {
+	case r.pin != nil:
 		return r.runPinned()
+	case r.deferred != nil:
+		return r.runDeferred()
+	default:
+		return r.runUnpinned()
 	}
-	return r.runUnpinned()
 }
 
 // finish ends the answer to the batch. After an error in one that ended with a
--- a/request/execute/execute_test.go
+++ b/request/execute/execute_test.go
@@ -89,3 +89,25 @@
 	s.send(queryMessage("SELECT 'x'"))
 	s.want("RowDescription", "row x", "done SELECT 1", "ready I")
 }
+
+// TestDeferredBegin holds no connection between BEGIN and the first statement.
+// A transaction that fails before it has one can be rolled back.
+func TestDeferredBegin(t *testing.T) {
+	r, _ := newFakeRig(t, 1)
+	s, other := r.script(testKey, ""), r.script("other", "")
+	s.send(queryMessage("START TRANSACTION ISOLATION LEVEL SERIALIZABLE"))
+	s.want("done START TRANSACTION", "ready T")
+	other.send(queryMessage("INSERT a"))
+	other.want("done INSERT 0 1", "ready I")
+	s.send(queryMessage("LISTEN x"), queryMessage("SELECT 'x'"), queryMessage("ROLLBACK"))
+	s.want("error 0A000", "ready E", "error 25P02", "ready E", "done ROLLBACK", "ready I")
+	for _, end := range []string{"COMMIT", "ROLLBACK"} {
+		s.send(queryMessage("BEGIN"), queryMessage(end), queryMessage("SELECT 'x'"))
+		s.want("done BEGIN", "ready T", "done "+end, "ready I", "RowDescription", "row x", "done SELECT 1", "ready I")
+	}
+	s.send(queryMessage("BEGIN READ ONLY"), queryMessage("SELECT 'x'"), queryMessage("COMMIT"))
+	s.want("done BEGIN", "ready T", "RowDescription", "row x", "done SELECT 1", "ready T", "done COMMIT", "ready I")
+	if got := r.leases("f-1"); got != 1 {
+		t.Errorf("%d leases on the primary, want that of the one write", got)
+	}
+}
--- a/request/execute/flight.go
+++ b/request/execute/flight.go
@@ -35,6 +35,7 @@
 // Command tags of the statements that are added.
 const (
 	tagBegin    = "BEGIN"
+	tagStart    = "START TRANSACTION"
 	tagCommit   = "COMMIT"
 	tagRollback = "ROLLBACK"
 	tagSelect   = "SELECT"
--- a/request/execute/local.go
+++ b/request/execute/local.go
@@ -42,7 +42,7 @@
 	case classify.KindRead:
 		return r.runShow()
 	case classify.KindCommit, classify.KindRollback:
-		if r.pin != nil {
+		if r.status != statusIdle {
 			return false, nil
 		}
 		return true, r.answerLocally(endTag(statement.Kind))
--- a/request/execute/pinned.go
+++ b/request/execute/pinned.go
@@ -82,7 +82,7 @@
 	if err := b.relay(); err != nil || !asks {
 		return b, err
 	}
-	return b, l.learnTransaction()
+	return b, l.learnTransaction(r.pin)
 }
 
 // endsWrites reports whether the batch may commit a transaction that may have
@@ -121,12 +121,12 @@
 
 // learnTransaction takes the answer to the question for the id. There is none
 // when the write failed.
-func (l *leg) learnTransaction() error {
+func (l *leg) learnTransaction(p *pin) error {
 	a, err := l.await(tagSelect)
 	if err != nil || a.failure != nil {
 		return err
 	}
-	l.request.pin.transaction, err = l.transactionID(a)
+	p.transaction, err = l.transactionID(a)
 	return err
 }
 
@@ -196,6 +196,7 @@
 		r.watcher = r.pin.watcher
 		r.abandon()
 	}
+	r.deferred = nil
 	r.status = statusFailed
 	return err
 }
--- a/request/execute/read.go
+++ b/request/execute/read.go
@@ -43,7 +43,7 @@
 		}
 		again, err := r.retry(tries, err, refusal.ReadLost)
 		if !again {
-			return err
+			return r.conclude(err)
 		}
 	}
 }
@@ -54,7 +54,7 @@
 func (r *request) retry(tries *attempts, err error, kind refusal.Kind) (again bool, _ error) {
 	var lost *lostError
 	if !errors.As(err, &lost) {
-		return false, r.conclude(err)
+		return false, err
 	}
 	if ended := r.ended(refusal.StepExchange); ended != nil {
 		return false, ended
