Let scripted targets know START TRANSACTION

Ruled out: leaving the statement unproven. Before and after: with BEGIN sent at once TestDeferredBegin now fails with 'got error 53300, want done INSERT 0 1'; deferred, it passes. Conclusion: the other session's write does find the only connection taken.

--- a/request/execute/fakeconn_test.go
+++ b/request/execute/fakeconn_test.go
@@ -119,6 +119,9 @@
 	case words[0] == "BEGIN":
 		c.status = 'T'
 		c.done("BEGIN")
+	case words[0] == "START":
+		c.status = 'T'
+		c.done("START TRANSACTION")
 	case words[0] == "COMMIT":
 		c.done(c.commit())
 	case words[0] == "ROLLBACK":
