Hand a leaving primary's term to a member that stays

Cause: a leaving target must get no new work, and a primary gets all writes. Found by the fuzz: among fenced members with equal logs only the last by name were eligible, so a leaving one was promoted beside one that stays ('daemon 2 sees primary "b" after healing, daemon 0 "c"', 162 terms in 24 s). Ruled out: fencing a primary that the majority needs (it would be promoted again after every open transaction had been cut). Before and after: without the leaving rule 'gaps = [], want one of a leaving primary'; with the old tie rule two promotions instead of one; without the majority beside the primary 'want none while the majority needs the primary'.

--- a/process/group/fleet_test.go
+++ b/process/group/fleet_test.go
@@ -345,3 +345,34 @@
 		})
 	})
 }
+
+func TestFleetReplacesLeavingPrimary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runFleet(t, 9, 1500*time.Microsecond, func(f *fleet) {
+			<-time.After(time.Second)
+			f.platform.Do(func(g *grouptest.Group) {
+				g.Member("a").Leaving = true
+				g.Member("c").Leaving = true
+			})
+			<-time.After(3 * time.Second)
+			gaps := f.promotions()
+			if len(gaps) != 1 || gaps[0].Cause != promotion.CauseLeaving || gaps[0].Primary != "b" {
+				t.Errorf("gaps = %+v, want one of a leaving primary, to the member that stays", gaps)
+			}
+		})
+	})
+}
+
+func TestFleetKeepsLeavingPrimaryThatItNeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runFleet(t, 10, 1500*time.Microsecond, func(f *fleet) {
+			f.sever("*", "c")
+			<-time.After(time.Second)
+			f.platform.Do(func(g *grouptest.Group) { g.Member("a").Leaving = true })
+			<-time.After(20 * time.Second)
+			if gaps := f.promotions(); len(gaps) != 0 {
+				t.Errorf("gaps = %+v, want none while the majority needs the primary", gaps)
+			}
+		})
+	})
+}
--- a/process/group/fuzz_test.go
+++ b/process/group/fuzz_test.go
@@ -62,6 +62,7 @@
 	p := &s.promotion
 	for _, d := range []*time.Duration{
 		&p.DetectAfter, &p.EvidenceAfter, &p.StallAfter, &p.HeadlessAfter, &p.SplitAfter, &p.AloneAfter,
+		&p.LeavingAfter, &p.LeavingInterval,
 		&p.ClaimRetry, &p.ClaimPatience, &p.RankDelay, &p.Backoff,
 	} {
 		*d /= 20
@@ -110,6 +111,7 @@
 		"restart": func(rt *rapid.T) { daemon(rt).restart() },
 		"network": func(rt *rapid.T) { s.lossy, s.slow, s.doubled = percent(rt), percent(rt), percent(rt) },
 		"store":   func(*rapid.T) { s.storeDown = !s.storeDown },
+		"leave":   func(rt *rapid.T) { m := s.group.Member(target(rt)); m.Leaving = !m.Leaving },
 		"drop": func(rt *rapid.T) {
 			m := s.group.Member(target(rt))
 			m.Abort(m.Begin())
--- a/process/group/promotion/config.go
+++ b/process/group/promotion/config.go
@@ -37,6 +37,10 @@
 	// SplitAfter is how long a member may stay fenced beyond the primary's
 	// term, where it takes no log from it.
 	SplitAfter time.Duration
+	// LeavingAfter is how long a primary may be leaving before another takes
+	// over, and LeavingInterval the least interval of such attempts.
+	LeavingAfter    time.Duration
+	LeavingInterval time.Duration
 	// InquiryInterval is the interval of inquiries while suspecting, and
 	// EvidenceWindow how long an opinion counts, from when it was asked for.
 	InquiryInterval time.Duration
@@ -77,6 +81,8 @@
 		StallAfter:      time.Second,
 		HeadlessAfter:   300 * time.Millisecond,
 		SplitAfter:      2 * time.Second,
+		LeavingAfter:    300 * time.Millisecond,
+		LeavingInterval: 5 * time.Second,
 		InquiryInterval: 50 * time.Millisecond,
 		EvidenceWindow:  300 * time.Millisecond,
 		AloneAfter:      5 * time.Second,
@@ -144,11 +150,13 @@
 	CauseStalled
 	// CauseSplit: a member is fenced beyond the primary's term.
 	CauseSplit
+	// CauseLeaving: the primary is being drained and others can take over.
+	CauseLeaving
 )
 
 // String names the cause.
 func (c Cause) String() string {
-	names := [...]string{"none", "silent", "headless", "stalled", "split"}
+	names := [...]string{"none", "silent", "headless", "stalled", "split", "leaving"}
 	if int(c) < len(names) {
 		return names[c]
 	}
--- a/process/group/promotion/fencing.go
+++ b/process/group/promotion/fencing.go
@@ -12,6 +12,9 @@
 func (c *Coordinator) fence(now time.Duration, out *[]Action) {
 	c.gap.Claim = now - c.claimSince
 	c.gap.Claimed = c.claimed
+	if c.gap.Cause == CauseLeaving {
+		c.handoverAt = now + c.config.LeavingInterval
+	}
 	c.enter(PhaseFencing, now, c.config.FenceTimeout)
 	c.term = c.topTerm() + 1
 	c.fences = make(map[topology.TargetID]fence, len(c.members))
@@ -73,11 +76,10 @@
 // beyond its own: every acknowledged write is on one of them. Among the eligible,
 // one that works and stays comes first, then the longest log.
 func (c *Coordinator) choose(granted []topology.Status) topology.Status {
-	slices.SortFunc(granted, func(a, b topology.Status) int {
-		return cmp.Or(a.Received.Compare(b.Received), cmp.Compare(a.Target, b.Target))
-	})
-	// The member at majority-1 has that many others at or below it.
-	eligible := granted[c.majority()-1:]
+	slices.SortFunc(granted, func(a, b topology.Status) int { return a.Received.Compare(b.Received) })
+	// A majority of the members reaches no further than this.
+	threshold := granted[c.majority()-1].Received
+	eligible := slices.DeleteFunc(granted, func(s topology.Status) bool { return !s.Received.Reaches(threshold) })
 	return slices.MaxFunc(eligible, func(a, b topology.Status) int {
 		return cmp.Or(
 			compareBool(a.Target != c.suspect, b.Target != c.suspect),
--- a/process/group/promotion/observe.go
+++ b/process/group/promotion/observe.go
@@ -71,6 +71,8 @@
 		return CauseStalled, c.stalledSince
 	case c.split(p, now):
 		return CauseSplit, now
+	case c.replaceable(p, now):
+		return CauseLeaving, now
 	default:
 		return CauseNone, 0
 	}
@@ -88,6 +90,26 @@
 	return false
 }
 
+// replaceable reports whether the primary is leaving and can be done without: a
+// majority without it answers, and one of them stays.
+func (c *Coordinator) replaceable(p *member, now time.Duration) bool {
+	if !c.leaving(p.status) || now < c.handoverAt {
+		return false
+	}
+	others, staying := 0, 0
+	for i := range c.members {
+		m := &c.members[i]
+		if m == p || !c.fresh(m, now) || m.status.Term != p.status.Term {
+			continue
+		}
+		others++
+		if !c.leaving(m.status) {
+			staying++
+		}
+	}
+	return others >= c.majority() && staying > 0
+}
+
 // primary returns the member that is primary of a term which a majority's last
 // answers name as theirs, or nil.
 func (c *Coordinator) primary() *member {
--- a/process/group/promotion/promotion.go
+++ b/process/group/promotion/promotion.go
@@ -32,8 +32,10 @@
 	// dropped.
 	attempt  uint64
 	deadline time.Duration
-	// backoff is the time before which no promotion starts.
-	backoff time.Duration
+	// backoff is the time before which no promotion starts, and handoverAt the
+	// same for those of a leaving primary.
+	backoff    time.Duration
+	handoverAt time.Duration
 
 	cause      Cause
 	causeSince time.Duration
@@ -215,6 +217,8 @@
 		return c.config.HeadlessAfter
 	case CauseSplit:
 		return c.config.SplitAfter
+	case CauseLeaving:
+		return c.config.LeavingAfter
 	default:
 		return 0
 	}
