Fuzz transactions under spoiled answers too

Cause: explicit transactions take other paths than single writes when their answers are cut, late or doubled. Ruled out: leaving them to single examples. Conclusion: an acknowledged COMMIT took effect once, any other not at all.

--- a/request/execute/answers_test.go
+++ b/request/execute/answers_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -34,6 +35,14 @@
 				s := rapid.SampledFrom(callers).Draw(t, "caller")
 				checkWrite(t, targets, value, s.ask("INSERT "+value))
 			},
+			"transaction": func(t *rapid.T) {
+				sequence++
+				value := fmt.Sprint("t", sequence)
+				s := rapid.SampledFrom(callers).Draw(t, "caller")
+				s.ask("BEGIN")
+				s.ask("INSERT " + value)
+				checkCommit(t, targets, value, s.ask("COMMIT"))
+			},
 		})
 	})
 }
@@ -61,7 +70,7 @@
 			s.t.Fatal(err)
 		}
 		answer = append(answer, describe(message))
-		if answer[len(answer)-1] == "ready I" {
+		if strings.HasPrefix(answer[len(answer)-1], "ready ") {
 			return answer
 		}
 	}
@@ -106,6 +115,16 @@
 	}
 }
 
+// checkCommit checks the answer to the COMMIT of a transaction that has written
+// the value. The session is outside of a transaction after it.
+func checkCommit(t *rapid.T, targets *fakeTargets, value string, answer []string) {
+	ran := targets.count(value)
+	committed := fmt.Sprint(answer) == "[done COMMIT ready I]"
+	if committed != (ran == 1) || ran > 1 || answer[len(answer)-1] != "ready I" {
+		t.Fatalf("answer %v to a COMMIT that took effect %d times", answer, ran)
+	}
+}
+
 // TestSettingsStayWithTheirSession shares one connection to each target between
 // sessions with different settings.
 func TestSettingsStayWithTheirSession(t *testing.T) {
