--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -31,12 +31,12 @@
 
 // Events of the daemon.
 var (
-	eventListening = event.Define(1001, event.Info, "daemon listening")
-	eventDraining  = event.Define(1002, event.Info, "daemon draining")
-	eventStopped   = event.Define(1003, event.Info, "daemon stopped")
-	eventAccepted  = event.Define(1004, event.Info, "configuration in force")
-	eventRejected  = event.Define(1005, event.Warning, "record not in force")
-	eventLogins    = event.Define(1006, event.Warning, "settings hold no credential for a service")
+	eventListening = event.Define(1201, event.Info, "daemon listening")
+	eventDraining  = event.Define(1202, event.Info, "daemon draining")
+	eventStopped   = event.Define(1203, event.Info, "daemon stopped")
+	eventAccepted  = event.Define(1204, event.Info, "configuration in force")
+	eventRejected  = event.Define(1205, event.Warning, "record not in force")
+	eventLogins    = event.Define(1206, event.Warning, "settings hold no credential for a service")
 )
 
 // errStopped is the reason with which Stop ends Run.
