--- a/operator/change/change_test.go
+++ b/operator/change/change_test.go
@@ -120,6 +120,118 @@
 	return recorded
 }
 
+// TestAnswersAreTrue lets operators race while reads come and go from an old
+// replica and answers are lost: what is said to be written was written, and what
+// is said not to be was not.
+func TestAnswersAreTrue(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		lose := rapid.SampledFrom([]float64{0, 0.4}).Draw(r, "lose")
+		seed := rapid.Uint64().Draw(r, "seed")
+		synctest.Test(t, func(t *testing.T) {
+			service := newStore(lose, seed)
+			verdicts := raceOldReads(t, service, seed)
+			time.Sleep(callTimeout) // late effects of calls that were given up
+			service.SetFaults(memstore.Faults{})
+			written := map[record.ChangeID]bool{}
+			archive, err := history.Load(t.Context(), service, record.KindCustomer, "c")
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, version := range archive.Versions {
+				written[version.Change] = true
+			}
+			present, err := Read(t.Context(), service, record.KindCustomer, "c")
+			if err != nil {
+				t.Fatal(err)
+			}
+			written[present.signature().Change] = true
+			for id, said := range verdicts {
+				if said != written[id] {
+					t.Errorf("seed %d: %s said to be written: %v, was: %v", seed, id, said, written[id])
+				}
+			}
+		})
+	})
+}
+
+// raceOldReads returns for each change whether it was said to be written. A
+// change of unknown outcome is left out.
+func raceOldReads(t *testing.T, service *memstore.Store, seed uint64) map[record.ChangeID]bool {
+	var mu sync.Mutex
+	verdicts := map[record.ChangeID]bool{}
+	var running sync.WaitGroup
+	for operator := range 3 {
+		running.Go(func() {
+			random := rand.New(rand.NewPCG(seed, uint64(operator)))
+			writer := NewWriter(service, fmt.Sprint("operator", operator))
+			for i := range 5 {
+				faults := service.Faults()
+				faults.StaleReads = random.IntN(2) == 0
+				service.SetFaults(faults)
+				id := record.ChangeID(fmt.Sprintf("%d-%d", operator, i))
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+				present, err := Read(ctx, service, record.KindCustomer, "c")
+				if err == nil {
+					base := present.signature().Change
+					_, err = writer.Apply(ctx, Put(customer(string(id), base), id, random.IntN(2) == 0))
+				}
+				cancel()
+				mu.Lock()
+				if !errors.As(err, new(*UnsettledError)) {
+					verdicts[id] = err == nil
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	running.Wait()
+	return verdicts
+}
+
+// lostRace loses the answer of the first swap of the record, lets a rival follow
+// at once, and answers the next read of the archive from before that.
+type lostRace struct {
+	store.Store
+	rival func()
+	old   bool
+}
+
+func (l *lostRace) CompareAndSwap(ctx context.Context, swap store.Swap) (store.Revision, error) {
+	revision, err := l.Store.CompareAndSwap(ctx, swap)
+	if l.rival == nil || swap.Key != Key(record.KindCustomer, "c") {
+		return revision, err
+	}
+	l.rival()
+	l.rival, l.old = nil, true
+	return 0, store.ErrUnavailable
+}
+
+func (l *lostRace) Get(ctx context.Context, key string) (store.Entry, error) {
+	if l.old && key == history.Key(record.KindCustomer, "c") {
+		l.old = false
+		return store.Entry{}, store.ErrNotFound
+	}
+	return l.Store.Get(ctx, key)
+}
+
+// TestReplacedChangeIsFound settles a change that a rival has replaced, although
+// the first read of the archive is old.
+func TestReplacedChangeIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := newStore(0, 1)
+		rival := func() {
+			if _, err := NewWriter(service, "vera").Apply(t.Context(), Put(customer("2", "c1"), "c2", false)); err != nil {
+				t.Error(err)
+			}
+		}
+		writer := NewWriter(&lostRace{Store: service, rival: rival}, "asha")
+		result, err := writer.Apply(t.Context(), Put(customer("1", ""), "c1", false))
+		if err != nil || result.Outcome != OutcomeReplaced {
+			t.Errorf("%+v: %v", result, err)
+		}
+	})
+}
+
 // TestConflictNamesBothSides races a change against one that came first.
 func TestConflictNamesBothSides(t *testing.T) {
 	service := memstore.New(memstore.Config{})
