Run the ledger beside its peers and pools

Cause: the coordinators need locks, clocks, messages and pools around them; limits must be applied and pools read by one loop, so that a report never precedes the change it answers. Ruled out: callbacks from the coordinator into pools (their change notice would come back under the shard's lock); sending under the shard's lock. Before and after: hard limit of a share whose right never ends overflowed and revoked connections in use: TestDriversShareConnections '{Limit:2 Open:2 Leased:1 Idle:0 Waiting:0 Wanted:1}', now 6 of 6 leased.

--- a/process/ledger/bench_test.go
+++ b/process/ledger/bench_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+
+	"samphirehitch.example/samphirehitch/process/membership"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
 
@@ -24,6 +28,28 @@
 	}
 }
 
+// BenchmarkDriverAdmit measures the same through the driver, from several
+// goroutines.
+func BenchmarkDriverAdmit(b *testing.B) {
+	const customers = 10_000
+	var passed atomic.Int64
+	d := New(1, nil, func() time.Duration { return 10*time.Second + time.Duration(passed.Load()) }, logr.Discard())
+	slots, names, limits := benchFleet(customers)
+	passed.Store(int64(-10 * time.Second))
+	d.MembershipChanged(membership.View{Holders: slots.Holders, Rights: []membership.Right{{Index: 0, Epoch: 1, Until: never}}})
+	d.SetLimits(limits)
+	passed.Store(0)
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for i := 0; pb.Next(); i++ {
+			if err := d.Admit(b.Context(), names[i%customers]); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
 // BenchmarkCustomers reports the memory of a customer that is not active.
 func BenchmarkCustomers(b *testing.B) {
 	b.ReportAllocs()
@@ -33,18 +59,25 @@
 }
 
 func benchShard(customers int) (*Shard, []topology.CustomerID) {
+	slots, names, limits := benchFleet(customers)
 	shard := NewShard(1)
+	shard.SetSlots(0, slots)
+	shard.SetLimits(0, limits)
+	return shard, names
+}
+
+// benchFleet returns eight slots, the first of them owned, and the limits of
+// customers that never run short.
+func benchFleet(customers int) (*Slots, []topology.CustomerID, []Limit) {
 	slots := &Slots{Holders: make([]topology.InstanceID, 8), Owned: []OwnedSlot{{Index: 0, Epoch: 1, Until: never}}}
 	for slot := range slots.Holders {
 		slots.Holders[slot] = topology.InstanceID(fmt.Sprintf("i%d", slot))
 	}
-	shard.SetSlots(0, slots)
 	names := make([]topology.CustomerID, customers)
 	limits := make([]Limit, customers)
 	for i := range names {
 		names[i] = topology.CustomerID(fmt.Sprintf("customer-%d", i))
 		limits[i] = Limit{Customer: names[i], Rate: 1e9, Burst: 1e9}
 	}
-	shard.SetLimits(0, limits)
-	return shard, names
+	return slots, names, limits
 }
--- a/process/ledger/connaccount.go
+++ b/process/ledger/connaccount.go
@@ -126,7 +126,7 @@
 func (a *connectionAccount) hardLimit(now time.Duration) int {
 	count := 0
 	for _, s := range a.shares {
-		if now >= s.usableFrom && now < s.own.until+connectionSoftEnd {
+		if now >= s.usableFrom && now-connectionSoftEnd < s.own.until {
 			count += max(s.rest(), 0)
 		}
 	}
--- a/process/ledger/connections.go
+++ b/process/ledger/connections.go
@@ -169,6 +169,14 @@
 	}
 }
 
+// Resend tells a target's pool its limit again, for a pool that is new.
+func (c *Connections) Resend(now time.Duration, target topology.TargetID) {
+	if a, known := c.accounts[target]; known {
+		a.lastLimit = -1
+		c.attend(now, a)
+	}
+}
+
 // Limit returns how many connections the pool of the target may open.
 func (c *Connections) Limit(now time.Duration, target topology.TargetID) int {
 	if a, known := c.accounts[target]; known {
--- /dev/null
+++ b/process/ledger/driver_test.go
@@ -0,0 +1,134 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-logr/logr"
+
+	"samphirehitch.example/samphirehitch/process/clock"
+	"samphirehitch.example/samphirehitch/process/fairqueue"
+	"samphirehitch.example/samphirehitch/process/membership"
+	"samphirehitch.example/samphirehitch/process/peer"
+	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/pool"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+// link carries messages between drivers as CBOR, with a delay.
+type link struct {
+	from  topology.InstanceID
+	peers map[topology.InstanceID]*Driver
+}
+
+const linkDelay = 1500 * time.Microsecond
+
+func (l link) Send(to topology.InstanceID, _ peer.Kind, payload any) {
+	encoded, err := cbor.Marshal(payload)
+	if err != nil {
+		panic(err)
+	}
+	time.AfterFunc(linkDelay, func() { l.peers[to].Receive(l.from, encoded) })
+}
+
+type idleConn struct{}
+
+func (idleConn) Close() error { return nil }
+
+// startDrivers runs three drivers that hold one slot each.
+func startDrivers(t *testing.T) (map[topology.InstanceID]*Driver, func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	peers := make(map[topology.InstanceID]*Driver)
+	view := membership.View{Holders: []topology.InstanceID{"i0", "i1", "i2"}}
+	for _, id := range view.Holders {
+		peers[id] = New(1, link{from: id, peers: peers}, clock.System(), logr.Discard())
+		view.Live = append(view.Live, membership.Member{Instance: platform.Instance{ID: id}, FirstID: 1})
+	}
+	for i, id := range view.Holders {
+		view.Rights = []membership.Right{{Index: i, Epoch: 1, Until: never}}
+		peers[id].MembershipChanged(view)
+		go func() { _ = peers[id].Run(ctx) }()
+	}
+	return peers, func() {
+		cancel()
+		synctest.Wait()
+	}
+}
+
+func TestDriversShareARate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		drivers, stop := startDrivers(t)
+		defer stop()
+		for _, d := range drivers {
+			d.SetLimits([]Limit{{Customer: "c", Rate: 30, Burst: 30}})
+		}
+		<-time.After(5 * time.Second)
+		for i := range 30 {
+			if err := drivers["i1"].Admit(t.Context(), "c"); err != nil {
+				t.Fatalf("request %d of the burst: %v", i, err)
+			}
+		}
+		if err := drivers["i0"].Admit(t.Context(), "stranger"); err == nil {
+			t.Fatal("a customer without a limit is admitted")
+		}
+		refusals := make(chan error, 100)
+		for range cap(refusals) {
+			go func() { refusals <- drivers["i0"].Admit(t.Context(), "c") }()
+		}
+		refused := 0
+		start := time.Now()
+		for range cap(refusals) {
+			var refusal *Refusal
+			if errors.As(<-refusals, &refusal) && refusal.RetryAfter > 0 {
+				refused++
+			}
+		}
+		if waited := time.Since(start); waited > 250*time.Millisecond {
+			t.Fatalf("a decision took %v", waited)
+		}
+		if most := int(30*MaxAdmitWait.Seconds()) + 1; cap(refusals)-refused > most {
+			t.Fatalf("%d of %d requests admitted", cap(refusals)-refused, cap(refusals))
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		if err := drivers["i0"].Admit(ctx, "c"); !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("got %v, want the context's error", err)
+		}
+	})
+}
+
+func TestDriversShareConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		drivers, stop := startDrivers(t)
+		defer stop()
+		d := drivers["i2"]
+		cfg := pool.Config{Target: "t", MaxInFlight: 6, DialTimeout: time.Second, Queue: fairqueue.DefaultConfig(), Changed: d.PoolChanged}
+		p := pool.New(cfg, func(context.Context) (idleConn, error) { return idleConn{}, nil }, clock.System(), logr.Discard())
+		for _, driver := range drivers {
+			driver.SetConnections([]ConnectionLimit{{Target: "t", Total: 6}})
+		}
+		d.Attach("t", p)
+		<-time.After(connectionDelay + 5*time.Second)
+		if limit := d.ConnectionLimit("t"); limit != 2 {
+			t.Fatalf("own share is %d of 6", limit)
+		}
+		for range 6 {
+			if _, err := p.Acquire(t.Context(), "c"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if stats := p.Stats(); stats.Leased != 6 {
+			t.Fatalf("%+v", stats)
+		}
+		for _, id := range []topology.InstanceID{"i0", "i1"} {
+			if limit := drivers[id].ConnectionLimit("t"); limit != 0 {
+				t.Fatalf("%s may open %d beside 6", id, limit)
+			}
+		}
+		p.Close()
+	})
+}
--- a/process/ledger/fleet_test.go
+++ b/process/ledger/fleet_test.go
@@ -76,13 +76,13 @@
 	return true
 }
 
-type event struct {
+type timedStep struct {
 	at       time.Duration
 	sequence int
 	run      func()
 }
 
-type eventHeap []event
+type eventHeap []timedStep
 
 func (h eventHeap) Len() int { return len(h) }
 func (h eventHeap) Less(i, j int) bool {
@@ -92,7 +92,7 @@
 	return h[i].sequence < h[j].sequence
 }
 func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(timedStep)) }
 func (h *eventHeap) Pop() any {
 	old := *h
 	last := old[len(old)-1]
@@ -150,13 +150,13 @@
 
 func (f *fleet) after(delay time.Duration, run func()) {
 	f.sequence++
-	heap.Push(&f.queue, event{at: f.now + delay, sequence: f.sequence, run: run})
+	heap.Push(&f.queue, timedStep{at: f.now + delay, sequence: f.sequence, run: run})
 }
 
 // runUntil processes the events up to a time.
 func (f *fleet) runUntil(limit time.Duration) {
 	for len(f.queue) > 0 && f.queue[0].at <= limit {
-		e := heap.Pop(&f.queue).(event)
+		e := heap.Pop(&f.queue).(timedStep)
 		f.now = e.at
 		e.run()
 	}
