Work out the capacity page from measured slopes

Cause: the page has to give figures at 3,600 daemons that follow from runs, and be made again by one command. Conclusion: three sizes at least for every fit; the page follows once the whole daemon is measured.

--- /dev/null
+++ b/capacity/fit_test.go
@@ -0,0 +1,68 @@
+package capacity
+
+import (
+	"math"
+	"strings"
+	"testing"
+)
+
+const sample = `goos: linux
+BenchmarkFleet/daemons=7-10    	 10	 100 ns/op	 2.0 msgs/s
+BenchmarkFleet/daemons=30-10   	 10	 330 ns/op	 2.0 msgs/s
+BenchmarkFleet/daemons=100-10  	 10	 1030 ns/op	 2.0 msgs/s
+BenchmarkOther-10              	 10	 5 ns/op
+PASS
+`
+
+func TestAFitFindsTheLine(t *testing.T) {
+	results, err := ReadResults(strings.NewReader(sample))
+	if err != nil {
+		t.Fatal(err)
+	}
+	series, err := results.Series("Fleet/daemons", "ns/op")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fit, err := series.Line()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if math.Abs(fit.Slope-10) > 1e-9 || math.Abs(fit.Intercept-30) > 1e-9 || fit.R2 < 0.999 {
+		t.Fatalf("fit %+v", fit)
+	}
+	if got := fit.At(3600); math.Abs(got-36030) > 1e-6 {
+		t.Fatalf("at 3600: %v", got)
+	}
+}
+
+func TestAConstantSeriesIsExplained(t *testing.T) {
+	results, err := ReadResults(strings.NewReader(sample))
+	if err != nil {
+		t.Fatal(err)
+	}
+	series, err := results.Series("Fleet/daemons", "msgs/s")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fit, err := series.Line()
+	if err != nil || fit.R2 != 1 || fit.Slope != 0 {
+		t.Fatalf("fit %+v, %v", fit, err)
+	}
+}
+
+func TestAFitNeedsThreeSizes(t *testing.T) {
+	results, err := ReadResults(strings.NewReader(sample))
+	if err != nil {
+		t.Fatal(err)
+	}
+	series, err := results.Series("Other", "ns/op")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := series.Line(); err == nil {
+		t.Fatal("fitted a line through one size")
+	}
+	if _, err := results.Series("Absent", "ns/op"); err == nil {
+		t.Fatal("found a series that is not there")
+	}
+}
--- a/connection/caller/bench_test.go
+++ b/connection/caller/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"runtime"
@@ -14,7 +15,12 @@
 // request and waits for the next one, heap and stacks, the caller's socket
 // included.
 func BenchmarkIdleConnection(b *testing.B) {
-	const connections = 500
+	for _, connections := range []int{250, 500, 1000} {
+		b.Run(fmt.Sprintf("connections=%d", connections), func(b *testing.B) { benchmarkIdle(b, connections) })
+	}
+}
+
+func benchmarkIdle(b *testing.B, connections int) {
 	// Later rounds reuse the stacks of the first.
 	most := 0.0
 	for b.Loop() {
@@ -30,7 +36,7 @@
 			sockets[i] = idle(b, listener.Addr().String())
 		}
 		after := memory()
-		most = max(most, float64(int64(after)-int64(before))/connections)
+		most = max(most, float64(int64(after)-int64(before)))
 		for _, socket := range sockets {
 			_ = socket.Close()
 		}
@@ -38,7 +44,8 @@
 			b.Fatal(err)
 		}
 	}
-	b.ReportMetric(most, "B/connection")
+	b.ReportMetric(most/float64(connections), "B/connection")
+	b.ReportMetric(most, "retained-B")
 }
 
 // memory returns the bytes in use by heap objects and stacks.
