Keep doubled answers from the next statement of a transaction

Cause: inside of a transaction a doubled answer to the question for its id passed for the answer to COMMIT. Ruled out: dropping the connection after each statement. Before and after: with up to four whole answers before each fault the test failed with 'answer [RowDescription row 12 done SELECT 1 ready T] to a COMMIT that took effect 1 times' and 'answer [error 40001 ready E] to a COMMIT that took effect 0 times'. With a lost COMMIT told as not run it fails: 'answer [error 40001 ready I] to a COMMIT that took effect 1 times'. Each of the two guards alone keeps the test green. Conclusion: faults now fall on every answer of a flight.

--- a/connection/upstream/probe.go
+++ b/connection/upstream/probe.go
@@ -7,12 +7,23 @@
 	"github.com/rotisserie/eris"
 )
 
-// Probe looks, without waiting, whether an idle connection has been closed or
-// has bytes that no request asked for. Both make it unfit for a request.
+// Probe looks, without waiting, whether an idle connection can take a request of
+// any session.
 func (c *Conn) Probe() error {
 	if !c.Reusable() {
 		return &ProtocolError{c.config.Target, "connection is not at rest"}
 	}
+	return c.Quiet()
+}
+
+// Quiet looks, without waiting, whether the connection has been closed or has
+// bytes that no request asked for. Both make it unfit for another request, also
+// inside of a transaction.
+func (c *Conn) Quiet() error {
+	if c.owed != 0 || c.Buffered() {
+		c.broken.Store(true)
+		return &ProtocolError{c.config.Target, "connection is not at rest"}
+	}
 	socket, ok := c.plainSocket().(syscall.Conn)
 	if !ok {
 		return nil
--- a/request/execute/answers_test.go
+++ b/request/execute/answers_test.go
@@ -20,9 +20,17 @@
 	rapid.Check(t, func(t *rapid.T) {
 		callers := []*script{r.script(testKey, ""), r.script("other", "")}
 		defer targets.heal()
+		for _, s := range callers {
+			defer s.close()
+		}
 		t.Repeat(map[string]func(*rapid.T){
-			"spoil": func(t *rapid.T) { targets.spoil(drawFault(t)) },
-			"heal":  func(*rapid.T) { targets.heal() },
+			"spoil": func(t *rapid.T) {
+				for range rapid.IntRange(0, 4).Draw(t, "answers before") {
+					targets.spoil(noFault)
+				}
+				targets.spoil(drawFault(t))
+			},
+			"heal": func(*rapid.T) { targets.heal() },
 			"read": func(t *rapid.T) {
 				sequence++
 				value := fmt.Sprint("r", sequence)
--- a/request/execute/body.go
+++ b/request/execute/body.go
@@ -6,6 +6,7 @@
 	"samphirehitch.example/samphirehitch/connection/session"
 	"samphirehitch.example/samphirehitch/connection/sqlstate"
 	"samphirehitch.example/samphirehitch/connection/upstream"
+	"samphirehitch.example/samphirehitch/request/classify"
 )
 
 // largeBatchBytes is the size from which a batch is sent while its answer is
@@ -216,12 +217,33 @@
 // complete passes on a CommandComplete, or holds it until the commit.
 func (b *body) complete(message *pgproto3.CommandComplete) error {
 	b.tag = string(message.CommandTag)
+	if !b.fits() {
+		return b.unexpected()
+	}
 	if b.flight.holding {
 		return b.flight.out.hold(message)
 	}
 	return b.flight.out.add(message)
 }
 
+// fits reports whether the command tag can belong to the batch: the tags of
+// statements that begin and end transactions are those of no others.
+func (b *body) fits() bool {
+	controls := false
+	for _, tag := range []string{tagBegin, tagStart, tagCommit, tagRollback} {
+		controls = controls || b.tag == tag
+	}
+	statement := &b.plan.statement
+	switch statement.Kind {
+	case classify.KindCommit, classify.KindRollback:
+		return controls
+	case classify.KindBegin, classify.KindBare, classify.KindInTransaction:
+		return true
+	default:
+		return !controls || statement.Ends
+	}
+}
+
 // end checks that the whole batch has been answered.
 func (b *body) end() error {
 	if b.code != "" || b.plan.batch.Query != nil {
--- a/request/execute/pinned.go
+++ b/request/execute/pinned.go
@@ -63,6 +63,9 @@
 // asked for with its first write, or before its COMMIT at the latest.
 func (l *leg) continueTransaction(c *commit) (*body, error) {
 	r := l.request
+	if err := l.conn.Quiet(); err != nil {
+		return nil, err
+	}
 	if l.endsWrites() {
 		if err := l.prepareCommit(c); err != nil {
 			return nil, err
@@ -102,6 +105,9 @@
 			return err
 		}
 	}
+	if err := l.conn.Quiet(); err != nil {
+		return err
+	}
 	if ended := r.ended(refusal.StepCommit); ended != nil {
 		return ended
 	}
@@ -145,7 +151,7 @@
 	r.session.Settings = r.pin.settings
 	r.release(false)
 	if isFinal(err) {
-		r.status = statusFailed
+		r.status = r.statusAfterError()
 		return err
 	}
 	if c.sent {
@@ -158,7 +164,7 @@
 		}
 		return r.finish()
 	}
-	r.status = statusFailed
+	r.status = r.statusAfterError()
 	r.watcher.Suspect(target)
 	if ended := r.ended(refusal.StepExchange); ended != nil {
 		return ended
@@ -185,6 +191,15 @@
 	return err
 }
 
+// statusAfterError is the status of a transaction after an error that ended it
+// on its target: a caller that asked for its end gets that.
+func (r *request) statusAfterError() status {
+	if r.plan != nil && r.plan.statement.Ends {
+		return statusIdle
+	}
+	return statusFailed
+}
+
 // failTransaction rolls back the open transaction, if there is one, since its
 // caller is about to be told of an error. It returns the error.
 func (r *request) failTransaction(err error) error {
@@ -197,7 +212,7 @@
 		r.abandon()
 	}
 	r.deferred = nil
-	r.status = statusFailed
+	r.status = r.statusAfterError()
 	return err
 }
 
--- a/request/execute/protocol_test.go
+++ b/request/execute/protocol_test.go
@@ -16,6 +16,7 @@
 	frontend *pgproto3.Frontend
 	process  uint32
 	secret   []byte
+	close    func() error
 	// token is the last that the server sent.
 	token string
 }
@@ -31,7 +32,7 @@
 		r.t.Fatal(err)
 	}
 	r.t.Cleanup(func() { _ = hijacked.Conn.Close() })
-	return &script{t: r.t, frontend: hijacked.Frontend, process: hijacked.PID, secret: hijacked.SecretKey}
+	return &script{t: r.t, frontend: hijacked.Frontend, process: hijacked.PID, secret: hijacked.SecretKey, close: hijacked.Conn.Close}
 }
 
 func (s *script) send(messages ...pgproto3.FrontendMessage) {
