Report the store's calls during a run

Ruled out: counting in the daemons, which miss what was lost on the way. Before and after: not measured; the tests of load/... and process/store/... pass with the race detector. Conclusion: Env.StoreCounts; the demo can pass the stand-in's.

--- a/load/load.go
+++ b/load/load.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
@@ -16,6 +17,7 @@
 	"samphirehitch.example/samphirehitch/load/workload"
 	"samphirehitch.example/samphirehitch/process/event"
 	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/store/memstore"
 )
 
 // Events of a run.
@@ -65,6 +67,8 @@
 	// Audit, when not nil, is asked for further violations after the phase with
 	// the daemons.
 	Audit func() []oracle.Violation `json:"-"`
+	// StoreCounts, when not nil, reads the calls that the store has taken.
+	StoreCounts func(context.Context) (memstore.Counts, error) `json:"-"`
 	// Groups reads the targets' roles.
 	Groups platform.Groups `json:"-"`
 	Log    logr.Logger     `json:"-"`
@@ -75,6 +79,10 @@
 	Config Config `json:"config"`
 	// Proxied went through the daemons.
 	Proxied measure.Phase `json:"proxied"`
+	// Store is how many calls the store took during the proxied phase, and
+	// StoreSeconds how long that was; both are zero when nobody counts.
+	Store        memstore.Counts `json:"store"`
+	StoreSeconds float64         `json:"store_seconds"`
 	// Baseline went straight to the primaries, with each customer's rate split
 	// evenly over as many limiters as there are daemons.
 	Baseline *measure.Phase `json:"baseline,omitempty"`
@@ -98,8 +106,7 @@
 	report := &Report{Config: cfg}
 	proxied := newPhase(cfg, env, phaseProxied, env.Services, env.Injector)
 	proxied.dialer = &proxyDialer{entries: env.Entries, logins: env.Logins, age: cfg.Load.Age()}
-	var err error
-	if report.Proxied, err = proxied.run(ctx); err != nil {
+	if err := report.runProxied(ctx, proxied); err != nil {
 		return nil, err
 	}
 	if env.Audit != nil {
@@ -117,3 +124,28 @@
 	report.Baseline = &measured
 	return report, nil
 }
+
+func (r *Report) runProxied(ctx context.Context, p *phase) error {
+	before, err := p.env.storeCounts(ctx)
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	if r.Proxied, err = p.run(ctx); err != nil {
+		return err
+	}
+	if p.env.StoreCounts != nil {
+		r.StoreSeconds = time.Since(start).Seconds()
+	}
+	after, err := p.env.storeCounts(ctx)
+	r.Store = after.Since(before)
+	return err
+}
+
+func (e *Env) storeCounts(ctx context.Context) (memstore.Counts, error) {
+	if e.StoreCounts == nil {
+		return memstore.Counts{}, nil
+	}
+	counts, err := e.StoreCounts(ctx)
+	return counts, eris.Wrap(err, "read the counts of the store")
+}
--- a/load/program/program.go
+++ b/load/program/program.go
@@ -168,6 +168,7 @@
 	baseline := inject.Remote{Operator: inject.NoOperator{}, Groups: callers(d.BaselineAdmins)}
 	if d.Store != "" {
 		proxied.Store = admin.NewStoreCaller(d.Store)
+		d.StoreCounts = proxied.Store.Counts
 	}
 	d.Injector = proxied
 	d.BaselineInjector = baseline
--- a/load/program/program_test.go
+++ b/load/program/program_test.go
@@ -12,6 +12,7 @@
 	"samphirehitch.example/samphirehitch/load"
 	"samphirehitch.example/samphirehitch/standin/admin"
 	"samphirehitch.example/samphirehitch/standin/group"
+	"samphirehitch.example/samphirehitch/standin/kv"
 )
 
 func writeJSON(t *testing.T, directory, name string, value any) string {
@@ -40,6 +41,11 @@
 	server := &http.Server{Handler: admin.GroupHandler(g)}
 	defer server.Close()
 	go func() { _ = server.Serve(listener) }()
+	store, err := kv.Start(kv.Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer store.Close()
 	service := load.Service{Database: "ledger", Targets: g.Targets(), TargetDatabase: "ledger", TargetLogin: load.Login{User: "app"}}
 	directory := t.TempDir()
 	deployment := Deployment{
@@ -48,6 +54,7 @@
 			Logins:   []load.Login{{User: "key-1"}},
 			Services: []load.Service{service},
 		},
+		Store:       store.Address(),
 		GroupAdmins: []string{listener.Addr().String()},
 	}
 	script := `{"steps": [{"at_millis": 50, "action": "member_faults", "target": "db-2", "faults": {"replay_lag_millis": 5}}]}`
@@ -68,6 +75,9 @@
 	if !strings.Contains(text.String(), "replay_lag_millis") && !strings.Contains(text.String(), "ReplayLagMillis:5") {
 		t.Errorf("report:\n%s", text.String())
 	}
+	if !strings.Contains(text.String(), "store: 0.0 reads and 0.0 writes a second") {
+		t.Errorf("report:\n%s", text.String())
+	}
 	if got := g.Member("db-2").Faults().ReplayLagMillis; got != 5 {
 		t.Errorf("replay lag %d", got)
 	}
--- a/load/report/text.go
+++ b/load/report/text.go
@@ -30,6 +30,10 @@
 	var text strings.Builder
 	phases := phasesOf(r)
 	writeMeasures(&text, phases)
+	if r.StoreSeconds > 0 {
+		fmt.Fprintf(&text, "store: %.1f reads and %.1f writes a second\n",
+			float64(r.Store.Reads())/r.StoreSeconds, float64(r.Store.Writes())/r.StoreSeconds)
+	}
 	for _, phase := range phases {
 		writeCustomers(&text, phase)
 		writeFaults(&text, phase)
--- a/process/store/memstore/fault.go
+++ b/process/store/memstore/fault.go
@@ -27,28 +27,6 @@
 	StaleReads bool `json:"stale_reads,omitempty"`
 }
 
-// Counts is how many calls of each kind the store has taken. A waiting watch is
-// one call.
-type Counts struct {
-	Get       uint64 `json:"get"`
-	List      uint64 `json:"list"`
-	Swap      uint64 `json:"swap"`
-	Grant     uint64 `json:"grant"`
-	KeepAlive uint64 `json:"keep_alive"`
-	Revoke    uint64 `json:"revoke"`
-	Watch     uint64 `json:"watch"`
-	Instances uint64 `json:"instances"`
-}
-
-// Reads returns the number of calls that change nothing.
-func (c Counts) Reads() uint64 { return c.Get + c.List + c.Watch + c.Instances }
-
-// Writes returns the number of calls that may change something.
-func (c Counts) Writes() uint64 { return c.Swap + c.Grant + c.KeepAlive + c.Revoke }
-
-// Total returns the number of all calls.
-func (c Counts) Total() uint64 { return c.Reads() + c.Writes() }
-
 // SetFaults replaces the faults.
 func (s *Store) SetFaults(faults Faults) {
 	s.mu.Lock()
@@ -68,13 +46,6 @@
 	return s.mu.faults
 }
 
-// Counts returns the calls so far.
-func (s *Store) Counts() Counts {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.mu.counts
-}
-
 func (s *Store) readable() map[string]store.Change {
 	if s.mu.faults.StaleReads {
 		return s.mu.stale
@@ -89,32 +60,6 @@
 	return s.mu.revision
 }
 
-type callKind uint8
-
-const (
-	callGet callKind = iota
-	callList
-	callSwap
-	callGrant
-	callKeepAlive
-	callRevoke
-	callWatch
-	callInstances
-)
-
-func (k callKind) changes() bool {
-	return k == callSwap || k == callGrant || k == callKeepAlive || k == callRevoke
-}
-
-func (k callKind) String() string {
-	return [...]string{"get", "list", "swap", "grant", "keep alive", "revoke", "watch", "list instances"}[k]
-}
-
-func (c *Counts) add(kind callKind) {
-	counters := [...]*uint64{&c.Get, &c.List, &c.Swap, &c.Grant, &c.KeepAlive, &c.Revoke, &c.Watch, &c.Instances}
-	*counters[kind]++
-}
-
 // enter counts a call and passes the faults that strike before its effect.
 func (s *Store) enter(ctx context.Context, kind callKind, subject string) error {
 	s.mu.Lock()
--- a/process/store/memstore/memstore_test.go
+++ b/process/store/memstore/memstore_test.go
@@ -85,6 +85,9 @@
 		if counts := s.Counts(); counts.Watch != 2 || counts.Swap != 1 || counts.Grant != 1 || counts.Total() != 4 {
 			t.Fatalf("counted %+v", counts)
 		}
+		if later := s.Counts().Since(Counts{Watch: 1}); later.Watch != 1 || later.Writes() != 2 || later.Reads() != 1 {
+			t.Fatalf("counted %+v later", later)
+		}
 	})
 }
 
