--- a/process/ledger/bench_test.go
+++ b/process/ledger/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 
 	"samphirehitch.example/samphirehitch/process/membership"
@@ -81,3 +82,53 @@
 	}
 	return slots, names, limits
 }
+
+// BenchmarkMessages reports the messages and CBOR bytes that an instance sends
+// for each second, with 150 requests a second for each instance at 80 % of the
+// customers' rates. Four fifths of a customer's requests reach one instance, the
+// rest any.
+func BenchmarkMessages(b *testing.B) {
+	for _, count := range []int{7, 30, 100} {
+		b.Run(fmt.Sprintf("instances=%d", count), func(b *testing.B) {
+			for range b.N {
+				measureMessages(b, count)
+			}
+		})
+	}
+}
+
+func measureMessages(b *testing.B, count int) {
+	const length = 20 * time.Second
+	rates := []float64{400, 300, 200, 50, 50, 20, 20, 5}
+	var limits []Limit
+	for i := range count + 1 {
+		rate := rates[i%len(rates)]
+		limits = append(limits, Limit{Customer: topology.CustomerID(fmt.Sprintf("c%d", i)), Rate: rate, Burst: rate / 2})
+	}
+	f := newFleet(3, count, count+1, limits)
+	f.runUntil(5 * time.Second)
+	messages, bytes := 0, 0
+	f.sent = func(m *Message) {
+		encoded, err := cbor.Marshal(m)
+		if err != nil {
+			b.Fatal(err)
+		}
+		messages++
+		bytes += len(encoded)
+	}
+	for i, limit := range limits {
+		var next func()
+		next = func() {
+			target := i
+			if f.rng.IntN(10) >= 8 {
+				target = f.rng.IntN(count)
+			}
+			f.request(f.instances[target%count], limit.Customer)
+			f.after(time.Duration(f.rng.ExpFloat64()/(limit.Rate*0.8)*float64(time.Second)), next)
+		}
+		f.after(0, next)
+	}
+	f.runUntil(f.now + length)
+	b.ReportMetric(float64(messages)/length.Seconds()/float64(count), "messages/s/instance")
+	b.ReportMetric(float64(bytes)/length.Seconds()/float64(count), "bytes/s/instance")
+}
--- a/process/ledger/fleet_test.go
+++ b/process/ledger/fleet_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"samphirehitch.example/samphirehitch/process/membership"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
 
@@ -26,6 +27,8 @@
 	// lossPercent and doublePercent apply to each message.
 	lossPercent, doublePercent int
 	messages                   int
+	// sent, when set, is told every message.
+	sent func(*Message)
 	// onOutcome is told the outcome of every request.
 	onOutcome func(customer topology.CustomerID, arrived time.Duration, admitted bool)
 }
@@ -35,6 +38,8 @@
 	shard *Shard
 	conns *Connections
 	pool  fakePool
+	// members is set in fleets whose slots membership assigns.
+	members *membership.Coordinator
 	// offset and drift make the instance's clock differ from the fleet's.
 	offset, drift time.Duration
 	paused        bool
@@ -250,6 +255,9 @@
 		copies++
 	}
 	f.messages++
+	if f.sent != nil {
+		f.sent(m)
+	}
 	for range copies {
 		delay := f.latency + time.Duration(f.rng.Int64N(int64(f.jitter)+1))
 		f.after(delay, func() {
