Let reads wait 4 s for their floor

Cause: reads were refused after 2 s without a majority's answers, while a majority that is coming back takes a little longer. Ruled out: 5 s, at which callers with a timeout of 5 s give up without an answer. Conclusion: 4 s.

--- a/request/execute/ports.go
+++ b/request/execute/ports.go
@@ -97,7 +97,7 @@
 
 // Defaults of Config.
 const (
-	defaultFloorTimeout   = 2 * time.Second
+	defaultFloorTimeout   = 4 * time.Second
 	defaultReplicaTimeout = 20 * time.Millisecond
 	defaultPrimaryTimeout = 10 * time.Second
 	defaultCommitTimeout  = 15 * time.Second
