Assign groups to watchers on a ring and drive only the used ones

Cause: with 3,600 instances and 12,667 groups a change of the instance list took 32.5 s, under the lock that lookups wait for: every group sorted every instance. Ruled out: ranking once for each failure domain (still all instances for each group). Conclusion: a change costs each group a search of the ring.

--- a/process/group/bench_test.go
+++ b/process/group/bench_test.go
@@ -14,7 +14,7 @@
 
 	"samphirehitch.example/samphirehitch/process/clock"
 	"samphirehitch.example/samphirehitch/process/group/grouptest"
-	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/group/promotion"
 	"samphirehitch.example/samphirehitch/process/store/memstore"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
@@ -181,7 +181,7 @@
 // heartbeats is skipped.
 func BenchmarkIdleHeartbeats(b *testing.B) {
 	d := benchDriver()
-	d.SetInstances([]platform.Instance{{ID: "i1", FailureDomain: "d1"}, {ID: "i2", FailureDomain: "d2"}})
+	d.SetWatchers([]promotion.Peer{{ID: "i1", Domain: "d1"}, {ID: "i2", Domain: "d2"}})
 	var out Output
 	b.ReportAllocs()
 	now := time.Duration(0)
--- a/process/group/driver.go
+++ b/process/group/driver.go
@@ -110,7 +110,8 @@
 // Run sends heartbeats until ctx ends. It then ends every wait and returns once
 // no request is in flight.
 func (d *Driver) Run(ctx context.Context) error {
-	timer := time.NewTimer(0)
+	d.step(d.tick)
+	timer := time.NewTimer(d.arm())
 	defer timer.Stop()
 	for {
 		select {
@@ -139,9 +140,12 @@
 	defer d.mu.Unlock()
 	now := d.Clock()
 	d.mu.armed = d.deadline(now)
-	return max(0, d.mu.armed-now)
+	return max(minSleep, d.mu.armed-now)
 }
 
+// minSleep bounds how often Run wakes up.
+const minSleep = 100 * time.Microsecond
+
 func (d *Driver) deadline(now time.Duration) time.Duration {
 	deadline := d.mu.rounds.Deadline(now)
 	if at, due := d.mu.promotion.Deadline(now); due {
@@ -168,14 +172,9 @@
 	})
 }
 
-// SetInstances tells which instances are believed live, this one included. Some
-// of them watch the group while no request uses it, and promote.
-func (d *Driver) SetInstances(instances []platform.Instance) {
-	peers := make([]promotion.Peer, 0, len(instances))
-	for _, instance := range instances {
-		peers = append(peers, promotion.Peer{ID: instance.ID, Domain: instance.FailureDomain})
-	}
-	watchers := promotion.Watchers(d.config.Service, peers)
+// SetWatchers tells which instances watch the group, in order of rank: those ask
+// its members while no request uses it, and promote.
+func (d *Driver) SetWatchers(watchers []promotion.Peer) {
 	watching := slices.ContainsFunc(watchers, func(p promotion.Peer) bool { return p.ID == d.config.Promotion.Self })
 	d.step(func(now time.Duration, out *Output) {
 		d.mu.promotion.SetWatchers(watchers)
--- a/process/group/driver_test.go
+++ b/process/group/driver_test.go
@@ -12,6 +12,7 @@
 
 	"samphirehitch.example/samphirehitch/process/clock"
 	"samphirehitch.example/samphirehitch/process/group/grouptest"
+	"samphirehitch.example/samphirehitch/process/group/promotion"
 	"samphirehitch.example/samphirehitch/process/peer"
 	"samphirehitch.example/samphirehitch/process/platform"
 	"samphirehitch.example/samphirehitch/process/store/memstore"
@@ -144,7 +145,7 @@
 		if idle := p.Calls() - calls; idle != 0 {
 			t.Errorf("%d requests while idle and not watching, want 0", idle)
 		}
-		d.SetInstances([]platform.Instance{{ID: "i1", FailureDomain: "d1"}})
+		d.SetWatchers([]promotion.Peer{{ID: "i1", Domain: "d1"}})
 		<-time.After(10 * time.Second)
 		if beats := p.Calls() - calls; beats < 180 || beats > 220 {
 			t.Errorf("%d heartbeats to 3 members in 10 s, want about 200", beats)
--- a/process/group/set.go
+++ b/process/group/set.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
 
+	"samphirehitch.example/samphirehitch/process/group/promotion"
 	"samphirehitch.example/samphirehitch/process/platform"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
@@ -17,116 +17,186 @@
 	Targets []TargetConfig
 }
 
-// Set runs a driver for each service and hands them the peers' messages. It is
-// safe for concurrent use; each driver has its own lock.
+// Set runs the drivers of the services and hands them the peers' messages. A
+// service gets its driver once this instance watches its group or a request
+// uses it. Set is safe for concurrent use; each driver has its own lock.
 type Set struct {
 	configure func(topology.ServiceID) Config
 	deps      Dependencies
 	running   sync.WaitGroup
 
+	// change serializes the changes, so that lookups wait for none.
+	change struct {
+		sync.Mutex
+		ring *promotion.Ring
+		ctx  context.Context
+	}
 	mu struct {
 		sync.RWMutex
-		drivers   map[topology.ServiceID]*running
-		instances []platform.Instance
-		ctx       context.Context
+		services map[topology.ServiceID]*service
 	}
 }
 
-type running struct {
-	*Driver
-	cancel context.CancelFunc
+// service is one service. Its fields are guarded by the change lock, but for
+// driver, which the other lock guards too.
+type service struct {
+	targets  []TargetConfig
+	watchers []promotion.Peer
+	watching bool
+	driver   *Driver
+	cancel   context.CancelFunc
 }
 
 // NewSet returns a set without services. Configure gives each service's
 // configuration.
 func NewSet(configure func(topology.ServiceID) Config, deps Dependencies) *Set {
 	s := &Set{configure: configure, deps: deps}
-	s.mu.drivers = make(map[topology.ServiceID]*running)
+	s.change.ring = promotion.NewRing(nil)
+	s.mu.services = make(map[topology.ServiceID]*service)
 	return s
 }
 
 // Run runs the drivers until ctx ends and returns once all have ended.
 func (s *Set) Run(ctx context.Context) error {
-	s.mu.Lock()
-	s.mu.ctx = ctx
-	for _, r := range s.mu.drivers {
-		s.start(r)
+	s.change.Lock()
+	s.change.ctx = ctx
+	for _, service := range s.mu.services {
+		s.start(service)
 	}
-	s.mu.Unlock()
+	s.change.Unlock()
 	<-ctx.Done()
+	s.change.Lock()
+	defer s.change.Unlock()
 	s.running.Wait()
 	return nil
 }
 
-// start runs a driver. The lock is held; before Run it does nothing.
-func (s *Set) start(r *running) {
-	if s.mu.ctx == nil || s.mu.ctx.Err() != nil {
+// start runs a service's driver, if it has one. Before Run it does nothing.
+func (s *Set) start(service *service) {
+	if service.driver == nil || s.change.ctx == nil || s.change.ctx.Err() != nil {
 		return
 	}
-	ctx, cancel := context.WithCancel(s.mu.ctx)
-	r.cancel = cancel
-	s.running.Go(func() { _ = r.Run(ctx) })
+	ctx, cancel := context.WithCancel(s.change.ctx)
+	service.cancel = cancel
+	s.running.Go(func() { _ = service.driver.Run(ctx) })
 }
 
 // SetServices replaces the services. A removed service's waits end with
 // ErrNoEvidence.
-func (s *Set) SetServices(services []ServiceConfig) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	gone := maps.Clone(s.mu.drivers)
-	for _, service := range services {
-		delete(gone, service.Service)
-		r, exists := s.mu.drivers[service.Service]
+func (s *Set) SetServices(configs []ServiceConfig) {
+	s.change.Lock()
+	defer s.change.Unlock()
+	services := make(map[topology.ServiceID]*service, len(configs))
+	for _, config := range configs {
+		kept, exists := s.mu.services[config.Service]
 		if !exists {
-			r = s.add(service.Service)
+			kept = &service{}
+			s.watch(config.Service, kept)
+		}
+		services[config.Service] = kept
+		if exists && slices.Equal(kept.targets, config.Targets) {
+			continue
+		}
+		kept.targets = slices.Clone(config.Targets)
+		if kept.driver != nil {
+			kept.driver.SetTargets(kept.targets)
 		}
-		r.SetTargets(service.Targets)
 	}
-	for id, r := range gone {
-		delete(s.mu.drivers, id)
-		if r.cancel != nil {
-			r.cancel()
+	for id, gone := range s.mu.services {
+		if services[id] == nil && gone.cancel != nil {
+			gone.cancel()
 		}
 	}
-}
-
-func (s *Set) add(service topology.ServiceID) *running {
-	deps := s.deps
-	deps.Random = rand.New(rand.NewPCG(s.deps.Random.Uint64(), s.deps.Random.Uint64()))
-	r := &running{Driver: NewDriver(s.configure(service), deps)}
-	r.SetInstances(s.mu.instances)
-	s.mu.drivers[service] = r
-	s.start(r)
-	return r
+	s.mu.Lock()
+	s.mu.services = services
+	s.mu.Unlock()
+	s.driveWatched()
 }
 
 // SetInstances tells which instances are believed live, this one included.
 func (s *Set) SetInstances(instances []platform.Instance) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.mu.instances = slices.Clone(instances)
-	for _, r := range s.mu.drivers {
-		r.SetInstances(s.mu.instances)
+	peers := make([]promotion.Peer, 0, len(instances))
+	for _, instance := range instances {
+		peers = append(peers, promotion.Peer{ID: instance.ID, Domain: instance.FailureDomain})
+	}
+	ring := promotion.NewRing(peers)
+	s.change.Lock()
+	defer s.change.Unlock()
+	s.change.ring = ring
+	for id, service := range s.mu.services {
+		if s.watch(id, service) && service.driver != nil {
+			service.driver.SetWatchers(service.watchers)
+		}
 	}
+	s.driveWatched()
+}
+
+// watch looks up a service's watchers and reports whether they changed.
+func (s *Set) watch(id topology.ServiceID, service *service) bool {
+	watchers := s.change.ring.Watchers(id)
+	if slices.Equal(watchers, service.watchers) {
+		return false
+	}
+	self := s.configure(id).Promotion.Self
+	service.watchers = watchers
+	service.watching = slices.ContainsFunc(watchers, func(p promotion.Peer) bool { return p.ID == self })
+	return true
+}
+
+// driveWatched gives a driver to each service that this instance watches.
+func (s *Set) driveWatched() {
+	for id, service := range s.mu.services {
+		if service.watching {
+			s.drive(id, service)
+		}
+	}
+}
+
+// drive gives a service its driver. The change lock is held.
+func (s *Set) drive(id topology.ServiceID, service *service) *Driver {
+	if service.driver != nil {
+		return service.driver
+	}
+	deps := s.deps
+	deps.Random = rand.New(rand.NewPCG(s.deps.Random.Uint64(), s.deps.Random.Uint64()))
+	driver := NewDriver(s.configure(id), deps)
+	driver.SetTargets(service.targets)
+	driver.SetWatchers(service.watchers)
+	s.mu.Lock()
+	service.driver = driver
+	s.mu.Unlock()
+	s.start(service)
+	return driver
 }
 
 // Watcher returns a service's watcher, or false when there is no such service.
-func (s *Set) Watcher(service topology.ServiceID) (Watcher, bool) {
-	driver, ok := s.driver(service)
-	if !ok {
+func (s *Set) Watcher(id topology.ServiceID) (Watcher, bool) {
+	driver, exists := s.driver(id)
+	switch {
+	case !exists:
+		return nil, false
+	case driver != nil:
+		return driver, true
+	}
+	s.change.Lock()
+	defer s.change.Unlock()
+	service, exists := s.mu.services[id]
+	if !exists {
 		return nil, false
 	}
-	return driver, true
+	return s.drive(id, service), true
 }
 
-func (s *Set) driver(service topology.ServiceID) (*Driver, bool) {
+// driver returns a service's driver, or nil when it has none, and whether there
+// is such a service.
+func (s *Set) driver(id topology.ServiceID) (*Driver, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	r, ok := s.mu.drivers[service]
-	if !ok {
+	service, exists := s.mu.services[id]
+	if !exists {
 		return nil, false
 	}
-	return r.Driver, true
+	return service.driver, true
 }
 
 // Receive is the peer.Receiver of peer.KindGroup.
@@ -136,7 +206,7 @@
 		eventMessageUnread.Log(s.deps.Log, "peer", from, "error", err.Error())
 		return
 	}
-	if driver, ok := s.driver(m.Service); ok {
+	if driver, _ := s.driver(m.Service); driver != nil {
 		driver.receive(from, m)
 	}
 }
--- a/process/group/sim_test.go
+++ b/process/group/sim_test.go
@@ -207,7 +207,7 @@
 			members = append(members, promotion.Target(target))
 		}
 		d.promotion.SetTargets(members)
-		d.promotion.SetWatchers(promotion.Watchers("ledger", peers))
+		d.promotion.SetWatchers(promotion.NewRing(peers).Watchers("ledger"))
 	})
 }
 
