Bear a stalled primary longer after each promotion for that cause

Cause: replicas that receive the log seconds late look like a primary that is cut off from them, and another primary is no better off: each promotion stalled in turn and dropped the writes that the replicas had not received. Ruled out: a longer first patience (a primary that is really cut off would hold its writers as long); telling the cases apart by the members' answers, which are the same. Conclusion: patience 1 s, 4 s, 10 s, forgotten 5 minutes after the last.

--- a/process/group/fleet_test.go
+++ b/process/group/fleet_test.go
@@ -34,6 +34,8 @@
 		sync.Mutex
 		cut  map[string]bool
 		gaps []promotion.Gap
+		// streamEvery, when not zero, is how rarely replicas take the log.
+		streamEvery time.Duration
 		// cutAt is when failover cut the primary off, and resumed when the
 		// first promotion after that was reported.
 		cutAt   time.Time
@@ -162,12 +164,17 @@
 func (f *fleet) replicate(ctx context.Context) {
 	ticker := time.NewTicker(time.Millisecond)
 	defer ticker.Stop()
+	var streamed time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		if time.Since(streamed) < f.streamInterval() {
+			continue
+		}
+		streamed = time.Now()
 		f.platform.Do(func(g *grouptest.Group) {
 			for _, from := range g.Members {
 				for _, to := range g.Members {
@@ -180,6 +187,12 @@
 	}
 }
 
+func (f *fleet) streamInterval() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mu.streamEvery
+}
+
 func (f *fleet) severed(from, to topology.TargetID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -376,3 +389,27 @@
 		})
 	})
 }
+
+// TestFleetBearsReplicasThatFallBehind has both replicas take the log in bursts
+// that are further apart than a stalled primary is borne at first.
+func TestFleetBearsReplicasThatFallBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runFleet(t, 11, 1500*time.Microsecond, func(f *fleet) {
+			<-time.After(time.Second)
+			f.mu.Lock()
+			f.mu.streamEvery = 2500 * time.Millisecond
+			f.mu.Unlock()
+			watcher, _ := f.sets[0].Watcher("ledger")
+			for range 60 {
+				f.platform.Do(func(g *grouptest.Group) {
+					primary := g.Member(watcher.View().Primary)
+					primary.Commit(primary.Begin(), 1)
+				})
+				<-time.After(time.Second)
+			}
+			if gaps := f.promotions(); len(gaps) > 1 {
+				t.Errorf("%d promotions in a minute with replicas 2.5 s behind, want at most one", len(gaps))
+			}
+		})
+	})
+}
--- a/process/group/promotion/config.go
+++ b/process/group/promotion/config.go
@@ -29,8 +29,12 @@
 	// FreshWindow is how long an answer counts, from when it was requested.
 	FreshWindow time.Duration
 	// StallAfter is how long a primary may be ahead of every majority while no
-	// replica's log grows.
-	StallAfter time.Duration
+	// replica's log grows. It grows with each promotion for that cause, up to
+	// StallLimit, and falls back StallMemory after the last: replicas that are
+	// slow to receive are not mended by another primary.
+	StallAfter  time.Duration
+	StallLimit  time.Duration
+	StallMemory time.Duration
 	// HeadlessAfter is how long a majority may name no primary before this
 	// instance takes up a promotion that another seems to have left.
 	HeadlessAfter time.Duration
@@ -79,6 +83,8 @@
 		EvidenceAfter:   250 * time.Millisecond,
 		FreshWindow:     400 * time.Millisecond,
 		StallAfter:      time.Second,
+		StallLimit:      10 * time.Second,
+		StallMemory:     5 * time.Minute,
 		HeadlessAfter:   300 * time.Millisecond,
 		SplitAfter:      2 * time.Second,
 		LeavingAfter:    300 * time.Millisecond,
--- a/process/group/promotion/observe.go
+++ b/process/group/promotion/observe.go
@@ -67,7 +67,7 @@
 		return CauseSilent, p.missedSince
 	case !c.fresh(p, now):
 		return CauseNone, 0
-	case c.stalling && now-c.stalledSince >= c.config.StallAfter:
+	case c.stalling && now-c.stalledSince >= c.stallAfter:
 		return CauseStalled, c.stalledSince
 	case c.split(p, now):
 		return CauseSplit, now
@@ -136,14 +136,34 @@
 // replica's log forward.
 func (c *Coordinator) observeStall(now time.Duration, changed bool) {
 	p := c.primary()
+	sameReign := p != nil && p.ID == c.stallPrimary && p.status.Term == c.stallTerm
+	if c.stalling && !sameReign {
+		c.endStalledReign(now)
+	}
 	behind := p != nil && !c.replicated(p)
-	if !behind || changed || !c.stalling || c.stallTerm != p.status.Term {
+	if !behind || changed || !c.stalling || !sameReign {
 		c.stalledSince = now
 	}
 	c.stalling = behind
 	if p != nil {
+		c.stallPrimary = p.ID
 		c.stallTerm = p.status.Term
 	}
+	if now-c.stallRaised >= c.config.StallMemory {
+		c.stallAfter = c.config.StallAfter
+	}
+}
+
+// endStalledReign bears the next stall longer when this one, of a primary that
+// answers, has led to a promotion by whichever instance.
+func (c *Coordinator) endStalledReign(now time.Duration) {
+	const growth = 4
+	old := c.member(c.stallPrimary)
+	if old == nil || !c.fresh(old, now) || now-c.stalledSince < c.stallAfter/2 {
+		return
+	}
+	c.stallAfter = min(c.stallAfter*growth, c.config.StallLimit)
+	c.stallRaised = now
 }
 
 // replicated reports whether a majority at the primary's term holds its log.
--- a/process/group/promotion/promotion.go
+++ b/process/group/promotion/promotion.go
@@ -21,9 +21,15 @@
 	rank     int
 	watching bool
 
+	// stalling tells that stallPrimary, of stallTerm, has been ahead of every
+	// majority since stalledSince. It is borne for stallAfter, which grew last
+	// at stallRaised.
 	stalling     bool
 	stalledSince time.Duration
+	stallPrimary topology.TargetID
 	stallTerm    topology.Term
+	stallAfter   time.Duration
+	stallRaised  time.Duration
 	// seenTerm is the highest term in a refusal.
 	seenTerm topology.Term
 
@@ -70,7 +76,7 @@
 
 // New returns a coordinator without members and peers.
 func New(config Config, random *rand.Rand) *Coordinator {
-	return &Coordinator{config: config, random: random}
+	return &Coordinator{config: config, random: random, stallAfter: config.StallAfter}
 }
 
 // SetTargets replaces the members; those that stay keep their state.
