Refuse answers of another target than was asked

Cause: two members configured with one control address would be counted as two, and one log would make a majority. Ruled out: comparing the addresses of a record (a name server or the platform can map two addresses to one target as well). Before and after: without the check 'ConfirmCommit by one member's answers = <nil>, want ErrNoEvidence', with it go test -race ./process/group passes.

--- a/process/group/driver.go
+++ b/process/group/driver.go
@@ -230,6 +230,7 @@
 	defer cancel()
 	sent := d.Clock()
 	status, err := d.Groups.Status(ctx, ask.Target)
+	err = identify(err, "status", ask.Target, status)
 	d.step(func(now time.Duration, out *Output) {
 		if err != nil {
 			d.mu.rounds.Failed(now, ask.Sequence, out)
@@ -248,6 +249,7 @@
 	ctx, cancel := context.WithTimeout(d.ctx, d.config.RequestTimeout)
 	defer cancel()
 	report, err := d.Groups.TransactionStatus(ctx, query.Target, query.Transaction)
+	err = identify(err, "transaction status", query.Target, report.Status)
 	d.step(func(now time.Duration, out *Output) {
 		if err != nil {
 			d.mu.rounds.QueryFailed(now, query.Waiter, out)
--- a/process/group/driver_test.go
+++ b/process/group/driver_test.go
@@ -152,3 +152,27 @@
 		}
 	})
 }
+
+// aliased answers for every member with the state of one.
+type aliased struct{ *grouptest.Platform }
+
+func (a aliased) Status(ctx context.Context, _ platform.Target) (topology.Status, error) {
+	return a.Platform.Status(ctx, platform.Target{ID: "a"})
+}
+
+func TestDriverCountsEachMemberOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := grouptest.NewPlatform(grouptest.New("a", "b", "c"), time.Millisecond)
+		deps := testDependencies(p)
+		deps.Groups = aliased{p}
+		d := NewDriver(DefaultConfig("ledger", "i1", "d1"), deps)
+		d.SetTargets(testTargets("a", "b", "c"))
+		write(p, 1)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := d.ConfirmCommit(ctx, Commit{Target: "a", Term: 1}); !errors.Is(err, ErrNoEvidence) {
+			t.Errorf("ConfirmCommit by one member's answers = %v, want ErrNoEvidence", err)
+		}
+		d.close()
+	})
+}
--- a/process/group/need.go
+++ b/process/group/need.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/platform"
@@ -16,6 +17,28 @@
 // answered as needed. The outcome of a commit is unknown.
 var ErrNoEvidence = errors.New("no evidence from a majority of the group")
 
+// WrongTargetError reports an answer of another target than was asked, as when
+// two members are configured with one control address. Counted as two members,
+// it would make a majority of one.
+type WrongTargetError struct {
+	Step  string
+	Asked topology.TargetID
+	Got   topology.TargetID
+}
+
+// Error names the step and both targets.
+func (e *WrongTargetError) Error() string {
+	return fmt.Sprintf("%s of target %s was answered by target %q", e.Step, e.Asked, e.Got)
+}
+
+// identify returns err, or an error when the status is not the target's.
+func identify(err error, step string, target platform.Target, status topology.Status) error {
+	if err != nil || status.Target == target.ID {
+		return err
+	}
+	return &WrongTargetError{Step: step, Asked: target.ID, Got: status.Target}
+}
+
 // TargetConfig is one member as the service's record lists it.
 type TargetConfig struct {
 	platform.Target
--- a/process/group/promote.go
+++ b/process/group/promote.go
@@ -92,6 +92,7 @@
 	ctx, cancel := context.WithTimeout(d.ctx, d.config.RequestTimeout)
 	defer cancel()
 	status, err := d.Groups.Fence(ctx, action.Target, action.Term)
+	err = identify(err, "fence", action.Target, status)
 	d.logOrder("fence", action, err)
 	d.step(func(now time.Duration, out *Output) {
 		d.mu.promotion.Fenced(now, action.Attempt, action.Target.ID, status, orderOutcome(err), &d.mu.actions)
@@ -103,6 +104,7 @@
 	ctx, cancel := context.WithTimeout(d.ctx, d.config.RequestTimeout)
 	defer cancel()
 	status, err := d.Groups.Promote(ctx, action.Target, action.Term)
+	err = identify(err, "promote", action.Target, status)
 	d.logOrder("promote", action, err)
 	d.step(func(now time.Duration, out *Output) {
 		d.mu.promotion.Promoted(now, action.Attempt, status, orderOutcome(err), &d.mu.actions)
@@ -114,6 +116,7 @@
 	ctx, cancel := context.WithTimeout(d.ctx, d.config.RequestTimeout)
 	defer cancel()
 	status, err := d.Groups.Status(ctx, action.Target)
+	err = identify(err, "status", action.Target, status)
 	d.step(func(now time.Duration, _ *Output) {
 		d.mu.promotion.Settled(now, action.Attempt, status, orderOutcome(err), &d.mu.actions)
 	})
