Limit rates and connections over the fleet, start without the store

Ruled out: waiting for a slot before serving (a fleet may have more daemons than slots); a second reader of the list (membership's reads are passed on). Conclusion: links make instances known to each other; lists travel in the hello.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,6 +8,8 @@
 	"errors"
 	"hash/maphash"
 	"net"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -22,6 +24,8 @@
 	"samphirehitch.example/samphirehitch/process/clock"
 	"samphirehitch.example/samphirehitch/process/config"
 	"samphirehitch.example/samphirehitch/process/event"
+	"samphirehitch.example/samphirehitch/process/ledger"
+	"samphirehitch.example/samphirehitch/process/membership"
 	"samphirehitch.example/samphirehitch/process/peer"
 	"samphirehitch.example/samphirehitch/process/platform"
 	"samphirehitch.example/samphirehitch/process/settings"
@@ -36,9 +40,21 @@
 	eventStopped   = event.Define(1203, event.Info, "daemon stopped")
 	eventAccepted  = event.Define(1204, event.Info, "configuration in force")
 	eventRejected  = event.Define(1205, event.Warning, "record not in force")
+	eventKept      = event.Define(1207, event.Warning, "shares not given back at shutdown")
 	eventLogins    = event.Define(1206, event.Warning, "settings hold no credential for a service")
 )
 
+// A daemon is ready settleTime after its first configuration, when its parts of
+// the rates have begun to refill, and once it knows who holds each slot, so that
+// it can borrow. After settleLimit it is ready without that.
+const (
+	settleTime  = 500 * time.Millisecond
+	settleLimit = 3 * time.Second
+)
+
+// leaveTimeout bounds the time that giving back shares takes at shutdown.
+const leaveTimeout = 2 * time.Second
+
 // errStopped is the reason with which Stop ends Run.
 var errStopped = eris.New("daemon stopped")
 
@@ -64,6 +80,8 @@
 	mesh     *peer.Mesh
 	config   *config.Driver
 	members  *members
+	fleet    *membership.Driver
+	ledger   *ledger.Driver
 	records  snapshot.Holder
 	services *services
 	callers  *caller.Server
@@ -73,6 +91,10 @@
 	registry    *prometheus.Registry
 	metrics     metrics
 
+	// inForceSince is when the first configuration came into force, in monotonic
+	// nanoseconds; zero before that.
+	inForceSince atomic.Int64
+
 	listeners listeners
 	ctx       context.Context
 	cancel    context.CancelCauseFunc
@@ -116,14 +138,22 @@
 	}
 	d.mesh = peer.New(peer.Config{
 		Instance: self.ID, FailureDomain: self.FailureDomain, Address: self.Peer,
-		Identity: identity, Seeds: d.settings.Seeds,
+		Identity: identity, Seeds: d.settings.Seeds, Known: d.knownInstances,
 	}, d.logger)
 	d.config = config.New(config.Config{Self: self, Seed: randomSeed()}, d.platform.Store, d.mesh, d.clock, d.logger)
+	first := firstID()
 	d.members = newMembers(d)
+	d.fleet = newMembership(d, first)
+	d.ledger = ledger.New(first, d.mesh, d.clock, d.logger)
 	d.services = newServices(d)
+	d.mesh.OnUp(d.members.linkUp)
+	d.mesh.Handle(peer.KindHeartbeat, d.fleet.Receive)
+	d.mesh.Handle(peer.KindLedger, d.ledger.Receive)
 	d.mesh.Handle(peer.KindConfig, d.config.Receive)
 	d.mesh.Handle(peer.KindGroup, d.services.groups.Receive)
 	d.config.Subscribe(d.configurationChanged)
+	d.fleet.Subscribe(d.members.viewChanged)
+	d.fleet.Subscribe(d.ledger.MembershipChanged)
 	return nil
 }
 
@@ -132,7 +162,7 @@
 	executor := execute.New(execute.Config{Own: d.settings.FailureDomain}, execute.Deps{
 		Directory: d.directory,
 		Gate:      gate{d.config},
-		Admitter:  d.admitter(),
+		Admitter:  d.ledger,
 		Groups:    d.services,
 		Pools:     d.services,
 		Clock:     d.clock,
@@ -221,7 +251,8 @@
 		d.mesh.Run,
 		d.servePeers,
 		d.config.Run,
-		d.members.run,
+		d.fleet.Run,
+		d.ledger.Run,
 		d.services.groups.Run,
 		func(ctx context.Context) error { return d.admin.Serve(ctx, d.listeners.admin) },
 	}
@@ -245,6 +276,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	drained := d.callers.Drain(ctx)
+	d.leave()
 	if drained != nil && timeout > 0 {
 		return drained
 	}
@@ -254,16 +286,42 @@
 	return cause
 }
 
+// leave gives this instance's shares to the others.
+func (d *Daemon) leave() {
+	d.ledger.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := d.fleet.Drain(ctx); err != nil {
+		eventKept.LogError(d.logger, err)
+	}
+}
+
+// knownInstances returns the platform's list for peers that have not read it.
+func (d *Daemon) knownInstances() []platform.Instance { return d.members.Known() }
+
 // Ready returns nil when balancers may send callers here, or the reason why not.
 func (d *Daemon) Ready() error {
 	if d.ctx.Err() != nil {
 		return errStopped
 	}
-	if d.records.Current() == nil {
+	since := d.inForceSince.Load()
+	if since == 0 {
 		return eris.New("no configuration yet")
 	}
+	if !d.settled(d.clock() - time.Duration(since)) {
+		return eris.New("shares of rates and connections are being settled")
+	}
 	return d.config.Fresh()
 }
 
+// settled reports whether requests find tokens and connections, some time after
+// the first configuration.
+func (d *Daemon) settled(since time.Duration) bool {
+	if since >= settleLimit {
+		return true
+	}
+	return since >= settleTime && !slices.Contains(d.fleet.View().Holders, "")
+}
+
 // randomSeed returns a seed that differs between processes.
 func randomSeed() uint64 { return maphash.Comparable(maphash.MakeSeed(), time.Now()) }
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -1,26 +1,44 @@
 package daemon
 
 import (
-	"context"
+	"time"
 
+	"samphirehitch.example/samphirehitch/process/ledger"
 	"samphirehitch.example/samphirehitch/process/topology"
-	"samphirehitch.example/samphirehitch/request/execute"
-	"samphirehitch.example/samphirehitch/version/record"
 	"samphirehitch.example/samphirehitch/version/snapshot"
 )
 
-type admitAll struct{}
-
-// Admit admits.
-func (admitAll) Admit(context.Context, topology.CustomerID) error { return nil }
-
-func (d *Daemon) admitter() execute.Admitter { return admitAll{} }
-
-func (d *Daemon) limitsChanged(*snapshot.Snapshot) {}
-
-// connectionLimit is this instance's share of a target's connections.
-func (d *Daemon) connectionLimit(s record.Service, _ topology.TargetID) int {
-	return max(1, s.Connections/d.settings.Fleet.Slots)
+// retireInterval is the time between looks at a closed pool whose connections
+// are still in use.
+const retireInterval = 20 * time.Millisecond
+
+// limitsChanged hands the limits of a snapshot to the ledger.
+func (d *Daemon) limitsChanged(next *snapshot.Snapshot) {
+	limits := make([]ledger.Limit, 0, len(next.Limits()))
+	for _, limit := range next.Limits() {
+		limits = append(limits, ledger.Limit{Customer: limit.Customer, Rate: limit.Rate, Burst: limit.Burst})
+	}
+	d.ledger.SetLimits(limits)
+	var connections []ledger.ConnectionLimit
+	for _, service := range next.Services() {
+		for _, target := range service.Targets {
+			connections = append(connections, ledger.ConnectionLimit{Target: target.ID, Total: service.Connections})
+		}
+	}
+	d.ledger.SetConnections(connections)
 }
 
-func (d *Daemon) demandChanged(topology.TargetID) {}
+// retire closes a pool. The ledger stops counting it once its last connection is
+// closed, and only then counts its successor, if there is one.
+func (d *Daemon) retire(target topology.TargetID, old, successor *targetPool) {
+	old.Close()
+	ticker := time.NewTicker(retireInterval)
+	defer ticker.Stop()
+	for old.Stats().Open > 0 {
+		<-ticker.C
+	}
+	d.ledger.Detach(target)
+	if successor != nil {
+		d.ledger.Attach(target, successor)
+	}
+}
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -30,6 +30,7 @@
 	d.limitsChanged(next)
 	d.services.apply(next)
 	if d.records.Publish(next) {
+		d.inForceSince.CompareAndSwap(0, max(1, int64(d.clock())))
 		eventAccepted.Log(d.logger, "revision", next.Revision(), "services", len(next.Services()), "rejected", len(rejections))
 	}
 }
--- a/daemon/service.go
+++ b/daemon/service.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
 	"samphirehitch.example/samphirehitch/connection/upstream"
@@ -18,10 +17,10 @@
 
 // Timing and size of a service's parts.
 const (
-	targetDial     = 3 * time.Second
-	queueLength    = 4096
-	queuePerParty  = 1024
-	queueWaitLimit = 5 * time.Second
+	targetDial       = 3 * time.Second
+	queueLength      = 4096
+	queuePerCustomer = 1024
+	queueWaitLimit   = 5 * time.Second
 )
 
 // targetPool is the pool of one target.
@@ -44,47 +43,50 @@
 	return p, ok
 }
 
-// apply makes the pools follow the record.
-func (s *service) apply(next record.Service, open func(record.Service, record.ServiceTarget) *targetPool) {
-	for _, old := range s.replacePools(next, open) {
-		old.Close()
-	}
+// poolChange is what becomes of a target's pool when a record changes. Either
+// side may be nil.
+type poolChange struct {
+	target     topology.TargetID
+	old, fresh *targetPool
 }
 
-// replacePools opens pools for new targets and returns those to close: of
-// targets that are gone, moved or reached in another way.
-func (s *service) replacePools(next record.Service, open func(record.Service, record.ServiceTarget) *targetPool) []*targetPool {
+// apply makes the pools follow the record and returns what changed: pools of new
+// targets, and of targets that are gone, moved or reached in another way.
+func (s *service) apply(next record.Service, open func(record.Service, record.ServiceTarget) *targetPool) []poolChange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	previous := s.mu.record
-	kept := make(map[topology.TargetID]*targetPool, len(next.Targets))
+	previous, before := s.mu.record, s.mu.pools
+	s.mu.record = next
+	s.mu.pools = make(map[topology.TargetID]*targetPool, len(next.Targets))
+	var changes []poolChange
 	for _, target := range next.Targets {
-		old, ok := s.mu.pools[target.ID]
-		if ok && sameLogin(previous, next) && sameAddress(previous, target) {
-			kept[target.ID] = old
-			delete(s.mu.pools, target.ID)
+		old := before[target.ID]
+		delete(before, target.ID)
+		if old != nil && sameLogin(previous, next) && sameAddress(previous, target) {
 			old.SetMaxInFlight(next.Slots)
+			s.mu.pools[target.ID] = old
 			continue
 		}
-		kept[target.ID] = open(next, target)
+		fresh := open(next, target)
+		s.mu.pools[target.ID] = fresh
+		changes = append(changes, poolChange{target.ID, old, fresh})
 	}
-	var closing []*targetPool
-	for _, old := range s.mu.pools {
-		closing = append(closing, old)
+	for target, old := range before {
+		changes = append(changes, poolChange{target, old, nil})
 	}
-	s.mu.record = next
-	s.mu.pools = kept
-	return closing
+	return changes
 }
 
-// close closes the pools.
-func (s *service) close() {
+// clear takes all pools away.
+func (s *service) clear() []poolChange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, p := range s.mu.pools {
-		p.Close()
+	var changes []poolChange
+	for target, old := range s.mu.pools {
+		changes = append(changes, poolChange{target, old, nil})
 	}
 	s.mu.pools = nil
+	return changes
 }
 
 func sameLogin(a, b record.Service) bool {
@@ -114,21 +116,15 @@
 	}
 }
 
-// poolConfig sizes the pool of a target.
-func poolConfig(s record.Service, target record.ServiceTarget, limit int, changed func()) pool.Config {
+// poolConfig sizes the pool of a target. The ledger raises its limit.
+func poolConfig(s record.Service, target record.ServiceTarget, changed func()) pool.Config {
+	queue := fairqueue.DefaultConfig()
+	queue.MaxLength, queue.MaxPerCustomer, queue.MaxWait = queueLength, queuePerCustomer, queueWaitLimit
 	return pool.Config{
 		Target:      target.ID,
-		Limit:       limit,
 		MaxInFlight: s.Slots,
 		DialTimeout: targetDial,
-		Queue:       fairqueue.Config{MaxLength: queueLength, MaxPerCustomer: queuePerParty, MaxWait: queueWaitLimit},
+		Queue:       queue,
 		Changed:     changed,
 	}
 }
-
-// openPool returns a pool for a target.
-func openPool(d *Daemon, s record.Service, target record.ServiceTarget, logger logr.Logger) *targetPool {
-	limit := d.connectionLimit(s, target.ID)
-	cfg := poolConfig(s, target, limit, func() { d.demandChanged(target.ID) })
-	return pool.New(cfg, dialer(d.settings.Credentials, s, target), d.clock, logger)
-}
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"samphirehitch.example/samphirehitch/process/group"
+	"samphirehitch.example/samphirehitch/process/pool"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/request/execute"
 	"samphirehitch.example/samphirehitch/version/record"
@@ -20,6 +21,8 @@
 	daemon *Daemon
 	groups *group.Set
 	index  atomic.Pointer[map[topology.ServiceID]*service]
+	// retiring counts pools whose connections are being closed.
+	retiring sync.WaitGroup
 	// mu serialises changes.
 	mu sync.Mutex
 }
@@ -62,7 +65,7 @@
 		if !ok {
 			running = s.start(r)
 		}
-		running.apply(r, s.openPool)
+		s.settle(running.apply(r, s.openPool))
 		index[r.ID] = running
 		groups = append(groups, groupOf(r))
 	}
@@ -70,11 +73,22 @@
 	s.index.Store(&index)
 	for id, running := range previous {
 		if _, kept := index[id]; !kept {
-			running.close()
+			s.settle(running.clear())
 		}
 	}
 }
 
+// settle tells the ledger of new pools and retires old ones.
+func (s *services) settle(changes []poolChange) {
+	for _, change := range changes {
+		if change.old == nil {
+			s.daemon.ledger.Attach(change.target, change.fresh)
+			continue
+		}
+		s.retiring.Go(func() { s.daemon.retire(change.target, change.old, change.fresh) })
+	}
+}
+
 // groupOf lists the members of a service's group.
 func groupOf(r record.Service) group.ServiceConfig {
 	cfg := group.ServiceConfig{Service: r.ID}
@@ -85,7 +99,9 @@
 }
 
 func (s *services) openPool(r record.Service, target record.ServiceTarget) *targetPool {
-	return openPool(s.daemon, r, target, s.daemon.logger)
+	d := s.daemon
+	cfg := poolConfig(r, target, d.ledger.PoolChanged)
+	return pool.New(cfg, dialer(d.settings.Credentials, r, target), d.clock, d.logger)
 }
 
 // start returns a new service without pools.
@@ -99,12 +115,13 @@
 	return running
 }
 
-// close closes every pool.
+// close retires every pool and waits until the last connection is closed.
 func (s *services) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, running := range *s.index.Load() {
-		running.close()
+		s.settle(running.clear())
 	}
 	s.index.Store(&map[topology.ServiceID]*service{})
+	s.retiring.Wait()
 }
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -55,11 +55,11 @@
 		Draining:      d.ctx.Err() != nil,
 		Peers:         d.mesh.Connected(),
 		Configuration: ConfigurationStatus{
-			Revision: cfg.Revision, Watching: cfg.Watching,
-			Freshness: cfg.Freshness.String(), AgeMillis: cfg.Age.Milliseconds(),
+			Watching: cfg.Watching, Freshness: cfg.Freshness.String(), AgeMillis: cfg.Age.Milliseconds(),
 		},
 	}
 	if current := d.records.Current(); current != nil {
+		s.Configuration.Revision = current.Revision()
 		s.Configuration.Rejected = len(current.Rejections())
 		for _, r := range current.Services() {
 			s.Services = append(s.Services, d.services.status(r.ID))
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -55,6 +55,14 @@
 	stop   sync.Once
 }
 
+// start runs the daemon.
+func (e *Entry) start() {
+	go func() {
+		defer close(e.done)
+		e.err = e.Daemon.Run()
+	}()
+}
+
 // Stop drains the daemon and waits for its end.
 func (e *Entry) Stop() error {
 	e.stop.Do(func() { e.Daemon.Stop(nil) })
@@ -170,19 +178,33 @@
 	return eris.Wrapf(err, "write record %s", key)
 }
 
-// startDaemons starts every daemon and lists it with the platform.
+// startDaemons starts every daemon. The platform lists all of them first, as it
+// does when a deployment is rolled out.
 func (d *Deployment) startDaemons() error {
 	for i := range d.Shape.Daemons {
-		if _, err := d.StartDaemon(topology.InstanceID(fmt.Sprintf("entry-%d", i+1)), d.Shape.domain(i)); err != nil {
+		if _, err := d.addDaemon(topology.InstanceID(fmt.Sprintf("entry-%d", i+1)), d.Shape.domain(i)); err != nil {
 			return err
 		}
 	}
+	for _, e := range d.Daemons {
+		e.start()
+	}
 	return nil
 }
 
 // StartDaemon adds a daemon to the deployment. Seeds are peers to dial before the
 // store has answered.
 func (d *Deployment) StartDaemon(id topology.InstanceID, domain topology.FailureDomain, seeds ...string) (*Entry, error) {
+	e, err := d.addDaemon(id, domain, seeds...)
+	if err != nil {
+		return nil, err
+	}
+	e.start()
+	return e, nil
+}
+
+// addDaemon makes a daemon and lists it with the platform.
+func (d *Deployment) addDaemon(id topology.InstanceID, domain topology.FailureDomain, seeds ...string) (*Entry, error) {
 	s, err := settings.Parse([]byte(fmt.Sprintf(`{
 		"instance": %q, "failure_domain": %q,
 		"listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0"},
@@ -193,18 +215,14 @@
 		return nil, err
 	}
 	s.Seeds = seeds
-	running, err := daemon.New(daemon.Options{Settings: s, Platform: daemon.Dial(s), Logger: d.logger, Clock: d.clock})
+	made, err := daemon.New(daemon.Options{Settings: s, Platform: daemon.Dial(s), Logger: d.logger, Clock: d.clock})
 	if err != nil {
 		return nil, err
 	}
 	d.Store.Store().PutInstance(platform.Instance{
-		ID: id, Peer: running.PeerAddress().String(), FailureDomain: domain, State: platform.InstanceLive,
+		ID: id, Peer: made.PeerAddress().String(), FailureDomain: domain, State: platform.InstanceLive,
 	})
-	e := &Entry{Daemon: running, done: make(chan struct{})}
-	go func() {
-		defer close(e.done)
-		e.err = running.Run()
-	}()
+	e := &Entry{Daemon: made, done: make(chan struct{})}
 	d.Daemons = append(d.Daemons, e)
 	return e, nil
 }
--- a/demo/deployment_test.go
+++ b/demo/deployment_test.go
@@ -36,6 +36,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(d.Close)
+	if err := d.AwaitReady(ctx, testTimeout); err != nil {
+		t.Fatal(err)
+	}
 	return d
 }
 
--- a/demo/reuse_test.go
+++ b/demo/reuse_test.go
@@ -25,6 +25,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(d.Close)
+	if err := d.AwaitReady(ctx, testTimeout); err != nil {
+		t.Fatal(err)
+	}
 	conn := connect(ctx, t, d.ConnString(0, 0, 0))
 	for range 20 {
 		if _, err := conn.Exec(ctx, "UPDATE kv SET value = 'x' WHERE key = 'absent'"); err != nil {
--- a/process/ledger/connections.go
+++ b/process/ledger/connections.go
@@ -144,7 +144,16 @@
 			return s
 		}
 	}
-	return &share{own: own, units: units, usableFrom: now + connectionDelay}
+	return &share{own: own, units: units, usableFrom: usableFrom(now, own)}
+}
+
+// usableFrom returns when a share may be used: at once when nobody held its slot
+// before, else when the loans of an earlier holder have ended.
+func usableFrom(now time.Duration, own *ownership) time.Duration {
+	if own.epoch == firstEpoch {
+		return now
+	}
+	return now + connectionDelay
 }
 
 func (a *connectionAccount) source(slot int, holder topology.InstanceID, units int) *connectionSource {
--- a/process/ledger/connlender.go
+++ b/process/ledger/connlender.go
@@ -15,6 +15,8 @@
 	// connectionDelay is how long a new holder waits before it uses a slot's
 	// connections, so that loans of the former holder have ended or are known.
 	connectionDelay = ConnectionTerm + ConnectionTerm/16
+	// firstEpoch is the epoch of a slot's first holder.
+	firstEpoch = 1
 	// connectionSoftEnd is the age of a loan from which its connections are
 	// closed as they come free.
 	connectionSoftEnd = ConnectionTerm / 2
--- a/process/membership/coordinator.go
+++ b/process/membership/coordinator.go
@@ -63,10 +63,12 @@
 	// omittedAt is when the list was first seen without the instance.
 	omittedAt time.Duration
 	listedAt  time.Duration
-	heard     bool
-	heardAt   time.Duration
-	firstID   uint64
-	leaving   bool
+	// met is set when a link to the instance came up.
+	met     bool
+	heard   bool
+	heardAt time.Duration
+	firstID uint64
+	leaving bool
 }
 
 // Coordinator decides on slots and liveness. It is a plain state machine.
@@ -159,7 +161,7 @@
 func (c *Coordinator) addressees() []topology.InstanceID {
 	var ids []topology.InstanceID
 	for id, p := range c.peers {
-		if id != c.cfg.Self.ID && (p.listed || p.heard) {
+		if id != c.cfg.Self.ID && (p.listed || p.heard || p.met) {
 			ids = append(ids, id)
 		}
 	}
@@ -214,6 +216,16 @@
 	return p
 }
 
+// Met says that a link to an instance came up. Heartbeats over it make instances
+// known to each other that the platform's list does not show to either.
+func (c *Coordinator) Met(now time.Duration, instance platform.Instance) {
+	p := c.peer(instance.ID, now)
+	p.met = true
+	if !p.listed {
+		p.instance = instance
+	}
+}
+
 // HeartbeatReceived takes a heartbeat.
 func (c *Coordinator) HeartbeatReceived(now time.Duration, from topology.InstanceID, h Heartbeat) {
 	p := c.peer(from, now)
--- a/process/membership/coordinator_test.go
+++ b/process/membership/coordinator_test.go
@@ -384,3 +384,29 @@
 		t.Fatal("slots were lost in a short outage of the store")
 	}
 }
+
+// TestInstancesMeetWithoutTheList lets two instances that the platform's list
+// shows to neither know each other by the link between them.
+func TestInstancesMeetWithoutTheList(t *testing.T) {
+	ids := []topology.InstanceID{"a", "b"}
+	var fleet []*Coordinator
+	for i, id := range ids {
+		cfg := DefaultConfig(platform.Instance{ID: id}, uint64(i+1), 8)
+		fleet = append(fleet, NewCoordinator(cfg, rand.New(rand.NewPCG(1, uint64(i)))))
+	}
+	fleet[0].Met(0, platform.Instance{ID: "b", FailureDomain: "d"})
+	fleet[1].Met(0, platform.Instance{ID: "a", FailureDomain: "d"})
+	for now := time.Duration(0); now < time.Second; now += 100 * time.Millisecond {
+		for i, c := range fleet {
+			a := c.Tick(now)
+			for range a.Heartbeats {
+				fleet[1-i].HeartbeatReceived(now, ids[i], a.Heartbeat)
+			}
+		}
+	}
+	for i, c := range fleet {
+		if live := c.View(time.Second).Live; len(live) != len(ids) {
+			t.Errorf("%s believes %d instances alive, want %d", ids[i], len(live), len(ids))
+		}
+	}
+}
--- a/process/membership/driver.go
+++ b/process/membership/driver.go
@@ -118,6 +118,11 @@
 	f(*d.view.Load())
 }
 
+// Met says that a link to an instance came up.
+func (d *Driver) Met(instance platform.Instance) {
+	d.update(func(now time.Duration, c *Coordinator) { c.Met(now, instance) })
+}
+
 // Receive takes a heartbeat. It is a peer.Receiver.
 func (d *Driver) Receive(from topology.InstanceID, payload []byte) {
 	var h Heartbeat
--- a/process/peer/frame.go
+++ b/process/peer/frame.go
@@ -4,6 +4,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"samphirehitch.example/samphirehitch/process/platform"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
 
@@ -16,6 +17,7 @@
 	Instance      topology.InstanceID    `cbor:"1,keyasint"`
 	FailureDomain topology.FailureDomain `cbor:"2,keyasint"`
 	Address       string                 `cbor:"3,keyasint"`
+	Known         []platform.Instance    `cbor:"4,keyasint,omitempty"`
 }
 
 // frame is every later frame.
--- a/process/peer/identity_test.go
+++ b/process/peer/identity_test.go
@@ -107,8 +107,8 @@
 	defer server.Close()
 	up, accepted, done := make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{})
 	dialing := New(Config{Instance: dialerID, Identity: dialer}, logr.Discard())
-	dialing.OnUp(func(platform.Instance) { up <- struct{}{} })
-	accepting.OnUp(func(platform.Instance) { accepted <- struct{}{} })
+	dialing.OnUp(func(platform.Instance, []platform.Instance) { up <- struct{}{} })
+	accepting.OnUp(func(platform.Instance, []platform.Instance) { accepted <- struct{}{} })
 	go func() {
 		defer close(done)
 		dialing.dial(ctx, server.Listener.Addr().String())
--- a/process/peer/mesh.go
+++ b/process/peer/mesh.go
@@ -30,6 +30,8 @@
 	// none crossed them for linkIdle.
 	fullMeshInstances = 32
 	linkIdle          = time.Minute
+	// maxToldInstances is the longest list that is told to a peer.
+	maxToldInstances = 256
 	// MeshPath is the HTTP path at which a daemon accepts links.
 	MeshPath = "/peer"
 )
@@ -53,6 +55,9 @@
 	Identity *Identity
 	// Seeds are addresses to dial before any list of instances is known.
 	Seeds []string
+	// Known, when set, returns the platform's list of instances as this instance
+	// has read it last. Small lists are told to peers when a link comes up.
+	Known func() []platform.Instance
 }
 
 // Mesh keeps a link to each wanted peer and accepts links from others. A pair
@@ -67,7 +72,7 @@
 	scheme    string
 	receivers [256]Receiver
 	counters  Counters
-	onUp      func(platform.Instance)
+	onUp      func(platform.Instance, []platform.Instance)
 
 	mu struct {
 		sync.RWMutex
@@ -95,9 +100,10 @@
 // Handle sets the receiver of a kind. It is called before Run.
 func (m *Mesh) Handle(kind Kind, receiver Receiver) { m.receivers[kind] = receiver }
 
-// OnUp sets a function that is told of each peer that a link came up to. It is
-// called before Run and must return quickly.
-func (m *Mesh) OnUp(f func(platform.Instance)) { m.onUp = f }
+// OnUp sets a function that is told of each peer that a link came up to, with the
+// list of instances that the peer knows. It is called before Run and must return
+// quickly.
+func (m *Mesh) OnUp(f func(peer platform.Instance, known []platform.Instance)) { m.onUp = f }
 
 // Counters returns the traffic counters.
 func (m *Mesh) Counters() *Counters { return &m.counters }
@@ -268,7 +274,7 @@
 		m.onUp(platform.Instance{
 			ID: remote.Instance, Peer: remote.Address,
 			FailureDomain: remote.FailureDomain, State: platform.InstanceLive,
-		})
+		}, remote.Known)
 	}
 	err = l.run(ctx, m.deliver)
 	eventLinkDown.Log(m.logger, "peer", remote.Instance, "cause", eris.ToString(err, false))
@@ -278,7 +284,7 @@
 func (m *Mesh) greet(ctx context.Context, conn *websocket.Conn) (hello, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	own, err := cbor.Marshal(hello{Instance: m.cfg.Instance, FailureDomain: m.cfg.FailureDomain, Address: m.cfg.Address})
+	own, err := cbor.Marshal(m.hello())
 	if err != nil {
 		return hello{}, eris.Wrap(err, "encode hello")
 	}
@@ -299,6 +305,18 @@
 	return remote, nil
 }
 
+// hello describes this instance.
+func (m *Mesh) hello() hello {
+	h := hello{Instance: m.cfg.Instance, FailureDomain: m.cfg.FailureDomain, Address: m.cfg.Address}
+	if m.cfg.Known == nil {
+		return h
+	}
+	if known := m.cfg.Known(); len(known) <= maxToldInstances {
+		h.Known = known
+	}
+	return h
+}
+
 // deliver hands a frame to the receiver of its kind.
 func (m *Mesh) deliver(from topology.InstanceID, data []byte) error {
 	f, err := decodeFrame(data)
