List all daemons before they start in the end-to-end run

Cause: listed one at a time, the first daemon took every slot and the others waited 32 s for connections after it made room. Ruled out: a shorter wait (loans of an earlier holder last 30 s).

--- a/e2e/fleet.sh
+++ b/e2e/fleet.sh
@@ -64,6 +64,15 @@
   start_target "$1" 3
 }
 
+# list_daemons: puts every daemon on the platform's list, as a roll-out does.
+list_daemons() {
+  local i
+  for i in $(seq "$FLEET_DAEMONS"); do
+    post "http://$store_address/admin/instance/put" \
+      "{\"id\":\"entry-$i\",\"peer\":\"$(peer_address "$i")\",\"failure_domain\":\"$(domain $((i - 1)))\",\"state\":\"live\"}"
+  done
+}
+
 # start_daemon NUMBER
 start_daemon() {
   cat >"$FLEET_DIR/entry-$1.json" <<JSON
@@ -75,8 +84,6 @@
   "credentials": {"targets": {"user": "proxy", "password": "proxy-password"}}
 }
 JSON
-  post "http://$store_address/admin/instance/put" \
-    "{\"id\":\"entry-$1\",\"peer\":\"$(peer_address "$1")\",\"failure_domain\":\"$(domain $(($1 - 1)))\",\"state\":\"live\"}"
   spawn "entry-$1" "$FLEET_DIR/bin/samphirehitchd" serve "$FLEET_DIR/entry-$1.json"
 }
 
--- a/e2e/run.sh
+++ b/e2e/run.sh
@@ -22,6 +22,7 @@
 ctl() { "$FLEET_DIR/bin/samphirehitchctl" --store "$store_address" --author e2e "$@"; }
 start_store
 for s in 1 2 3; do start_group "$s"; done
+list_daemons
 for i in $(seq "$FLEET_DAEMONS"); do start_daemon "$i"; done
 
 {
