Show each coordination part alone in an example

Cause: the parts are meant for embedders, and nothing showed one used without the daemon. Ruled out: examples over the drivers (goroutines and real time, so that the output could differ); the test packages' simulated worlds (internal, and longer than what they would explain). Before and after: before, no example.

--- /dev/null
+++ b/request/retry/example_test.go
@@ -0,0 +1,50 @@
+package retry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"samphirehitch.example/samphirehitch/request/retry"
+)
+
+// A failure that surely had no effect is tried again after a random delay. One
+// that may have had an effect is not, as the request is not idempotent.
+func ExampleRequest() {
+	budget := retry.NewBudget(0.1, 10)
+	random := rand.New(rand.NewPCG(1, 1))
+	policy := retry.Policy{MaxAttempts: 3, FirstDelay: 20 * time.Millisecond, MaxDelay: time.Second}
+	const deadline = 5 * time.Second
+
+	request := retry.NewRequest(policy, budget, random, deadline, false)
+	now := 10 * time.Millisecond
+	decision, delay := request.Failed(now, retry.EffectNone)
+	fmt.Println(decision, delay < policy.FirstDelay)
+	now += delay
+	decision, _ = request.Failed(now, retry.EffectUnknown)
+	fmt.Println(decision)
+	// Output:
+	// again true
+	// effect unknown
+}
+
+// While everything fails, retries add a tenth to the load, and no more than the
+// burst beside it.
+func ExampleBudget() {
+	budget := retry.NewBudget(0.1, 5)
+	random := rand.New(rand.NewPCG(1, 1))
+	retries := 0
+	for range 1000 {
+		request := retry.NewRequest(retry.DefaultPolicy(), budget, random, time.Minute, true)
+		for {
+			decision, _ := request.Failed(0, retry.EffectUnknown)
+			if decision != retry.Again {
+				break
+			}
+			retries++
+		}
+	}
+	fmt.Println(retries <= 1000/10+5, budget.Take())
+	// Output:
+	// true false
+}
