Wait for loans of a target whose record came back

Cause: lets a slot's first holder use its connections at once; a target whose record was removed and written again forgot what that holder had lent. Ruled out: waiting always, as before (the start of a fleet took 32 s). Before and after: TestRemovedTargetWaitsForItsLoans without the check: '1 connections may be open beside one that was lent'; passes with it. Conclusion: only a target new to the process is used at once.

--- a/process/ledger/connaccount.go
+++ b/process/ledger/connaccount.go
@@ -80,11 +80,14 @@
 
 // connectionAccount is the state of one target on one instance.
 type connectionAccount struct {
-	target  topology.TargetID
-	total   int
-	shares  []*share
-	sources []*connectionSource
-	usage   Usage
+	target topology.TargetID
+	total  int
+	// returned is set when the target had a limit before, was removed and came
+	// back: connections lent then may still be open.
+	returned bool
+	shares   []*share
+	sources  []*connectionSource
+	usage    Usage
 	// usedAt is when the target was last wanted.
 	usedAt time.Duration
 	// peak is the most connections wanted since peakFrom, lastPeak that of the
--- a/process/ledger/connections.go
+++ b/process/ledger/connections.go
@@ -31,6 +31,8 @@
 // machine like Shard.
 type Connections struct {
 	accounts map[topology.TargetID]*connectionAccount
+	// removed holds the targets that had a limit before.
+	removed  map[topology.TargetID]bool
 	owned    map[int]*ownership
 	holders  []topology.InstanceID
 	draining bool
@@ -44,6 +46,7 @@
 func NewConnections(firstID uint64) *Connections {
 	return &Connections{
 		accounts: make(map[topology.TargetID]*connectionAccount),
+		removed:  make(map[topology.TargetID]bool),
 		owned:    make(map[int]*ownership),
 		lastID:   firstID,
 		outbox:   make(map[topology.InstanceID]*Message),
@@ -74,7 +77,7 @@
 		kept[limit.Target] = true
 		a, known := c.accounts[limit.Target]
 		if !known {
-			a = &connectionAccount{target: limit.Target, peakFrom: now}
+			a = &connectionAccount{target: limit.Target, peakFrom: now, returned: c.removed[limit.Target]}
 			c.accounts[limit.Target] = a
 		}
 		a.total = limit.Total
@@ -83,6 +86,7 @@
 	for target := range c.accounts {
 		if !kept[target] {
 			delete(c.accounts, target)
+			c.removed[target] = true
 			c.changes = append(c.changes, LimitChange{Target: target})
 		}
 	}
@@ -144,13 +148,14 @@
 			return s
 		}
 	}
-	return &share{own: own, units: units, usableFrom: usableFrom(now, own)}
+	return &share{own: own, units: units, usableFrom: a.usableFrom(now, own)}
 }
 
-// usableFrom returns when a share may be used: at once when nobody held its slot
-// before, else when the loans of an earlier holder have ended.
-func usableFrom(now time.Duration, own *ownership) time.Duration {
-	if own.epoch == firstEpoch {
+// usableFrom returns when a new share may be used: at once when nobody can have
+// lent of it before, else when the loans of an earlier holder, or of this one
+// before the target's record was removed, have ended.
+func (a *connectionAccount) usableFrom(now time.Duration, own *ownership) time.Duration {
+	if own.epoch == firstEpoch && !a.returned {
 		return now
 	}
 	return now + connectionDelay
--- a/process/ledger/connections_test.go
+++ b/process/ledger/connections_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"samphirehitch.example/samphirehitch/process/topology"
 )
 
 const (
@@ -187,3 +189,21 @@
 		t.Fatalf("the next busy instance has %d connections", other.pool.inUse)
 	}
 }
+
+// TestRemovedTargetWaitsForItsLoans checks that a target whose record is removed
+// and written again is not used before the connections lent earlier have ended.
+func TestRemovedTargetWaitsForItsLoans(t *testing.T) {
+	c := NewConnections(1)
+	limits := []ConnectionLimit{{Target: poolTarget, Total: 1}}
+	c.SetSlots(0, &Slots{Holders: []topology.InstanceID{"self"}, Owned: []OwnedSlot{{Epoch: firstEpoch, Until: never}}})
+	c.SetLimits(0, limits)
+	c.Receive(time.Second, "peer", &Message{ConnectionAsks: []ConnectionAsk{{Target: poolTarget, ID: 1, Wanted: 1}}})
+	c.SetLimits(2*time.Second, nil)
+	c.SetLimits(3*time.Second, limits)
+	if limit := c.Limit(4*time.Second, poolTarget); limit != 0 {
+		t.Fatalf("%d connections may be open beside one that was lent", limit)
+	}
+	if limit := c.Limit(3*time.Second+connectionDelay, poolTarget); limit != 1 {
+		t.Fatalf("%d connections may be open after the loans have ended", limit)
+	}
+}
