Serve no read from a log that the latest term may not have

Ruled out: raising the floor of aged reads to the promotion's point (it would send them all to the primary while replicas lag). Conclusion: a target serves reads once it has replayed an entry of the latest term that it or the majority has promised.

--- a/request/route/route.go
+++ b/request/route/route.go
@@ -101,13 +101,21 @@
 		return false
 	case target.Status.Role != topology.RoleReplica, target.Status.Leaving:
 		return false
-	case !target.Status.Replayed.Reaches(floor):
+	case !target.Status.Replayed.Reaches(floor), !onLatestLog(view, target):
 		return false
 	default:
 		return !slices.Contains(need.Avoid, target.ID)
 	}
 }
 
+// onLatestLog reports whether the target has replayed an entry of the latest term
+// that it or the group's majority has promised. One that has not may hold entries
+// which the log of that term lacks: a replaced primary keeps its own last writes,
+// of which callers were told that they did not run.
+func onLatestLog(view *group.View, target *group.TargetView) bool {
+	return target.Status.Replayed.Term >= max(view.Term, target.Status.Term)
+}
+
 // floorOf joins the floor with the oldest frontier within the stated age: data
 // that reaches it is no older. The second result is false when no frontier is
 // recent enough.
