Define a daemon's status once

Cause: the daemon and the operators' command each had the types of /status, held together by a test of their names; the pool's part was written without names. Ruled out: importing the daemon in the command. Measured: the tests of operator and daemon pass; the new test reads back every field. Conclusion: one type, so the names cannot differ; the old test of the names goes.

--- a/operator/command/command_test.go
+++ b/operator/command/command_test.go
@@ -11,8 +11,8 @@
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
-	"samphirehitch.example/samphirehitch/operator/fleet"
 	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/status"
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/store/memstore"
 	"samphirehitch.example/samphirehitch/version/record"
@@ -29,9 +29,9 @@
 	service := memstore.New(memstore.Config{})
 	service.PutInstance(platform.Instance{ID: "i1", FailureDomain: "kollam", State: platform.InstanceLive, Peer: "10.0.0.9:7000"})
 	changes := 0
-	var status fleet.Status
+	var told status.Daemon
 	admin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(status)
+		_ = json.NewEncoder(w).Encode(told)
 	}))
 	defer admin.Close()
 	datadriven.RunTest(t, "testdata/commands", func(t *testing.T, d *datadriven.TestData) string {
@@ -40,8 +40,8 @@
 			service.SetFaults(memstore.Faults{Down: d.HasArg("down")})
 			return ""
 		case "daemon":
-			status = fleet.Status{}
-			if err := json.Unmarshal([]byte(d.Input), &status); err != nil {
+			told = status.Daemon{}
+			if err := json.Unmarshal([]byte(d.Input), &told); err != nil {
 				t.Fatal(err)
 			}
 			return ""
--- a/operator/command/inspect.go
+++ b/operator/command/inspect.go
@@ -10,6 +10,7 @@
 	"samphirehitch.example/samphirehitch/operator/change"
 	"samphirehitch.example/samphirehitch/operator/explain"
 	"samphirehitch.example/samphirehitch/operator/fleet"
+	"samphirehitch.example/samphirehitch/process/status"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/version/snapshot"
 )
@@ -78,7 +79,7 @@
 		return err
 	}
 	current, _ := snapshot.Build(nil, state)
-	var view *fleet.Status
+	var view *status.Daemon
 	if admin != "" {
 		daemon := fleet.Ask(ctx, []string{admin})[0]
 		if daemon.Status == nil {
--- a/operator/explain/explain.go
+++ b/operator/explain/explain.go
@@ -6,9 +6,9 @@
 import (
 	"fmt"
 
-	"samphirehitch.example/samphirehitch/operator/fleet"
 	"samphirehitch.example/samphirehitch/process/group"
 	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/status"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/request/classify"
 	"samphirehitch.example/samphirehitch/request/route"
@@ -51,7 +51,7 @@
 
 // Explain follows a statement through the records and, when status is not nil,
 // through a daemon's view of the groups.
-func Explain(current *snapshot.Snapshot, question Question, status *fleet.Status) *Answer {
+func Explain(current *snapshot.Snapshot, question Question, status *status.Daemon) *Answer {
 	answer := &Answer{}
 	found, ok := current.Route(question.Database)
 	if !ok {
@@ -112,7 +112,7 @@
 }
 
 // choose says where the statement goes.
-func (a *Answer) choose(service record.Service, found record.Route, read bool, status *fleet.Status) {
+func (a *Answer) choose(service record.Service, found record.Route, read bool, status *status.Daemon) {
 	if !read {
 		a.add("statement", "not known to be a read: runs on the primary")
 	} else if found.MaxAgeMillis > 0 {
@@ -151,7 +151,7 @@
 func (idle) InFlight(topology.TargetID) int { return 0 }
 
 // viewOf rebuilds a daemon's view of a service from its status.
-func viewOf(service record.Service, status *fleet.Status) *group.View {
+func viewOf(service record.Service, status *status.Daemon) *group.View {
 	for _, seen := range status.Services {
 		if seen.Service != service.ID {
 			continue
@@ -165,7 +165,7 @@
 	return nil
 }
 
-func targetView(service record.Service, seen fleet.Target) group.TargetView {
+func targetView(service record.Service, seen status.Target) group.TargetView {
 	view := group.TargetView{
 		Target: platform.Target{ID: seen.Target}, Known: seen.Role != "unknown",
 		Reachable: seen.Reachable, Leaving: seen.Leaving,
--- a/operator/fleet/fleet.go
+++ b/operator/fleet/fleet.go
@@ -12,8 +12,8 @@
 	"golang.org/x/sync/errgroup"
 	"samphirehitch.example/samphirehitch/operator/change"
 	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/status"
 	"samphirehitch.example/samphirehitch/process/store"
-	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/version/snapshot"
 )
 
@@ -26,48 +26,11 @@
 // SlotPrefix is the store prefix of the fleet's slots.
 const SlotPrefix = "fleet/"
 
-// Status is the part of a daemon's /status that operators' commands read.
-type Status struct {
-	Instance      topology.InstanceID    `json:"instance"`
-	FailureDomain topology.FailureDomain `json:"failure_domain"`
-	Draining      bool                   `json:"draining"`
-	Configuration Configuration          `json:"configuration"`
-	Services      []Service              `json:"services"`
-}
-
-// Configuration describes the configuration in force on a daemon.
-type Configuration struct {
-	Revision  store.Revision `json:"revision"`
-	Watching  bool           `json:"watching"`
-	Freshness string         `json:"freshness"`
-	// AgeMillis is the age of the evidence, negative without any.
-	AgeMillis int64 `json:"age_millis"`
-	Rejected  int   `json:"rejected"`
-}
-
-// Service is a service as a daemon sees it.
-type Service struct {
-	Service topology.ServiceID `json:"service"`
-	Primary topology.TargetID  `json:"primary"`
-	Term    topology.Term      `json:"term"`
-	Targets []Target           `json:"targets"`
-}
-
-// Target is a target as a daemon sees it.
-type Target struct {
-	Target    topology.TargetID `json:"target"`
-	Role      string            `json:"role"`
-	Reachable bool              `json:"reachable"`
-	Leaving   bool              `json:"leaving"`
-	Received  topology.Point    `json:"received"`
-	Replayed  topology.Point    `json:"replayed"`
-}
-
 // Daemon is the answer of one daemon.
 type Daemon struct {
 	// Address is the admin address, host:port.
-	Address string  `json:"address"`
-	Status  *Status `json:"status,omitempty"`
+	Address string         `json:"address"`
+	Status  *status.Daemon `json:"status,omitempty"`
 	// Behind is set when the daemon's configuration is older than the store's.
 	Behind bool `json:"behind"`
 	// Error says why there is no status.
@@ -123,8 +86,8 @@
 	}
 	report.Daemons = Ask(ctx, admins)
 	for i := range report.Daemons {
-		if status := report.Daemons[i].Status; status != nil {
-			report.Daemons[i].Behind = status.Configuration.Revision < report.Latest
+		if seen := report.Daemons[i].Status; seen != nil {
+			report.Daemons[i].Behind = seen.Configuration.Revision < report.Latest
 		}
 	}
 	return report, nil
@@ -171,14 +134,14 @@
 }
 
 func askOne(ctx context.Context, address string) Daemon {
-	status, err := fetch(ctx, address)
+	seen, err := fetch(ctx, address)
 	if err != nil {
 		return Daemon{Address: address, Error: err.Error()}
 	}
-	return Daemon{Address: address, Status: status}
+	return Daemon{Address: address, Status: seen}
 }
 
-func fetch(ctx context.Context, address string) (*Status, error) {
+func fetch(ctx context.Context, address string) (*status.Daemon, error) {
 	ctx, cancel := context.WithTimeout(ctx, daemonTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
@@ -193,9 +156,9 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, eris.Errorf("status of %s: HTTP %s", address, response.Status)
 	}
-	status := new(Status)
-	if err := json.NewDecoder(response.Body).Decode(status); err != nil {
+	seen := new(status.Daemon)
+	if err := json.NewDecoder(response.Body).Decode(seen); err != nil {
 		return nil, eris.Wrapf(err, "decode status of %s", address)
 	}
-	return status, nil
+	return seen, nil
 }
--- a/operator/fleet/fleet_test.go
+++ b/operator/fleet/fleet_test.go
@@ -1,39 +1,42 @@
 package fleet
 
 import (
-	"bytes"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"strings"
 	"testing"
 
-	"samphirehitch.example/samphirehitch/daemon"
 	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/status"
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/store/memstore"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
 
-// TestStatusMatchesTheDaemons holds the names read here against those that
-// daemons write.
-func TestStatusMatchesTheDaemons(t *testing.T) {
-	status := Status{
-		Instance: "i1", FailureDomain: "kollam", Draining: true,
-		Configuration: Configuration{Revision: 3, Watching: true, Freshness: "fresh", AgeMillis: 5, Rejected: 1},
-		Services: []Service{{Service: "s", Primary: "t", Term: 2, Targets: []Target{{
+// TestFetchReadsWhatIsWritten takes a status apart as it was put together. Both
+// sides use one type, so the names cannot differ.
+func TestFetchReadsWhatIsWritten(t *testing.T) {
+	written := status.Daemon{
+		Instance: "i1", FailureDomain: "kollam", Draining: true, Peers: []topology.InstanceID{"i2"},
+		Configuration: status.Configuration{Revision: 3, Watching: true, Freshness: "fresh", AgeMillis: 5, Rejected: 1},
+		Services: []status.Service{{Service: "s", Primary: "t", Term: 2, Targets: []status.Target{{
 			Target: "t", Role: topology.RolePrimary.String(), Reachable: true, Leaving: true,
 			Received: topology.Point{Term: 2, Position: 9}, Replayed: topology.Point{Term: 2, Position: 8},
+			Pool: status.Pool{Limit: 4, Open: 3, Leased: 2, Idle: 1, Waiting: 5},
 		}}}},
 	}
-	written, err := json.Marshal(status)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(written)
+	}))
+	defer server.Close()
+	read, err := fetch(t.Context(), server.Listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	decoder := json.NewDecoder(bytes.NewReader(written))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(new(daemon.Status)); err != nil {
-		t.Error(err)
+	if !reflect.DeepEqual(*read, written) {
+		t.Errorf("read %+v, want %+v", *read, written)
 	}
 }
 
@@ -51,7 +54,7 @@
 		}
 	}
 	admin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(Status{Instance: "i1", Configuration: Configuration{Freshness: "fresh"}})
+		_ = json.NewEncoder(w).Encode(status.Daemon{Instance: "i1", Configuration: status.Configuration{Freshness: "fresh"}})
 	}))
 	defer admin.Close()
 	gone := httptest.NewServer(http.NotFoundHandler())
