--- /dev/null
+++ b/docscheck/docscheck_test.go
@@ -0,0 +1,184 @@
+package docscheck
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	_ "samphirehitch.example/samphirehitch/demo"
+	"samphirehitch.example/samphirehitch/process/event"
+)
+
+const root = ".."
+
+// pages returns every Markdown page of the repository.
+func pages(t *testing.T) []string {
+	t.Helper()
+	var found []string
+	for _, pattern := range []string{"*.md", "docs/*.md", "docs/operations/*.md"} {
+		matches, err := filepath.Glob(filepath.Join(root, pattern))
+		if err != nil {
+			t.Fatal(err)
+		}
+		found = append(found, matches...)
+	}
+	return found
+}
+
+func read(t *testing.T, path string) string {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+var linkPattern = regexp.MustCompile(`\]\(([^)#\s]+)(#[^)]*)?\)`)
+
+func TestLinksLeadToFiles(t *testing.T) {
+	for _, page := range pages(t) {
+		for _, match := range linkPattern.FindAllStringSubmatch(read(t, page), -1) {
+			target := match[1]
+			if strings.Contains(target, "://") {
+				continue
+			}
+			if _, err := os.Stat(filepath.Join(filepath.Dir(page), target)); err != nil {
+				t.Errorf("%s links to %s, which does not exist", page, target)
+			}
+		}
+	}
+}
+
+var update = flag.Bool("update", false, "write docs/EVENTS.md from the code")
+
+// catalogue returns docs/EVENTS.md as the code has it.
+func catalogue() string {
+	var page strings.Builder
+	page.WriteString(catalogueHead)
+	for _, e := range event.All() {
+		fmt.Fprintf(&page, "| %d | %s | %s |\n", e.Number, e.Severity, e.Text)
+	}
+	return page.String()
+}
+
+const catalogueHead = `# Events
+
+Each log line carries its event's number in the field ` + "`event`" + ` and its weight in
+` + "`severity`" + `. Decisions are written at the debug level and can be switched off with
+` + "`log.decisions`" + `. The page is written by ` + "`go test ./docscheck -update`" + `.
+
+| Numbers | Part |
+|---|---|
+| 1000 to 1999 | daemon, peer links, membership |
+| 2000 to 2499 | configuration and store |
+| 2500 to 2999 | records |
+| 3000 to 3499 | rate and connection ledger |
+| 3500 to 3999 | pools and fair queues |
+| 4000 to 4999 | database groups and promotion |
+| 5000 to 5999 | callers' connections |
+| 6000 to 6999 | requests and routing |
+| 8000 to 8999 | stand-ins |
+| 9000 to 9999 | load tool |
+
+| Number | Severity | Text |
+|---|---|---|
+`
+
+func TestEventCatalogueEqualsTheCode(t *testing.T) {
+	path := filepath.Join(root, "docs/EVENTS.md")
+	if *update {
+		if err := os.WriteFile(path, []byte(catalogue()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if read(t, path) != catalogue() {
+		t.Errorf("docs/EVENTS.md differs from the code; run go test ./docscheck -update")
+	}
+}
+
+// settingNames lists the dotted names of all settings in a schema.
+func settingNames(prefix string, schema schemaNode, defs map[string]schemaNode) []string {
+	var names []string
+	for name, child := range schema.Properties {
+		if strings.HasPrefix(child.Ref, "#/$defs/") {
+			child = defs[strings.TrimPrefix(child.Ref, "#/$defs/")]
+		}
+		path := prefix + name
+		if len(child.Properties) > 0 {
+			names = append(names, settingNames(path+".", child, defs)...)
+			continue
+		}
+		names = append(names, path)
+	}
+	return names
+}
+
+type schemaNode struct {
+	Ref        string                `json:"$ref"`
+	Properties map[string]schemaNode `json:"properties"`
+	Defs       map[string]schemaNode `json:"$defs"`
+}
+
+func TestEverySettingIsDocumented(t *testing.T) {
+	var schema schemaNode
+	if err := json.Unmarshal([]byte(read(t, filepath.Join(root, "process/settings/schema.json"))), &schema); err != nil {
+		t.Fatal(err)
+	}
+	page := read(t, filepath.Join(root, "docs/CONFIGURATION.md"))
+	names := settingNames("", schema, schema.Defs)
+	known := make(map[string]bool)
+	for _, name := range names {
+		known[name] = true
+		if !strings.Contains(page, "| `"+name+"` |") {
+			t.Errorf("docs/CONFIGURATION.md lacks the setting %s", name)
+		}
+	}
+	for _, match := range regexp.MustCompile("(?m)^\\| `([a-z_.]+)` \\|").FindAllStringSubmatch(page, -1) {
+		if !known[match[1]] {
+			t.Errorf("docs/CONFIGURATION.md has %s, which is no setting", match[1])
+		}
+	}
+}
+
+func TestCommandsInPagesExist(t *testing.T) {
+	pattern := regexp.MustCompile(`(samphirehitch(?:d|ctl|-standin|-load|-demo|-capacity))\b`)
+	for _, page := range pages(t) {
+		for _, match := range pattern.FindAllStringSubmatch(read(t, page), -1) {
+			if _, err := os.Stat(filepath.Join(root, "cmd", match[1])); err != nil {
+				t.Errorf("%s names the command %s, which does not exist", page, match[1])
+			}
+		}
+	}
+}
+
+func TestMetricsInPagesExist(t *testing.T) {
+	source := metricSource(t)
+	pattern := regexp.MustCompile("samphirehitch_[a-z_]+")
+	for _, page := range pages(t) {
+		for _, name := range pattern.FindAllString(read(t, page), -1) {
+			if !strings.Contains(source, `"`+strings.TrimPrefix(name, "samphirehitch_")+`"`) {
+				t.Errorf("%s names the metric %s, which the code does not define", page, name)
+			}
+		}
+	}
+}
+
+// metricSource returns the code that defines metrics.
+func metricSource(t *testing.T) string {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(root, "daemon/*.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all strings.Builder
+	for _, file := range files {
+		all.WriteString(read(t, file))
+	}
+	return all.String()
+}
