--- a/daemon/members.go
+++ b/daemon/members.go
@@ -13,6 +13,14 @@
 	"samphirehitch.example/samphirehitch/process/topology"
 )
 
+// A slot of a dead holder passes on a quarantineMargin-th of the right's term after
+// the right ended at the latest; a right is renewed renewalsPerTerm times in its
+// term.
+const (
+	quarantineMargin = 10
+	renewalsPerTerm  = 5
+)
+
 // members gathers what is known of the fleet's instances, from the platform's
 // list, from links and from heartbeats, and tells the parts that need it. It
 // implements platform.Instances for the membership driver, whose reads of the
@@ -43,6 +51,9 @@
 func newMembership(d *Daemon, firstID uint64) *membership.Driver {
 	cfg := membership.DefaultConfig(d.self(), firstID, d.settings.Fleet.Slots)
 	cfg.ListLag = d.settings.ListLag()
+	cfg.RightTerm = d.settings.RightTerm()
+	cfg.Quarantine = cfg.RightTerm + cfg.RightTerm/quarantineMargin
+	cfg.RenewEvery = cfg.RightTerm / renewalsPerTerm
 	rng := rand.New(rand.NewPCG(randomSeed(), randomSeed()))
 	return membership.New(cfg, d.platform.Store, d.members, d.mesh, d.clock, rng, d.logger)
 }
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -27,7 +27,7 @@
 	defaultStoreTimeoutMillis = 1000
 	defaultSlots              = 8
 	defaultListLagMillis      = 5000
-	defaultLongestPauseMillis = 10000
+	defaultRightTermMillis    = 600000
 	defaultDrainTimeoutMillis = 30000
 	defaultLogFormat          = "json"
 )
@@ -86,9 +86,9 @@
 
 // Fleet holds what must be the same on every instance.
 type Fleet struct {
-	Slots              int `json:"slots"`
-	ListLagMillis      int `json:"list_lag_millis"`
-	LongestPauseMillis int `json:"longest_pause_millis"`
+	Slots           int `json:"slots"`
+	ListLagMillis   int `json:"list_lag_millis"`
+	RightTermMillis int `json:"right_term_millis"`
 }
 
 // Log shapes the log.
@@ -112,9 +112,9 @@
 	return time.Duration(s.Fleet.ListLagMillis) * time.Millisecond
 }
 
-// LongestPause is the longest expected pause of a process.
-func (s *Settings) LongestPause() time.Duration {
-	return time.Duration(s.Fleet.LongestPauseMillis) * time.Millisecond
+// RightTerm is the time for which a slot may be used without the store.
+func (s *Settings) RightTerm() time.Duration {
+	return time.Duration(s.Fleet.RightTermMillis) * time.Millisecond
 }
 
 // PeerAddress is where peers reach this instance.
@@ -151,7 +151,7 @@
 func defaults() *Settings {
 	return &Settings{
 		Store:              Store{TimeoutMillis: defaultStoreTimeoutMillis},
-		Fleet:              Fleet{Slots: defaultSlots, ListLagMillis: defaultListLagMillis, LongestPauseMillis: defaultLongestPauseMillis},
+		Fleet:              Fleet{Slots: defaultSlots, ListLagMillis: defaultListLagMillis, RightTermMillis: defaultRightTermMillis},
 		Log:                Log{Decisions: true, Format: defaultLogFormat},
 		DrainTimeoutMillis: defaultDrainTimeoutMillis,
 	}
