--- a/request/execute/conversation.go
+++ b/request/execute/conversation.go
@@ -163,11 +163,14 @@
 	if err := r.gate(); err != nil {
 		return err
 	}
+	statement := &r.plan.statement
+	if r.defersBegin() {
+		return r.deferBegin()
+	}
 	if err := r.admit(); err != nil {
 		return err
 	}
 	r.executor.budget.Request()
-	statement := &r.plan.statement
 	switch {
 	case statement.Kind == classify.KindBegin:
 		return r.runBegin()
@@ -180,6 +183,13 @@
 	}
 }
 
+// defersBegin reports whether the batch is a BEGIN alone. It is answered here and
+// costs the customer nothing; the transaction's first statement does.
+func (r *request) defersBegin() bool {
+	statement := &r.plan.statement
+	return statement.Kind == classify.KindBegin && statement.Plain && !statement.Multiple
+}
+
 // readsOnly reports whether the batch may go to a replica.
 func (r *request) readsOnly() bool {
 	switch r.plan.statement.Kind {
--- a/request/execute/refuse_test.go
+++ b/request/execute/refuse_test.go
@@ -27,6 +27,27 @@
 	}
 }
 
+// TestBeginCostsNothing opens a transaction while the customer is over its rate:
+// its first statement is what counts.
+func TestBeginCostsNothing(t *testing.T) {
+	r := newRig(t)
+	conn := r.connect(testKey, "")
+	r.overRate.Store(true)
+	tx, err := conn.Begin(t.Context())
+	if err != nil {
+		t.Fatalf("BEGIN alone: %v", err)
+	}
+	_, err = tx.Exec(t.Context(), "INSERT INTO kv VALUES ('a', '1')")
+	wantRefusal(t, err, refusal.OverRate)
+	r.overRate.Store(false)
+	if err := tx.Rollback(t.Context()); err != nil {
+		t.Errorf("ROLLBACK: %v", err)
+	}
+	if got := r.text(conn, "SELECT count(*) FROM kv"); got != "0" {
+		t.Errorf("%s rows after the refusal, want 0", got)
+	}
+}
+
 // TestWithdrawnKey checks that a withdrawn key ends its idle session and refuses
 // new ones, while another key's session goes on.
 func TestWithdrawnKey(t *testing.T) {
--- a/request/execute/transaction.go
+++ b/request/execute/transaction.go
@@ -56,9 +56,6 @@
 // runBegin opens a transaction at once. Statements that follow BEGIN in the same
 // batch run with it.
 func (r *request) runBegin() error {
-	if r.plan.statement.Plain && !r.plan.statement.Multiple {
-		return r.deferBegin()
-	}
 	if err := r.openTransaction(); err != nil {
 		return r.conclude(err)
 	}
