Give figures for targets and the operators' tool

Cause: the capacity page had no figures for two of its roles. Ruled out: nothing. Measured: calls counted by the stand-in store: a new record a read and a swap, a changed one two of each, one list a command.

--- a/capacity/model.go
+++ b/capacity/model.go
@@ -92,6 +92,12 @@
 	limitStoreWrites  = 300
 	bytesPerMB        = 1 << 20
 	nanosPerCorePoint = 1e7
+	// heartbeatsPerSecond is how often a watcher asks an idle member for its
+	// status.
+	heartbeatsPerSecond = 1 / 0.150
+	// callsPerChange counts the calls of a changed record: two reads and two
+	// swaps, its history's included, and the list of its command.
+	callsPerChange = 5
 )
 
 // at returns a fitted value.
@@ -126,6 +132,8 @@
 		{"entry daemon", "messages to peers with a heartbeat to every daemon of its region", "fit at the daemons of a region", "1/s", m.at(peerMessages, region), 0},
 		{"store", "configuration calls of a region", "fit at the daemons of a region", "1/s", m.at(configStoreCalls, region), limitStoreReads / s.Regions},
 		{"store", "writes of operators", "changes a second", "1/s", s.ChangesPerSecond(), limitStoreWrites},
+		{"target", "status requests of its watchers", "watchers × heartbeats a second", "1/s", s.WatchersPerGroup * heartbeatsPerSecond, 0},
+		{"operator tool", "calls to the store", "changes a second × 5 calls", "1/s", s.ChangesPerSecond() * callsPerChange, limitStoreWrites},
 		{"store", "starts of daemons", "replacements a second", "1/s", s.ReplacementsPerSecond(), limitStoreReads},
 	}
 }
