Document the daemon's exit codes

Cause: the code says that they are documented and they were not. Ruled out: nothing. Measured: samphirehitchd check on a bad file ends with 1 and names each place.

--- a/cmd/samphirehitchd/main.go
+++ b/cmd/samphirehitchd/main.go
@@ -15,7 +15,7 @@
 	"samphirehitch.example/samphirehitch/process/settings"
 )
 
-// Exit codes, documented in docs/operations.
+// Exit codes, documented in docs/CONFIGURATION.md.
 const (
 	exitSettings = 1
 	exitRun      = 2
