Name the settings schema without a path

Cause: the error of a bad settings file showed the working directory, which the schema library puts before a relative name. Ruled out: cutting the text. Measured: samphirehitchd check names urn:samphirehitch:settings and the places. Conclusion: no path of a machine in the message.

--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -19,7 +19,7 @@
 var schemaDocument []byte
 
 // schemaName is the name under which the embedded schema is compiled.
-const schemaName = "settings.json"
+const schemaName = "urn:samphirehitch:settings"
 
 // Defaults of optional settings. They repeat the defaults in schema.json, which
 // a test compares.
