--- /dev/null
+++ b/edge/confirm.go
@@ -0,0 +1,114 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"samphirehitch.example/samphirehitch/process/store"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+// confirm proves in intervals that configuration and records are the newest.
+func (d *Daemon) confirm(ctx context.Context) error {
+	for ctx.Err() == nil {
+		started := d.clock()
+		if !d.confirmOnce(ctx) {
+			pause(ctx, retryPause)
+			continue
+		}
+		rest := max(retryPause/10, confirmInterval-(d.clock()-started))
+		select {
+		case <-ctx.Done():
+		case <-time.After(rest):
+		case <-d.confirmWake:
+		}
+	}
+	return nil
+}
+
+// confirmOnce makes one round of confirmations. It reports false when the store
+// has not answered.
+func (d *Daemon) confirmOnce(ctx context.Context) bool {
+	expected, ready := d.expectations()
+	if !ready {
+		return false
+	}
+	for len(expected) > 0 {
+		part := expected[:min(len(expected), mostExpectations)]
+		expected = expected[len(part):]
+		if !d.confirmKeys(ctx, part) {
+			return false
+		}
+	}
+	return true
+}
+
+// expectations lists the keys to confirm at their mirrored revisions.
+func (d *Daemon) expectations() ([]store.Expectation, bool) {
+	services := d.engine.Services()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.listed {
+		return nil, false
+	}
+	config := d.mirror.Get(d.adapter.ConfigurationKey)
+	expected := []store.Expectation{{Key: config.Key, Revision: config.Revision}}
+	for _, service := range services {
+		key := groupKey(service)
+		expected = append(expected, store.Expectation{Key: key, Revision: d.mirror.Get(key).Revision})
+	}
+	return expected, true
+}
+
+// confirmKeys confirms some keys. Those that differ are taken over as read.
+func (d *Daemon) confirmKeys(ctx context.Context, expected []store.Expectation) bool {
+	asked := d.clock()
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := d.store.Transact(callCtx, store.Transaction{Expect: expected})
+	var conflict *store.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		d.takeOver(expected, conflict.Current)
+	case err != nil:
+		d.storeFailed("confirm", err)
+		return false
+	}
+	d.storeAnswered()
+	groups := make(map[topology.ServiceID]store.Revision)
+	d.mu.Lock()
+	for _, e := range expected {
+		if service, isGroup := strings.CutPrefix(e.Key, prefixGroups); isGroup {
+			revision := e.Revision
+			for _, current := range conflictEntries(conflict) {
+				if current.Key == e.Key {
+					revision = current.Revision
+				}
+			}
+			if revision != 0 {
+				groups[topology.ServiceID(service)] = revision
+			}
+		}
+	}
+	d.mu.Unlock()
+	d.tenure.Confirmed(asked, groups)
+	return true
+}
+
+func conflictEntries(conflict *store.ConflictError) []store.Entry {
+	if conflict == nil {
+		return nil
+	}
+	return conflict.Current
+}
+
+// takeOver applies the entries of a failed expectation.
+func (d *Daemon) takeOver(expected []store.Expectation, current []store.Entry) {
+	changes := make([]store.Change, 0, len(current))
+	for _, entry := range current {
+		changes = append(changes, store.Change{Entry: entry})
+	}
+	d.apply(changes)
+}
--- /dev/null
+++ b/edge/daemon.go
@@ -0,0 +1,220 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/oklog/run"
+
+	"samphirehitch.example/samphirehitch/process/clock"
+	"samphirehitch.example/samphirehitch/process/directory"
+	"samphirehitch.example/samphirehitch/process/entrysettings"
+	"samphirehitch.example/samphirehitch/process/event"
+	"samphirehitch.example/samphirehitch/process/failover"
+	"samphirehitch.example/samphirehitch/process/mirror"
+	"samphirehitch.example/samphirehitch/process/share"
+	"samphirehitch.example/samphirehitch/process/statement"
+	"samphirehitch.example/samphirehitch/process/store"
+	"samphirehitch.example/samphirehitch/process/target"
+	"samphirehitch.example/samphirehitch/process/tenure"
+	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/request/perform"
+	"samphirehitch.example/samphirehitch/version/catalog"
+)
+
+var (
+	eventStart    = event.Define(1310, event.Info, "entry daemon starts")
+	eventStopping = event.Define(1311, event.Info, "entry daemon stops")
+	eventEnd      = event.Define(1312, event.Info, "entry daemon has stopped")
+	eventReload   = event.Define(1313, event.Info, "settings read again")
+)
+
+// keyMargin is kept of the time in which a withdrawn key may still be accepted,
+// for the way of a request to its target.
+const keyMargin = 800 * time.Millisecond
+
+// tickInterval is the pause between looks at rights and queues.
+const tickInterval = 50 * time.Millisecond
+
+// Adapter translates the platform's documents and wires.
+type Adapter struct {
+	// ConfigurationKey and TargetPrefix say where others write.
+	ConfigurationKey string
+	TargetPrefix     string
+	DecodeCatalog    func(store.Entry) (*catalog.Catalog, error)
+	DecodeTarget     func(store.Entry) (directory.Target, error)
+	DecodeStatus     func(statement.Answer) (failover.TargetStatus, error)
+	// Accept returns the codec of a caller's connection.
+	Accept AcceptFunc
+	// Readiness answers the balancer.
+	Readiness ReadinessFunc
+}
+
+// Options of a Daemon.
+type Options struct {
+	Settings entrysettings.Settings
+	Store    store.Transactor
+	Orders   failover.Orders
+	Dialer   target.Dialer
+	Adapter  Adapter
+	Log      logr.Logger
+}
+
+// Daemon is the entry daemon.
+type Daemon struct {
+	settings entrysettings.Settings
+	adapter  Adapter
+	store    store.Transactor
+	orders   failover.Orders
+	prober   *prober
+	log      logr.Logger
+	clock    clock.Clock
+	tenure   *tenure.Tenure
+	engine   *perform.Engine
+	suspects *suspects
+	metrics  *metrics
+	callers  callers
+	leader   leader
+	// born tells processes of this instance apart.
+	born int64
+
+	ctx      context.Context
+	cancel   context.CancelFunc
+	stopping atomic.Bool
+	// storeLost reports that the last call to the store failed.
+	storeLost   atomic.Bool
+	confirmWake chan struct{}
+	leadWake    chan struct{}
+
+	// published is what the registration says; only the register loop uses it.
+	published   share.Needs
+	publishedAt time.Duration
+
+	mu     sync.Mutex
+	mirror *mirror.Mirror
+	listed bool
+	// seen is the revision up to which the mirror holds every change.
+	seen          store.Revision
+	lease         store.LeaseID
+	targets       map[topology.ServiceID]targetMap
+	records       map[topology.ServiceID]groupRecord
+	brokenTargets map[string]store.Revision
+	instances     int
+}
+
+// New returns a daemon that Run starts.
+func New(o Options) *Daemon {
+	d := &Daemon{
+		settings: o.Settings, adapter: o.Adapter, store: o.Store, orders: o.Orders,
+		prober: newProber(o.Dialer, o.Adapter.DecodeStatus),
+		log:    o.Log, clock: clock.Boot(), metrics: newMetrics(),
+		tenure:      tenure.New(o.Settings.WithdrawalLimit - keyMargin),
+		born:        time.Now().UnixNano(),
+		confirmWake: make(chan struct{}, 1), leadWake: make(chan struct{}, 1),
+		mirror: mirror.New(), records: make(map[topology.ServiceID]groupRecord),
+		targets: make(map[topology.ServiceID]targetMap), brokenTargets: make(map[string]store.Revision),
+	}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.suspects = newSuspects(d)
+	d.engine = perform.NewEngine(perform.Dependencies{
+		FailureDomain: o.Settings.FailureDomain, Clock: d.clock, Tenure: d.tenure, Dialer: o.Dialer,
+		Reachability: d.suspects, Observer: d.metrics, Log: o.Log,
+	})
+	d.metrics.watch(d)
+	return d
+}
+
+// errStopped ends the run group after a stop.
+var errStopped = errors.New("stopped")
+
+// Run serves until Stop has ended everything.
+func (d *Daemon) Run() error {
+	eventStart.Log(d.log, "instance", d.settings.Instance, "failure_domain", d.settings.FailureDomain,
+		"callers", d.settings.CallerAddress, "store", d.settings.StoreAddress, "metrics", d.settings.MetricsAddress)
+	listeners, err := d.listen()
+	if err != nil {
+		return err
+	}
+	var group run.Group
+	for _, loop := range []func(context.Context) error{
+		d.follow, d.relist, d.confirm, d.register, d.lead, d.tick, d.suspects.run, d.suspects.recheck,
+	} {
+		group.Add(func() error { return loop(d.ctx) }, func(error) { d.cancel() })
+	}
+	listeners.add(&group, d)
+	err = group.Run()
+	eventEnd.Log(d.log)
+	if errors.Is(err, errStopped) {
+		return nil
+	}
+	return err
+}
+
+func (d *Daemon) tick(ctx context.Context) error {
+	for pause(ctx, tickInterval) {
+		d.engine.Tick()
+	}
+	return nil
+}
+
+// Reloaded notes a change of the settings file. Addresses and bounds are those of
+// the start.
+func (d *Daemon) Reloaded(s entrysettings.Settings) {
+	eventReload.Log(d.log, "changed", s != d.settings)
+}
+
+// ready tells the balancer whether to send callers.
+func (d *Daemon) ready() bool {
+	return !d.stopping.Load() && d.engine.Catalog() != nil && d.tenure.Keys(d.clock())
+}
+
+// incarnation names this process.
+func (d *Daemon) incarnation() string {
+	return string(d.settings.Instance) + " " + strconv.FormatInt(d.born, 10)
+}
+
+func (d *Daemon) wakeConfirm() { notify(d.confirmWake) }
+
+func (d *Daemon) wakeLead() { notify(d.leadWake) }
+
+func (d *Daemon) storeFailed(step string, err error) {
+	d.metrics.storeFailures.WithLabelValues(step).Inc()
+	if d.ctx.Err() == nil && !d.storeLost.Swap(true) {
+		eventStoreLost.LogError(d.log, err, "step", step)
+	}
+}
+
+func (d *Daemon) storeAnswered() {
+	if d.storeLost.Swap(false) {
+		eventStoreBack.Log(d.log)
+	}
+}
+
+// notify wakes a loop without waiting for it.
+func notify(wake chan struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
+
+// pause waits and reports whether the context goes on.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// ReloadFailed notes a settings file that cannot be used; the settings of the
+// start stay.
+func (d *Daemon) ReloadFailed(err error) { eventReload.LogError(d.log, err, "changed", false) }
--- /dev/null
+++ b/edge/follow.go
@@ -0,0 +1,234 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"samphirehitch.example/samphirehitch/process/event"
+	"samphirehitch.example/samphirehitch/process/store"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+var (
+	eventStoreLost    = event.Define(2100, event.Warning, "store does not answer")
+	eventStoreBack    = event.Define(2101, event.Info, "store answers again")
+	eventWatchReset   = event.Define(2102, event.Warning, "watch cannot go on, listing anew")
+	eventConfigApply  = event.Define(2103, event.Info, "configuration in force")
+	eventConfigBroken = event.Define(2104, event.Failure, "configuration cannot be read, the last good one stays")
+	eventTargetBroken = event.Define(2105, event.Warning, "target's entry names no target to use")
+	eventTargets      = event.Define(2106, event.Info, "targets changed")
+	eventRecord       = event.Define(4100, event.Info, "record of a primary changed")
+)
+
+// Times of following the store.
+const (
+	// confirmInterval is the pause between confirmations: several fit into the
+	// span of a right, so that a single lost one costs nothing.
+	confirmInterval = 900 * time.Millisecond
+	// callTimeout bounds a call: the store answers within 4 ms, 60 times that on
+	// bad days.
+	callTimeout = 900 * time.Millisecond
+	// watchWait is the longest wait of a watch.
+	watchWait = 10 * time.Second
+	// relistInterval is the pause between listings of the targets, which find
+	// what a watch has missed well within the time to drain.
+	relistInterval = 2500 * time.Millisecond
+	// retryPause is the pause after a failed call.
+	retryPause = 100 * time.Millisecond
+	// mostExpectations is how many keys one transaction may name.
+	mostExpectations = 30
+)
+
+// follow watches the store until the context ends.
+func (d *Daemon) follow(ctx context.Context) error {
+	var after store.Revision
+	listed := false
+	for ctx.Err() == nil {
+		if !listed {
+			revision, err := d.listAll(ctx)
+			if err != nil {
+				d.storeFailed("list", err)
+				pause(ctx, retryPause)
+				continue
+			}
+			after, listed = revision, true
+		}
+		changes, asOf, err := d.store.WatchFor(ctx, "", after, watchWait)
+		switch {
+		case errors.Is(err, store.ErrHistoryGone):
+			eventWatchReset.Log(d.log, "after", after)
+			listed = false
+		case err != nil:
+			d.storeFailed("watch", err)
+			pause(ctx, retryPause)
+		default:
+			after = max(after, asOf)
+			d.apply(changes)
+			d.sawUntil(after)
+		}
+	}
+	return nil
+}
+
+// listAll reads everything that the daemon follows.
+func (d *Daemon) listAll(ctx context.Context) (store.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
+	defer cancel()
+	listing, err := d.store.List(ctx, "")
+	if err != nil {
+		return 0, err
+	}
+	d.mu.Lock()
+	changed := d.mirror.Replace("", listing)
+	d.listed, d.seen = true, max(d.seen, listing.Revision)
+	d.mu.Unlock()
+	d.changed(changed)
+	d.wakeConfirm()
+	return listing.Revision, nil
+}
+
+// relist finds what watches of the targets have missed.
+func (d *Daemon) relist(ctx context.Context) error {
+	for pause(ctx, relistInterval) {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		listing, err := d.store.List(callCtx, d.adapter.TargetPrefix)
+		cancel()
+		if err != nil {
+			d.storeFailed("list targets", err)
+			continue
+		}
+		d.mu.Lock()
+		changed := d.mirror.Replace(d.adapter.TargetPrefix, listing)
+		d.mu.Unlock()
+		d.changed(changed)
+	}
+	return nil
+}
+
+// sawUntil notes that the mirror holds every change up to a revision.
+func (d *Daemon) sawUntil(revision store.Revision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seen = max(d.seen, revision)
+}
+
+func (d *Daemon) apply(changes []store.Change) {
+	var changed []string
+	d.mu.Lock()
+	for _, change := range changes {
+		if d.mirror.Apply(change) {
+			changed = append(changed, change.Key)
+		}
+	}
+	d.mu.Unlock()
+	d.changed(changed)
+}
+
+// changed passes changes of keys on to whom they concern.
+func (d *Daemon) changed(keys []string) {
+	targets, shares, groups := false, false, false
+	for _, key := range keys {
+		switch {
+		case key == d.adapter.ConfigurationKey:
+			d.applyConfiguration()
+			targets, shares, groups = true, true, true
+		case strings.HasPrefix(key, d.adapter.TargetPrefix):
+			targets = true
+		case strings.HasPrefix(key, prefixInstances):
+			shares = true
+		case strings.HasPrefix(key, prefixGroups):
+			groups = true
+		}
+	}
+	if targets {
+		d.applyTargets()
+	}
+	if groups {
+		d.applyRecords()
+	}
+	if shares {
+		d.applyShares()
+	}
+	if len(keys) > 0 {
+		d.wakeLead()
+	}
+}
+
+func (d *Daemon) applyConfiguration() {
+	d.mu.Lock()
+	entry := d.mirror.Get(d.adapter.ConfigurationKey)
+	d.mu.Unlock()
+	if entry.Revision == 0 {
+		return
+	}
+	c, err := d.adapter.DecodeCatalog(entry)
+	if err != nil {
+		eventConfigBroken.LogError(d.log, err, "revision", entry.Revision)
+		return
+	}
+	if d.engine.SetCatalog(c) {
+		eventConfigApply.Log(d.log, "version", c.Version, "revision", c.Revision,
+			"routes", len(c.Routes), "customers", len(c.Customers), "keys", len(c.Keys))
+	}
+}
+
+// applyTargets hands each service its targets.
+func (d *Daemon) applyTargets() {
+	byService := make(map[topology.ServiceID]targetMap)
+	for _, id := range d.engine.Services() {
+		byService[id] = make(targetMap)
+	}
+	d.mu.Lock()
+	d.mirror.Each(d.adapter.TargetPrefix, func(entry store.Entry) {
+		t, err := d.adapter.DecodeTarget(entry)
+		if err != nil {
+			if d.brokenTargets[entry.Key] != entry.Revision {
+				d.brokenTargets[entry.Key] = entry.Revision
+				eventTargetBroken.LogError(d.log, err, "key", entry.Key)
+			}
+			return
+		}
+		if targets, known := byService[t.Service]; known {
+			targets[t.ID] = t
+		}
+	})
+	d.targets = byService
+	d.mu.Unlock()
+	for id, targets := range byService {
+		d.engine.SetTargets(id, targets)
+		eventTargets.Log(d.log, "service", id, "targets", targets.String())
+	}
+}
+
+// applyRecords hands each service its record.
+func (d *Daemon) applyRecords() {
+	records := make(map[topology.ServiceID]groupRecord)
+	d.mu.Lock()
+	d.mirror.Each(prefixGroups, func(entry store.Entry) {
+		record, err := decodeGroup(entry)
+		if err != nil {
+			eventTargetBroken.LogError(d.log, err, "key", entry.Key)
+			return
+		}
+		service := topology.ServiceID(strings.TrimPrefix(entry.Key, prefixGroups))
+		if d.records[service].revision >= record.revision {
+			return
+		}
+		d.records[service] = record
+		records[service] = record
+	})
+	d.mu.Unlock()
+	for service, r := range records {
+		d.engine.SetRecord(service, r.Record, r.revision)
+		eventRecord.Log(d.log, "service", service, "primary", r.Primary, "term", r.Term,
+			"fenced", r.Fenced, "sequence", r.Sequence, "revision", r.revision)
+		if r.Fenced {
+			go d.yield(service, r.Record)
+		}
+	}
+	if len(records) > 0 {
+		d.wakeConfirm()
+	}
+}
--- /dev/null
+++ b/edge/lead.go
@@ -0,0 +1,352 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"samphirehitch.example/samphirehitch/process/directory"
+	"samphirehitch.example/samphirehitch/process/event"
+	"samphirehitch.example/samphirehitch/process/failover"
+	"samphirehitch.example/samphirehitch/process/store"
+	"samphirehitch.example/samphirehitch/process/tenure"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+var (
+	eventDutyTaken  = event.Define(4110, event.Info, "promotion duty taken")
+	eventDutyLost   = event.Define(4111, event.Warning, "promotion duty lost")
+	eventStep       = event.Define(4112, event.Info, "failover step")
+	eventStepFailed = event.Define(4113, event.Warning, "failover step failed")
+	eventYielded    = event.Define(4114, event.Info, "use of a fenced primary has ended here")
+	eventSuspect    = event.Define(4115, event.Warning, "primary cannot be reached from here")
+	eventTrusted    = event.Define(4116, event.Info, "primary can be reached again from here")
+)
+
+// Times of leading.
+const (
+	// leadInterval is the pause between looks at the services.
+	leadInterval = 250 * time.Millisecond
+	// busyLeadInterval is the pause while a failover is under way.
+	busyLeadInterval = 25 * time.Millisecond
+	// yieldPatience is how long statements in flight on a fenced primary may take
+	// before their answers are given up.
+	yieldPatience = 250 * time.Millisecond
+	// probeTimeout bounds a status request.
+	probeTimeout = 400 * time.Millisecond
+	// orderTimeout bounds a promotion order.
+	orderTimeout = 2 * time.Second
+)
+
+type targetMap map[topology.TargetID]directory.Target
+
+// String lists the targets for the log.
+func (m targetMap) String() string {
+	parts := make([]string, 0, len(m))
+	for id, t := range m {
+		part := fmt.Sprintf("%s@%s %s", id, t.Address, t.Role)
+		if t.Draining {
+			part += " draining"
+		}
+		parts = append(parts, part)
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, ", ")
+}
+
+// groupRecord is a record with its revision.
+type groupRecord struct {
+	failover.Record
+	revision store.Revision
+}
+
+func decodeGroup(entry store.Entry) (groupRecord, error) {
+	record, err := failover.DecodeRecord(entry.Value)
+	return groupRecord{Record: record, revision: entry.Revision}, err
+}
+
+// leader holds the duty's state. Only the lead loop and the actions it starts
+// use it.
+type leader struct {
+	mu           sync.Mutex
+	token        failover.Token
+	coordinators map[topology.ServiceID]*failover.Coordinator
+	// fences notes for each fenced record when its last right ends.
+	fences map[topology.ServiceID]fence
+}
+
+type fence struct {
+	sequence uint64
+	end      time.Duration
+}
+
+// lead takes the duty when it is free and drives the failovers while it is held.
+func (d *Daemon) lead(ctx context.Context) error {
+	for ctx.Err() == nil {
+		wait := leadInterval
+		if d.holdDuty(ctx) && d.stepAll(ctx) {
+			wait = busyLeadInterval
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		case <-d.leadWake:
+		}
+	}
+	return nil
+}
+
+// holdDuty reports whether this instance holds the duty, and takes a free one.
+func (d *Daemon) holdDuty(ctx context.Context) bool {
+	if d.stopping.Load() || !d.tenure.Registered(d.clock()) {
+		return false
+	}
+	d.mu.Lock()
+	entry, lease, listed := d.mirror.Get(keyDuty), d.lease, d.listed
+	d.mu.Unlock()
+	if lease == 0 || !listed {
+		return false
+	}
+	if entry.Revision != 0 {
+		mine := string(entry.Value) == d.incarnation() && entry.Lease == lease
+		d.setToken(mine, failover.Token(entry.Revision))
+		return mine
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	revision, err := d.store.CompareAndSwap(callCtx, store.Swap{Key: keyDuty, Value: []byte(d.incarnation()), Lease: lease})
+	if err != nil {
+		if !errors.Is(err, store.ErrConflict) {
+			d.storeFailed("take duty", err)
+		}
+		return false
+	}
+	d.apply([]store.Change{{Entry: store.Entry{Key: keyDuty, Value: []byte(d.incarnation()), Revision: revision, Lease: lease}}})
+	return false
+}
+
+// setToken notes the duty's state. The revision at which the duty was taken
+// orders its holders.
+func (d *Daemon) setToken(mine bool, token failover.Token) {
+	d.leader.mu.Lock()
+	defer d.leader.mu.Unlock()
+	switch {
+	case mine && d.leader.token != token:
+		d.leader.token = token
+		d.leader.coordinators = make(map[topology.ServiceID]*failover.Coordinator)
+		d.leader.fences = make(map[topology.ServiceID]fence)
+		eventDutyTaken.Log(d.log, "token", token)
+	case !mine && d.leader.token != 0:
+		d.leader.token = 0
+		eventDutyLost.Log(d.log)
+	}
+}
+
+// stepAll steps every service's coordinator and reports whether one is busy.
+func (d *Daemon) stepAll(ctx context.Context) bool {
+	busy := false
+	for _, service := range d.engine.Services() {
+		now := d.clock()
+		view := d.view(now, service)
+		d.leader.mu.Lock()
+		c, known := d.leader.coordinators[service]
+		if !known {
+			c = &failover.Coordinator{}
+			d.leader.coordinators[service] = c
+		}
+		action := c.Step(now, view)
+		busy = busy || c.Busy()
+		token := d.leader.token
+		d.leader.mu.Unlock()
+		if action.Kind != failover.None {
+			go d.perform(ctx, service, c, action, token)
+		}
+	}
+	return busy
+}
+
+// view collects what the coordinator of a service needs to know.
+func (d *Daemon) view(now time.Duration, service topology.ServiceID) failover.View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	entry := d.mirror.Get(groupKey(service))
+	v := failover.View{Targets: d.targets[service], Revision: entry.Revision}
+	if entry.Revision != 0 {
+		record, err := failover.DecodeRecord(entry.Value)
+		if err != nil {
+			eventTargetBroken.LogError(d.log, err, "key", entry.Key)
+			return failover.View{}
+		}
+		v.Record = record
+	}
+	// Instances that registered before the fence are all known only once the
+	// mirror holds every change up to it.
+	v.Acknowledged = v.Record.Fenced && d.seen >= entry.Revision
+	d.mirror.Each(prefixInstances, func(instance store.Entry) {
+		v.Instances++
+		id := topology.InstanceID(strings.TrimPrefix(instance.Key, prefixInstances))
+		yielded := d.mirror.Get(yieldKey(service, id))
+		if string(yielded.Value) != yieldValue(v.Record.Sequence) {
+			v.Acknowledged = false
+		}
+		if suspected := d.mirror.Get(suspectKey(service, id)); string(suspected.Value) == string(v.Record.Primary) && suspected.Revision != 0 {
+			v.Suspects++
+		}
+	})
+	if v.Record.Fenced {
+		v.RightsEnd = d.fenceEnd(now, service, v.Record.Sequence)
+	}
+	return v
+}
+
+// fenceEnd returns when the last right to a fenced primary ends: a span after
+// this instance first saw the fence, which was written before.
+func (d *Daemon) fenceEnd(now time.Duration, service topology.ServiceID, sequence uint64) time.Duration {
+	d.leader.mu.Lock()
+	defer d.leader.mu.Unlock()
+	f, known := d.leader.fences[service]
+	if !known || f.sequence != sequence {
+		f = fence{sequence: sequence, end: now + tenure.FenceSpan}
+		if d.leader.fences != nil {
+			d.leader.fences[service] = f
+		}
+	}
+	return f.end
+}
+
+// perform runs an action and the ones that follow from its result.
+func (d *Daemon) perform(ctx context.Context, service topology.ServiceID, c *failover.Coordinator, action failover.Action, token failover.Token) {
+	for action.Kind != failover.None {
+		result := d.act(ctx, service, action, token)
+		now := d.clock()
+		view := d.view(now, service)
+		d.leader.mu.Lock()
+		action = c.Done(now, view, result)
+		d.leader.mu.Unlock()
+	}
+	d.wakeLead()
+}
+
+func (d *Daemon) act(ctx context.Context, service topology.ServiceID, a failover.Action, token failover.Token) failover.Result {
+	result := failover.Result{Action: a}
+	if !d.tenure.Registered(d.clock()) {
+		result.Failed = true
+		return result
+	}
+	switch a.Kind {
+	case failover.Publish:
+		eventStep.Log(d.log, "step", "publish", "service", service, "primary", a.Record.Primary,
+			"fenced", a.Record.Fenced, "sequence", a.Record.Sequence, "term", a.Record.Term, "why", a.Reason)
+		result.Failed = !d.publish(ctx, service, a)
+	case failover.AskAll:
+		result.Statuses = d.askAll(ctx, a.Targets)
+	case failover.Order:
+		eventStep.Log(d.log, "step", "order", "service", service, "target", a.Target.ID, "token", token, "why", a.Reason)
+		orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		if err := d.orders.Promote(orderCtx, service, a.Target.ID, token); err != nil {
+			eventStepFailed.LogError(d.log, err, "step", "order", "service", service, "target", a.Target.ID)
+			result.Failed, result.Rejected = true, errors.Is(err, failover.ErrRejected)
+		}
+	case failover.DemoteOld:
+		demoteCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		if err := d.prober.Demote(demoteCtx, a.Target, a.Term); err != nil {
+			eventStepFailed.LogError(d.log, err, "step", "demote", "service", service, "target", a.Target.ID)
+			result.Failed = true
+		}
+	}
+	return result
+}
+
+// publish writes a record. A lost answer is settled by the next look at the
+// record.
+func (d *Daemon) publish(ctx context.Context, service topology.ServiceID, a failover.Action) bool {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	key := groupKey(service)
+	d.mu.Lock()
+	duty := d.mirror.Get(keyDuty)
+	d.mu.Unlock()
+	revision, err := d.store.Transact(callCtx, store.Transaction{
+		Expect: []store.Expectation{{Key: key, Revision: a.Revision}, {Key: keyDuty, Revision: duty.Revision}},
+		Puts:   []store.Put{{Key: key, Value: a.Record.Encode()}},
+	})
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		d.takeOver(nil, conflict.Current)
+	}
+	if err != nil {
+		eventStepFailed.LogError(d.log, err, "step", "publish", "service", service)
+		return false
+	}
+	d.apply([]store.Change{{Entry: store.Entry{Key: key, Value: a.Record.Encode(), Revision: revision}}})
+	return true
+}
+
+// askAll asks targets for their status side by side.
+func (d *Daemon) askAll(ctx context.Context, targets []directory.Target) map[topology.TargetID]failover.TargetStatus {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	statuses := make(map[topology.TargetID]failover.TargetStatus)
+	for _, t := range targets {
+		group.Go(func() {
+			status, err := d.prober.Status(ctx, t)
+			if err != nil {
+				eventStepFailed.LogError(d.log, err, "step", "status", "target", t.ID)
+				return
+			}
+			eventStep.Log(d.log, "step", "status", "target", t.ID, "role", status.Role.String(), "received", status.Received.String())
+			mu.Lock()
+			statuses[t.ID] = status
+			mu.Unlock()
+		})
+	}
+	group.Wait()
+	return statuses
+}
+
+func yieldValue(sequence uint64) string { return fmt.Sprint(sequence) }
+
+// yield gives up a fenced primary: it waits a little for what is in flight and
+// tells the holder of the duty.
+func (d *Daemon) yield(service topology.ServiceID, record failover.Record) {
+	end := d.clock() + yieldPatience
+	for !d.engine.Yielded(service, false) && d.clock() < end {
+		time.Sleep(5 * time.Millisecond)
+	}
+	d.engine.Yielded(service, true)
+	for d.ctx.Err() == nil {
+		d.mu.Lock()
+		current, lease := d.records[service], d.lease
+		d.mu.Unlock()
+		if !current.Fenced || current.Sequence != record.Sequence {
+			return
+		}
+		if lease != 0 {
+			callCtx, cancel := context.WithTimeout(d.ctx, callTimeout)
+			_, err := d.store.Transact(callCtx, store.Transaction{Puts: []store.Put{{
+				Key: yieldKey(service, d.settings.Instance), Value: []byte(yieldValue(record.Sequence)), Lease: lease,
+			}}})
+			cancel()
+			if err == nil {
+				eventYielded.Log(d.log, "service", service, "primary", record.Primary, "sequence", record.Sequence)
+				return
+			}
+			d.storeFailed("yield", err)
+		}
+		pause(d.ctx, retryPause)
+	}
+}
+
+// deleteAt deletes a key that is still at the entry's revision.
+func (d *Daemon) deleteAt(ctx context.Context, entry store.Entry) error {
+	_, err := d.store.CompareAndSwap(ctx, store.Swap{Key: entry.Key, Expect: entry.Revision, Delete: true})
+	return err
+}
--- /dev/null
+++ b/edge/metrics.go
@@ -0,0 +1,69 @@
+package edge
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"samphirehitch.example/samphirehitch/request/perform"
+)
+
+// namespace prefixes every metric.
+const namespace = "samphirehitch"
+
+// metrics are the counters and histograms of the daemon.
+type metrics struct {
+	registry      *prometheus.Registry
+	statements    *prometheus.CounterVec
+	took          *prometheus.HistogramVec
+	waited        *prometheus.HistogramVec
+	storeFailures *prometheus.CounterVec
+}
+
+func newMetrics() *metrics {
+	buckets := prometheus.ExponentialBuckets(0.001, 2, 13)
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		statements: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "statements_total",
+			Help: "Answered statements."}, []string{"kind", "code", "role"}),
+		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "statement_seconds",
+			Help: "Time from a statement's arrival to its answer.", Buckets: buckets}, []string{"kind"}),
+		waited: prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "statement_wait_seconds",
+			Help: "Time that a statement waited for a connection.", Buckets: buckets}, []string{"kind"}),
+		storeFailures: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "store_failures_total",
+			Help: "Failed calls to the platform's store."}, []string{"step"}),
+	}
+	m.registry.MustRegister(m.statements, m.took, m.waited, m.storeFailures, collectors.NewGoCollector())
+	return m
+}
+
+// watch registers the gauges that are read at scrape time.
+func (m *metrics) watch(d *Daemon) {
+	gauge := func(name, help string, read func() float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+	}
+	gauge("caller_sessions", "Open sessions of callers.", func() float64 { return float64(d.callers.count()) })
+	gauge("confirmation_age_seconds", "Age of the last confirmation of the configuration; negative without any.", func() float64 {
+		return d.tenure.Age(d.clock()).Seconds()
+	})
+	gauge("configuration_version", "Version of the configuration in force.", func() float64 {
+		if c := d.engine.Catalog(); c != nil {
+			return float64(c.Version)
+		}
+		return 0
+	})
+}
+
+// Answered implements perform.Observer.
+func (m *metrics) Answered(o perform.Outcome) {
+	role := "none"
+	if o.Target != "" {
+		role = "replica"
+	}
+	if o.Primary {
+		role = "primary"
+	}
+	kind := o.Kind.String()
+	m.statements.WithLabelValues(kind, o.Code.String(), role).Inc()
+	m.took.WithLabelValues(kind).Observe(o.Took.Seconds())
+	m.waited.WithLabelValues(kind).Observe(o.Waited.Seconds())
+}
--- /dev/null
+++ b/edge/suspects.go
@@ -0,0 +1,157 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"samphirehitch.example/samphirehitch/process/store"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+// suspectPause is the pause between attempts to publish or withdraw a suspicion.
+const suspectPause = 200 * time.Millisecond
+
+// suspects publishes which primaries this instance cannot reach. It implements
+// perform.Reachability.
+type suspects struct {
+	daemon *Daemon
+	mu     sync.Mutex
+	// wanted is what should be published for each service, empty for nothing.
+	wanted map[topology.ServiceID]topology.TargetID
+	held   map[topology.ServiceID]topology.TargetID
+	wake   chan struct{}
+}
+
+func newSuspects(d *Daemon) *suspects {
+	return &suspects{daemon: d, wake: make(chan struct{}, 1),
+		wanted: make(map[topology.ServiceID]topology.TargetID), held: make(map[topology.ServiceID]topology.TargetID)}
+}
+
+// Reached implements perform.Reachability.
+func (s *suspects) Reached(service topology.ServiceID, id topology.TargetID) {
+	s.mu.Lock()
+	changed := s.wanted[service] == id
+	if changed {
+		delete(s.wanted, service)
+	}
+	s.mu.Unlock()
+	if changed {
+		eventTrusted.Log(s.daemon.log, "service", service, "target", id)
+		notify(s.wake)
+	}
+}
+
+// Unreachable implements perform.Reachability.
+func (s *suspects) Unreachable(service topology.ServiceID, id topology.TargetID) {
+	s.daemon.mu.Lock()
+	primary := s.daemon.records[service].Primary
+	s.daemon.mu.Unlock()
+	if id != primary {
+		return
+	}
+	s.mu.Lock()
+	changed := s.wanted[service] != id
+	s.wanted[service] = id
+	s.mu.Unlock()
+	if changed {
+		eventSuspect.Log(s.daemon.log, "service", service, "target", id)
+		notify(s.wake)
+	}
+}
+
+// run publishes changes until the context ends.
+func (s *suspects) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.wake:
+		}
+		for s.publishNext(ctx) {
+			if ctx.Err() != nil {
+				return nil
+			}
+		}
+	}
+}
+
+// publishNext makes one difference between what is wanted and held good. It
+// reports whether there may be more.
+func (s *suspects) publishNext(ctx context.Context) bool {
+	service, target, differs := s.difference()
+	if !differs {
+		return false
+	}
+	d := s.daemon
+	d.mu.Lock()
+	lease := d.lease
+	d.mu.Unlock()
+	if lease == 0 {
+		return pause(ctx, suspectPause)
+	}
+	key := suspectKey(service, d.settings.Instance)
+	change := store.Transaction{Puts: []store.Put{{Key: key, Value: []byte(target), Lease: lease}}}
+	if target == "" {
+		change = store.Transaction{Deletes: []string{key}}
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := d.store.Transact(callCtx, change); err != nil {
+		d.storeFailed("publish suspicion", err)
+		return pause(ctx, suspectPause)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held[service] = target
+	return true
+}
+
+// difference returns a service whose suspicion is to be published anew.
+func (s *suspects) difference() (topology.ServiceID, topology.TargetID, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for service, target := range s.wanted {
+		if s.held[service] != target {
+			return service, target, true
+		}
+	}
+	for service, target := range s.held {
+		if target != "" && s.wanted[service] == "" {
+			return service, "", true
+		}
+	}
+	return "", "", false
+}
+
+// recheck tries to reach suspected primaries again while callers do not.
+func (s *suspects) recheck(ctx context.Context) error {
+	for pause(ctx, 4*suspectPause) {
+		s.mu.Lock()
+		wanted := make(map[topology.ServiceID]topology.TargetID, len(s.wanted))
+		for service, target := range s.wanted {
+			wanted[service] = target
+		}
+		s.mu.Unlock()
+		for service, id := range wanted {
+			s.daemon.mu.Lock()
+			t, listed := s.daemon.targets[service][id]
+			primary := s.daemon.records[service].Primary
+			s.daemon.mu.Unlock()
+			if id != primary {
+				s.Reached(service, id) // it is not the primary any more
+				continue
+			}
+			if !listed {
+				continue
+			}
+			probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+			_, err := s.daemon.prober.Status(probeCtx, t)
+			cancel()
+			if err == nil {
+				s.Reached(service, id)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/process/dispatch/dispatch.go
@@ -0,0 +1,467 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"samphirehitch.example/samphirehitch/process/directory"
+	"samphirehitch.example/samphirehitch/process/floor"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+// Figures about the queue.
+const (
+	// longestQueue bounds the requests that wait for a service in one instance.
+	longestQueue = 256
+	// failoverPatience is how long work that needs the primary waits while there
+	// is none to use.
+	failoverPatience = 400 * time.Millisecond
+)
+
+// Config sets up a Dispatcher.
+type Config struct {
+	Service       topology.ServiceID
+	FailureDomain topology.FailureDomain
+}
+
+// Dispatcher decides for one service. It is not safe for concurrent use.
+type Dispatcher struct {
+	cfg     Config
+	targets map[topology.TargetID]*target
+	queue   []*Request
+	// primary is empty while none may be used.
+	primary topology.TargetID
+	// connections is how many connections this instance may hold to each target.
+	connections int
+	// Floors is the evidence of the log's growth.
+	Floors     floor.History
+	evicted    []any
+	pressure   float64
+	pressureAt time.Duration
+}
+
+// New returns a dispatcher without targets.
+func New(cfg Config) *Dispatcher {
+	return &Dispatcher{cfg: cfg, targets: make(map[topology.TargetID]*target), connections: 1}
+}
+
+// SetTargets replaces the targets. Connections of those that are gone or drain
+// are to be closed by the caller once idle: see TakeEvicted.
+func (d *Dispatcher) SetTargets(now time.Duration, targets map[topology.TargetID]directory.Target) {
+	for id, info := range targets {
+		t, known := d.targets[id]
+		if !known {
+			t = &target{}
+			d.targets[id] = t
+		}
+		if known && (t.Address != info.Address || t.Born != info.Born) {
+			d.dropIdle(t)
+			t.failures, t.downUntil, t.latency = 0, 0, 0
+		}
+		t.Target, t.gone = info, false
+		if t.Draining {
+			d.dropIdle(t)
+		}
+	}
+	for id, t := range d.targets {
+		if _, listed := targets[id]; listed {
+			continue
+		}
+		t.gone = true
+		d.dropIdle(t)
+		if len(t.links) == 0 && t.opening == 0 {
+			delete(d.targets, id)
+		}
+	}
+	d.pump(now)
+}
+
+// dropIdle closes the idle connections of a target.
+func (d *Dispatcher) dropIdle(t *target) {
+	kept := t.links[:0]
+	for _, l := range t.links {
+		if l.idle {
+			d.evicted = append(d.evicted, l.conn)
+			continue
+		}
+		kept = append(kept, l)
+	}
+	t.links = kept
+}
+
+// SetPrimary names the target that may be used as primary, empty for none.
+func (d *Dispatcher) SetPrimary(now time.Duration, id topology.TargetID) {
+	if d.primary == id {
+		return
+	}
+	d.primary = id
+	d.pump(now)
+}
+
+// Primary returns the target that may be used as primary, empty for none.
+func (d *Dispatcher) Primary() topology.TargetID { return d.primary }
+
+// SetConnections sets how many connections this instance may hold to each
+// target.
+func (d *Dispatcher) SetConnections(now time.Duration, connections int) {
+	d.connections = max(1, connections)
+	for _, t := range d.targets {
+		for len(t.links)+t.opening > d.connections {
+			coldest := t.coldest()
+			if coldest == nil {
+				break
+			}
+			t.remove(coldest)
+			d.evicted = append(d.evicted, coldest.conn)
+		}
+	}
+	d.pump(now)
+}
+
+// TakeEvicted returns the connections that the caller closes.
+func (d *Dispatcher) TakeEvicted() []any {
+	evicted := d.evicted
+	d.evicted = nil
+	return evicted
+}
+
+// Submit asks for a connection.
+func (d *Dispatcher) Submit(now time.Duration, r *Request) (*Lease, Verdict) {
+	r.arrived = now
+	if lease := d.grant(now, r); lease != nil {
+		return lease, Granted
+	}
+	if !d.hopeful(now, r) {
+		return nil, NoTarget
+	}
+	if len(d.queue) >= longestQueue || d.expectedWait(now, r) > r.Expires-now {
+		return nil, Overloaded
+	}
+	if r.NeedsPrimary && d.primary == "" {
+		r.Expires = min(r.Expires, now+failoverPatience)
+	}
+	r.granted = make(chan *Lease, 1)
+	r.waiting = true
+	d.queue = append(d.queue, r)
+	return nil, Queued
+}
+
+// Abandon withdraws a waiting request. It returns the lease that the request
+// received meanwhile, if any.
+func (d *Dispatcher) Abandon(r *Request) *Lease {
+	if i := slices.Index(d.queue, r); i >= 0 {
+		d.queue = slices.Delete(d.queue, i, i+1)
+		r.waiting = false
+		return nil
+	}
+	select {
+	case lease := <-r.granted:
+		return lease
+	default:
+		return nil
+	}
+}
+
+// hopeful reports whether some target may serve the request later.
+func (d *Dispatcher) hopeful(now time.Duration, r *Request) bool {
+	if r.NeedsPrimary && d.primary == "" {
+		return len(d.targets) > 0
+	}
+	for id, t := range d.targets {
+		if t.gone || t.Draining && id != d.primary || r.excludes(id) || r.NeedsPrimary && id != d.primary {
+			continue
+		}
+		if id != d.primary && !t.holds(r.Expires, r.FloorAt) {
+			continue
+		}
+		if t.downUntil > r.Expires {
+			continue
+		}
+		return true
+	}
+	return false
+}
+
+// expectedWait estimates the time until the request would start: the work in
+// front of it over the targets that can do it.
+func (d *Dispatcher) expectedWait(now time.Duration, r *Request) time.Duration {
+	ahead := 0
+	for _, other := range d.queue {
+		if other.NeedsPrimary == r.NeedsPrimary && before(now, other, r) {
+			ahead++
+		}
+	}
+	lanes := 0
+	var latency time.Duration
+	for id, t := range d.targets {
+		if r.NeedsPrimary && id != d.primary || !t.usable(now) {
+			continue
+		}
+		lanes += d.lanes(t)
+		latency = max(latency, t.expectedLatency(now))
+	}
+	if lanes == 0 {
+		return 0
+	}
+	return latency * time.Duration(ahead) / time.Duration(lanes)
+}
+
+// lanes is how many statements this instance keeps in flight at a target.
+func (d *Dispatcher) lanes(t *target) int { return min(max(t.Slots, 1), d.connections) }
+
+// before orders waiting requests: those that can still be in time go first, the
+// earliest due first; late ones follow in order of arrival.
+func before(now time.Duration, a, b *Request) bool {
+	aLate, bLate := now >= a.Late, now >= b.Late
+	if aLate != bLate {
+		return !aLate
+	}
+	if aLate {
+		return a.arrived < b.arrived
+	}
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	return a.Late < b.Late
+}
+
+// pump grants what has become possible.
+func (d *Dispatcher) pump(now time.Duration) {
+	if len(d.queue) == 0 {
+		return
+	}
+	slices.SortStableFunc(d.queue, func(a, b *Request) int {
+		switch {
+		case before(now, a, b):
+			return -1
+		case before(now, b, a):
+			return 1
+		default:
+			return 0
+		}
+	})
+	kept := d.queue[:0]
+	for _, r := range d.queue {
+		if lease := d.grant(now, r); lease != nil {
+			r.waiting = false
+			r.granted <- lease
+			continue
+		}
+		kept = append(kept, r)
+	}
+	clear(d.queue[len(kept):])
+	d.queue = kept
+}
+
+// Pump grants what the passing of time has made possible.
+func (d *Dispatcher) Pump(now time.Duration) { d.pump(now) }
+
+// grant places a request now, or returns nil.
+func (d *Dispatcher) grant(now time.Duration, r *Request) *Lease {
+	var best candidate
+	for id, t := range d.targets {
+		if c, ok := d.consider(now, r, id, t); ok && (best.target == nil || c.cost < best.cost) {
+			best = c
+		}
+	}
+	if best.target == nil {
+		return nil
+	}
+	return d.take(now, r, best)
+}
+
+// candidate is a target that could run a request now.
+type candidate struct {
+	target *target
+	link   *link
+	evict  *link
+	cost   time.Duration
+}
+
+// consider judges one target for a request.
+func (d *Dispatcher) consider(now time.Duration, r *Request, id topology.TargetID, t *target) (candidate, bool) {
+	isPrimary := id == d.primary
+	switch {
+	case !t.usable(now) && !(isPrimary && t.Draining && !t.gone && now >= t.downUntil):
+		return candidate{}, false
+	case r.NeedsPrimary && !isPrimary, r.excludes(id):
+		return candidate{}, false
+	case !isPrimary && !t.holds(now, r.FloorAt):
+		return candidate{}, false
+	case t.running >= d.lanes(t):
+		return candidate{}, false
+	}
+	c := candidate{target: t, link: t.pick(r)}
+	c.cost = t.expectedLatency(now) * time.Duration(t.Slots+t.running) / time.Duration(max(t.Slots, 1))
+	if c.link == nil {
+		c.cost += handshakeCost
+		if len(t.links)+t.opening >= d.connections {
+			if c.evict = t.coldest(); c.evict == nil {
+				return candidate{}, false
+			}
+		}
+	}
+	if t.FailureDomain != d.cfg.FailureDomain {
+		c.cost += otherDomainCost
+	}
+	if isPrimary && !r.NeedsPrimary {
+		c.cost += primaryCost
+	}
+	return c, true
+}
+
+// take hands the candidate's connection to the request.
+func (d *Dispatcher) take(now time.Duration, r *Request, c candidate) *Lease {
+	t := c.target
+	lease := &Lease{Target: t.ID, Address: t.Address, Primary: t.ID == d.primary, target: t, running: true, started: now}
+	t.running++
+	if c.link != nil {
+		c.link.idle, c.link.session = false, r.Session
+		lease.link, lease.Conn = c.link, c.link.conn
+		lease.Why = "idle connection"
+		return lease
+	}
+	lease.Why = "new connection"
+	if c.evict != nil {
+		t.remove(c.evict)
+		lease.Evict = c.evict.conn
+		lease.Why = "new connection in place of another customer's"
+	}
+	t.opening++
+	lease.link = &link{customer: r.Customer, session: r.Session}
+	return lease
+}
+
+// Opened reports that the lease's connection is open.
+func (d *Dispatcher) Opened(now time.Duration, l *Lease, conn any) {
+	t := l.target
+	t.opening--
+	t.failures = 0
+	l.link.conn, l.Conn = conn, conn
+	l.link.lastUsed = now
+	t.links = append(t.links, l.link)
+	l.started = now
+}
+
+// OpenFailed reports that the lease's connection could not be opened. Refused
+// tells that the target answered and refused it.
+func (d *Dispatcher) OpenFailed(now time.Duration, l *Lease, refused bool) {
+	t := l.target
+	t.opening--
+	t.running--
+	l.running = false
+	if refused {
+		t.downUntil = max(t.downUntil, now+firstBackoff)
+	} else {
+		t.failed(now)
+	}
+	d.forget(t)
+	d.pump(now)
+}
+
+// Begin counts a further statement on a lease that is kept for a transaction.
+func (d *Dispatcher) Begin(now time.Duration, l *Lease) {
+	if !l.running {
+		l.running, l.started = true, now
+		l.target.running++
+	}
+}
+
+// End reports the answer to a statement; the lease is kept.
+func (d *Dispatcher) End(now time.Duration, l *Lease) {
+	if !l.running {
+		return
+	}
+	l.running = false
+	l.target.running--
+	l.target.observe(now, now-l.started)
+	d.pump(now)
+}
+
+// Release gives the connection back for other work.
+func (d *Dispatcher) Release(now time.Duration, l *Lease) {
+	d.stop(l)
+	t := l.target
+	l.link.idle, l.link.lastUsed = true, now
+	if t.gone || t.Draining || len(t.links)+t.opening > d.connections {
+		t.remove(l.link)
+		d.evicted = append(d.evicted, l.link.conn)
+		d.forget(t)
+	}
+	d.pump(now)
+}
+
+// Drop reports that the lease's connection was closed. Broken tells that the
+// target or the path to it failed.
+func (d *Dispatcher) Drop(now time.Duration, l *Lease, broken bool) {
+	d.stop(l)
+	t := l.target
+	t.remove(l.link)
+	if broken {
+		t.failed(now)
+	}
+	d.forget(t)
+	d.pump(now)
+}
+
+func (d *Dispatcher) stop(l *Lease) {
+	if l.running {
+		l.running = false
+		l.target.running--
+	}
+}
+
+// forget removes a target that is gone once nothing refers to it.
+func (d *Dispatcher) forget(t *target) {
+	if t.gone && len(t.links) == 0 && t.opening == 0 {
+		delete(d.targets, t.ID)
+	}
+}
+
+// Lagging reports that the lease's target lacked the request's floor.
+func (d *Dispatcher) Lagging(now time.Duration, l *Lease, r *Request) {
+	l.target.refusedForLag(now, r.FloorAt)
+}
+
+// Position takes the end of a replica's log as it told in an answer.
+func (d *Dispatcher) Position(now time.Duration, l *Lease, point topology.Point) {
+	if since, behind := d.Floors.BehindSince(point); behind {
+		l.target.observeLag(now - since)
+		return
+	}
+	l.target.observeLag(0)
+}
+
+// Statuses describes the targets.
+func (d *Dispatcher) Statuses() []Status {
+	statuses := make([]Status, 0, len(d.targets))
+	for id, t := range d.targets {
+		statuses = append(statuses, Status{Target: id, Connections: len(t.links), Running: t.running, Latency: t.latency, Lag: t.lag})
+	}
+	return statuses
+}
+
+// Waiting returns the length of the queue.
+func (d *Dispatcher) Waiting() int { return len(d.queue) }
+
+// busyMemory is the time constant of the measured use of connections.
+const busyMemory = 2 * time.Second
+
+// Pressure returns how many connections to its busiest target the instance uses
+// on average, and whether requests lately waited for want of a connection.
+func (d *Dispatcher) Pressure(now time.Duration) (busy float64, starved bool) {
+	most := 0
+	for _, t := range d.targets {
+		used := t.opening
+		for _, l := range t.links {
+			if !l.idle {
+				used++
+			}
+		}
+		most = max(most, used)
+	}
+	weight := min(1, float64(now-d.pressureAt)/float64(busyMemory))
+	d.pressure += (float64(most+len(d.queue)) - d.pressure) * weight
+	d.pressureAt = now
+	return float64(int(d.pressure*10)) / 10, len(d.queue) > 0
+}
--- /dev/null
+++ b/request/perform/operation.go
@@ -0,0 +1,151 @@
+package perform
+
+import (
+	"time"
+
+	"samphirehitch.example/samphirehitch/connection/client"
+	"samphirehitch.example/samphirehitch/process/dispatch"
+	"samphirehitch.example/samphirehitch/process/floor"
+	"samphirehitch.example/samphirehitch/process/statement"
+	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/version/catalog"
+)
+
+// Figures about operations.
+const (
+	// stalenessMargin is kept of a route's staleness for clocks that run at
+	// different speeds and for the time between the read's first byte and its
+	// admission.
+	stalenessMargin = 100 * time.Millisecond
+	// ratePatience is the share of the objective that an operation may wait for a
+	// token of its customer's rate.
+	ratePatience = 0.25
+	// attemptsLimit bounds the attempts at one statement.
+	attemptsLimit = 6
+	// retryPause is the pause before a target that was full is asked again.
+	retryPause = 15 * time.Millisecond
+)
+
+// operation is what one statement, or one transaction, runs under.
+type operation struct {
+	route    catalog.Route
+	customer topology.CustomerID
+	priority int
+	service  *service
+	version  uint64
+	// began is when the operation began, late when its objective passes.
+	began, late time.Duration
+	// floor is what replicas must hold; without evidence hasFloor is false.
+	floor    floor.Sample
+	hasFloor bool
+}
+
+// refusal is an answer given without asking a target.
+type refusal struct {
+	code statement.Code
+	why  string
+}
+
+// authorize finds the route and the customer of a session.
+func (e *Engine) authorize(now time.Duration, s *client.Session) (operation, *refusal) {
+	c := e.catalog.Load()
+	if c == nil {
+		return operation{}, &refusal{statement.Busy, "no configuration yet"}
+	}
+	fresh := e.Tenure.Keys(now)
+	route, known := c.Routes[s.Database]
+	if !known {
+		if !fresh {
+			return operation{}, &refusal{statement.Busy, "unknown database, configuration not confirmed lately"}
+		}
+		return operation{}, &refusal{statement.UnknownDatabase, "no route"}
+	}
+	op := operation{route: route, version: c.Version, began: now, late: now + route.Objective, priority: route.Priority}
+	if !route.Open {
+		if !fresh {
+			return operation{}, &refusal{statement.Busy, "keys not confirmed lately"}
+		}
+		customer, held := c.Keys[s.Key]
+		if !held {
+			return operation{}, &refusal{statement.AuthenticationFailed, "unknown key"}
+		}
+		op.customer = customer
+	}
+	if op.service = e.service(route.Service); op.service == nil {
+		return operation{}, &refusal{statement.Busy, "route names an unknown service"}
+	}
+	return op, nil
+}
+
+// Authorize checks a session at its start.
+func (e *Engine) Authorize(s *client.Session) (code statement.Code, why string) {
+	if _, refused := e.authorize(e.Clock(), s); refused != nil {
+		return refused.code, refused.why
+	}
+	return statement.OK, ""
+}
+
+// admit begins an operation: authorization, rate and floor.
+func (e *Engine) admit(s *client.Session) (operation, *refusal) {
+	now := e.Clock()
+	op, refused := e.authorize(now, s)
+	if refused != nil {
+		return op, refused
+	}
+	if op.customer != "" {
+		patience := time.Duration(float64(op.route.Objective) * ratePatience)
+		wait, ok := e.rates.take(now, patience, op.customer)
+		if !ok {
+			return op, &refusal{statement.Busy, "customer's rate is used up"}
+		}
+		if wait > 0 {
+			time.Sleep(wait)
+		}
+	}
+	op.service.mu.Lock()
+	op.chooseFloor(now, s)
+	op.service.mu.Unlock()
+	return op, nil
+}
+
+// chooseFloor takes the oldest evidence that the route's staleness allows, and
+// the session's own last write. The caller holds the service's lock.
+func (o *operation) chooseFloor(now time.Duration, s *client.Session) {
+	if o.route.Consistency == catalog.Primary {
+		return
+	}
+	sample, found := o.service.dispatch.Floors.Oldest(now - o.route.MaxStaleness + stalenessMargin)
+	if !found {
+		return
+	}
+	o.floor, o.hasFloor = sample, true
+	own := floor.Sample{At: s.FloorAt, Point: s.Floor}
+	if o.route.Consistency != catalog.Session || own.Point == (topology.Point{}) {
+		return
+	}
+	// A floor of an earlier term may name a commit that the promotion rolled back;
+	// any log of the present term holds what is left of it.
+	if own.Point.Term < o.service.record.Term {
+		if o.floor.Point.Term < o.service.record.Term {
+			o.hasFloor = false
+		}
+		return
+	}
+	if own.Point.Reaches(o.floor.Point) {
+		o.floor = own
+	}
+}
+
+// request describes the operation to the dispatcher.
+func (o *operation) request(s *client.Session, needsPrimary bool, expires time.Duration) *dispatch.Request {
+	return &dispatch.Request{
+		Customer:     o.customer,
+		Session:      s.Number,
+		NeedsPrimary: needsPrimary || !o.hasFloor,
+		Floor:        o.floor.Point,
+		FloorAt:      o.floor.At,
+		Late:         o.late,
+		Expires:      expires,
+		Priority:     o.priority,
+	}
+}
