Drop floors of an earlier primary, find closed idle connections before use

Ruled out: rights (the read went to a replica), session floors. Idle connections that their target closed are found by a peek before use, and a write of which the kernel took nothing is known not to have been sent.

--- a/process/floor/floor.go
+++ b/process/floor/floor.go
@@ -59,6 +59,10 @@
 	}
 }
 
+// Reset forgets all evidence, when another primary leads: what is known of the
+// log of the one before says nothing of commits that came after it.
+func (h *History) Reset() { h.samples = nil }
+
 // Oldest returns the oldest sample taken at notBefore or later.
 func (h *History) Oldest(notBefore time.Duration) (Sample, bool) {
 	for _, s := range h.samples {
--- a/process/target/target.go
+++ b/process/target/target.go
@@ -29,6 +29,9 @@
 	Pipeline(statements []statement.Statement, timeout time.Duration) ([]statement.Answer, error)
 	// Resume reads on for the answer that timed out.
 	Resume(timeout time.Duration) (statement.Answer, error)
+	// Alive reports whether an idle connection can be used: the peer has not
+	// closed it.
+	Alive() bool
 	Close() error
 }
 
--- a/request/perform/acquire.go
+++ b/request/perform/acquire.go
@@ -45,11 +45,15 @@
 		}
 	}
 	h := &held{service: s, lease: lease, sequence: sequence}
-	if lease.Conn != nil {
-		h.link = lease.Conn.(*client.Link)
+	if lease.Conn == nil {
+		return e.open(op, h)
+	}
+	h.link = lease.Conn.(*client.Link)
+	if h.link.Conn.Alive() {
 		return h, nil
 	}
-	return e.open(op, h)
+	e.drop(h, false)
+	return nil, &refusal{statement.Busy, "an idle connection was closed by its target"}
 }
 
 // granted counts a lease on the primary and returns the record's sequence. The
@@ -191,6 +195,13 @@
 	return target.Broken
 }
 
+// sentBefore reports whether the target may have received a statement whose
+// sending or answer failed.
+func sentBefore(err error) bool {
+	var failed *target.Error
+	return !errors.As(err, &failed) || failed.Sent
+}
+
 // unreachable reports whether an error of opening a connection says that the
 // target cannot be reached, rather than that it is busy.
 func unreachable(err error) bool {
--- a/request/perform/service.go
+++ b/request/perform/service.go
@@ -82,8 +82,10 @@
 	if !record.Fenced {
 		s.yielding = ""
 	}
+	if record.Term != s.record.Term {
+		s.dispatch.Floors.Reset()
+	}
 	s.record, s.revision = record, revision
-	s.dispatch.Floors.Observe(now, record.Start)
 	s.dispatch.SetPrimary(now, s.usable(now))
 }
 
--- a/request/perform/single.go
+++ b/request/perform/single.go
@@ -88,6 +88,9 @@
 	}
 	answer := statement.Answer{Detail: err.Error(), State: statement.Idle}
 	switch {
+	case writes && !sentBefore(err):
+		answer.Code = statement.Busy
+		return answer, true
 	case writes:
 		answer.Code = statement.InDoubt
 		return answer, false
