--- a/cmd/samphirehitch-edge/main.go
+++ b/cmd/samphirehitch-edge/main.go
@@ -59,6 +59,7 @@
 			DecodeTarget:     platform.DecodeTarget,
 			DecodeStatus:     platform.DecodeStatus,
 			Accept:           func(conn net.Conn) edge.CallerCodec { return platform.NewCallerConn(conn) },
+			DialPeer:         platform.DialPeer,
 			Readiness:        platform.ReadinessHandler,
 		},
 		Log: logger,
--- a/connection/client/session.go
+++ b/connection/client/session.go
@@ -14,8 +14,8 @@
 
 // Prepared is a prepared statement of a session.
 type Prepared struct {
-	Writes bool
-	Shape  string
+	Writes bool   `cbor:"1,keyasint,omitempty"`
+	Shape  string `cbor:"2,keyasint"`
 }
 
 // sharedName returns the name under which targets know the statement. Sessions
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -129,7 +129,7 @@
 	if err := codec.WriteReady(statement.Idle, topology.Point{}); err != nil {
 		return
 	}
-	conversation := d.engine.Converse(session)
+	conversation := d.engine.Converse(session, d.relay)
 	defer conversation.End()
 	if err := d.converse(one, conversation); err != nil {
 		eventSessionFailed.Log(d.log, "database", database, "error", err.Error())
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"samphirehitch.example/samphirehitch/process/event"
 	"samphirehitch.example/samphirehitch/process/failover"
 	"samphirehitch.example/samphirehitch/process/mirror"
+	"samphirehitch.example/samphirehitch/process/peer"
 	"samphirehitch.example/samphirehitch/process/share"
 	"samphirehitch.example/samphirehitch/process/statement"
 	"samphirehitch.example/samphirehitch/process/store"
@@ -24,6 +26,7 @@
 	"samphirehitch.example/samphirehitch/process/tenure"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/request/perform"
+	"samphirehitch.example/samphirehitch/request/relay"
 	"samphirehitch.example/samphirehitch/version/catalog"
 )
 
@@ -51,6 +54,8 @@
 	DecodeStatus     func(statement.Answer) (failover.TargetStatus, error)
 	// Accept returns the codec of a caller's connection.
 	Accept AcceptFunc
+	// DialPeer opens connections to other instances.
+	DialPeer func(ctx context.Context, network, address string) (net.Conn, error)
 	// Readiness answers the balancer.
 	Readiness ReadinessFunc
 }
@@ -76,6 +81,8 @@
 	clock    clock.Clock
 	tenure   *tenure.Tenure
 	engine   *perform.Engine
+	relay    *relay.Relay
+	mesh     *peer.Mesh
 	suspects *suspects
 	metrics  *metrics
 	callers  callers
@@ -125,6 +132,12 @@
 		FailureDomain: o.Settings.FailureDomain, Clock: d.clock, Tenure: d.tenure, Dialer: o.Dialer,
 		Reachability: d.suspects, Observer: d.metrics, Log: o.Log,
 	})
+	d.mesh = peer.New(peer.Config{Instance: o.Settings.Instance, FailureDomain: o.Settings.FailureDomain,
+		Address: o.Settings.PeerAddress, Dial: o.Adapter.DialPeer}, o.Log)
+	d.relay = relay.New(relay.Dependencies{Self: o.Settings.Instance, Born: d.born, Engine: d.engine, Link: d.mesh,
+		Clock: d.clock, Log: o.Log, Stopping: d.stopping.Load})
+	d.mesh.Handle(peer.KindRelay, d.relay.Receive)
+	d.mesh.OnDown(d.relay.Lost)
 	d.metrics.watch(d)
 	return d
 }
@@ -142,7 +155,7 @@
 	}
 	var group run.Group
 	for _, loop := range []func(context.Context) error{
-		d.follow, d.relist, d.confirm, d.register, d.lead, d.tick, d.suspects.run, d.suspects.recheck,
+		d.follow, d.relist, d.confirm, d.register, d.lead, d.tick, d.mesh.Run, d.suspects.run, d.suspects.recheck,
 	} {
 		group.Add(func() error { return loop(d.ctx) }, func(error) { d.cancel() })
 	}
@@ -158,6 +171,7 @@
 func (d *Daemon) tick(ctx context.Context) error {
 	for pause(ctx, tickInterval) {
 		d.engine.Tick()
+		d.relay.Tick()
 	}
 	return nil
 }
--- a/edge/listeners.go
+++ b/edge/listeners.go
@@ -31,7 +31,7 @@
 type ReadinessFunc func(ready func() bool) http.Handler
 
 type listeners struct {
-	callers, readiness, metrics net.Listener
+	callers, peers, readiness, metrics net.Listener
 }
 
 func (d *Daemon) listen() (listeners, error) {
@@ -40,6 +40,9 @@
 	if l.callers, err = net.Listen("tcp", d.settings.CallerAddress); err != nil {
 		return l, eris.Wrap(err, "listen for callers")
 	}
+	if l.peers, err = net.Listen("tcp", d.settings.PeerAddress); err != nil {
+		return l, eris.Wrap(err, "listen for peers")
+	}
 	if l.readiness, err = net.Listen("tcp", d.settings.ReadinessAddress); err != nil {
 		return l, eris.Wrap(err, "listen for readiness probes")
 	}
@@ -54,6 +57,7 @@
 // add adds the listeners and the signals to the run group.
 func (l listeners) add(group *run.Group, d *Daemon) {
 	group.Add(func() error { return d.accept(l.callers) }, func(error) { _ = l.callers.Close() })
+	addHTTP(group, l.peers, d.mesh)
 	addHTTP(group, l.readiness, d.adapter.Readiness(d.ready))
 	if l.metrics != nil {
 		mux := http.NewServeMux()
@@ -108,6 +112,7 @@
 	started := time.Now()
 	exit := started.Add(d.settings.Grace - exitMargin)
 	d.stopping.Store(true)
+	d.announceLeaving()
 	d.resignDuty()
 	pause(d.ctx, leaveDelay)
 	sessions := d.callers.all()
@@ -117,7 +122,7 @@
 			pause(d.ctx, wait)
 		}
 	}
-	for d.callers.count() > 0 && time.Now().Before(exit) {
+	for (d.callers.count() > 0 || d.relay.Busy()) && time.Now().Before(exit) {
 		for _, one := range d.callers.all() {
 			one.leave()
 		}
--- a/edge/register.go
+++ b/edge/register.go
@@ -6,7 +6,6 @@
 	"errors"
 	"maps"
 	"math"
-	"strings"
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/event"
@@ -40,16 +39,24 @@
 type registration struct {
 	FailureDomain topology.FailureDomain `json:"failure_domain"`
 	// Born tells processes of one instance apart.
-	Born  int64       `json:"born"`
-	Needs share.Needs `json:"needs"`
+	Born int64 `json:"born"`
+	// Address is where other instances reach this one.
+	Address string `json:"address"`
+	// Processor is the share of a core that the instance has.
+	Processor float64 `json:"processor"`
+	// Leaving instances take no more work of others.
+	Leaving bool        `json:"leaving,omitempty"`
+	Needs   share.Needs `json:"needs"`
 }
 
 // register keeps the registration alive and publishes needs.
 func (d *Daemon) register(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if d.lease == 0 {
+		switch {
+		case !d.knowsStore():
+		case d.lease == 0:
 			d.enroll(ctx)
-		} else {
+		default:
 			d.renew(ctx)
 		}
 		if d.lease == 0 {
@@ -62,6 +69,14 @@
 	return nil
 }
 
+// knowsStore reports whether the store's content was read: an instance that
+// cannot serve does not register.
+func (d *Daemon) knowsStore() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed
+}
+
 // enroll grants a lease and writes the registration under it.
 func (d *Daemon) enroll(ctx context.Context) {
 	asked := d.clock()
@@ -75,6 +90,7 @@
 	if !d.putRegistration(ctx, lease, share.Needs{}) {
 		return
 	}
+	d.published, d.publishedAt = share.Needs{}, d.clock()
 	d.setLease(lease)
 	d.tenure.Renewed(asked)
 	eventRegistered.Log(d.log, "lease", lease)
@@ -88,7 +104,8 @@
 }
 
 func (d *Daemon) putRegistration(ctx context.Context, lease store.LeaseID, needs share.Needs) bool {
-	value, err := json.Marshal(registration{FailureDomain: d.settings.FailureDomain, Born: d.born, Needs: needs})
+	value, err := json.Marshal(registration{FailureDomain: d.settings.FailureDomain, Born: d.born,
+		Address: d.settings.PeerAddress, Processor: d.settings.Processor, Leaving: d.stopping.Load(), Needs: needs})
 	if err != nil {
 		eventConfigBroken.LogError(d.log, err, "key", instanceKey(d.settings.Instance))
 		return false
@@ -103,7 +120,6 @@
 		d.storeFailed("put registration", err)
 		return false
 	}
-	d.published, d.publishedAt = needs, d.clock()
 	return true
 }
 
@@ -137,7 +153,9 @@
 	if !pressed || d.clock()-d.publishedAt < publishInterval || !differ(needs, d.published) {
 		return
 	}
-	d.putRegistration(ctx, d.lease, needs)
+	if d.putRegistration(ctx, d.lease, needs) {
+		d.published, d.publishedAt = needs, d.clock()
+	}
 }
 
 func differ(a, b share.Needs) bool {
@@ -161,43 +179,12 @@
 	return false
 }
 
-// applyShares divides the limits among the registered instances.
-func (d *Daemon) applyShares() {
-	c := d.engine.Catalog()
-	if c == nil {
-		return
-	}
-	needs := make(map[topology.InstanceID]share.Needs)
+// announceLeaving tells the others to take their work elsewhere.
+func (d *Daemon) announceLeaving() {
 	d.mu.Lock()
-	d.mirror.Each(prefixInstances, func(entry store.Entry) {
-		var r registration
-		if err := json.Unmarshal(entry.Value, &r); err != nil {
-			eventTargetBroken.LogError(d.log, err, "key", entry.Key)
-			return
-		}
-		needs[topology.InstanceID(strings.TrimPrefix(entry.Key, prefixInstances))] = r.Needs
-	})
-	d.instances = len(needs)
+	lease := d.lease
 	d.mu.Unlock()
-	connections := make(map[topology.ServiceID]int, len(c.Services))
-	for id, service := range c.Services {
-		byInstance := make(map[topology.InstanceID]float64, len(needs))
-		for instance, n := range needs {
-			byInstance[instance] = n.Services[id]
-		}
-		connections[id] = share.Connections(d.settings.Instance, service.MaxConnections-reservedConnections, byInstance)
+	if lease != 0 {
+		d.putRegistration(d.ctx, lease, share.Needs{})
 	}
-	fractions := make(map[topology.CustomerID]float64, len(c.Customers))
-	for id := range c.Customers {
-		byInstance := make(map[topology.InstanceID]float64, len(needs))
-		for instance, n := range needs {
-			byInstance[instance] = n.Customers[id]
-		}
-		fractions[id] = share.Fraction(d.settings.Instance, byInstance)
-	}
-	d.engine.SetShares(connections, fractions)
-	eventShares.Log(d.log, "instances", len(needs), "connections", connections)
 }
-
-// reservedConnections are kept of each target's connections for status requests.
-const reservedConnections = 1
--- /dev/null
+++ b/edge/shares.go
@@ -0,0 +1,113 @@
+package edge
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"samphirehitch.example/samphirehitch/process/home"
+	"samphirehitch.example/samphirehitch/process/platform"
+	"samphirehitch.example/samphirehitch/process/share"
+	"samphirehitch.example/samphirehitch/process/store"
+	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/version/catalog"
+)
+
+// Figures of the division of connections.
+const (
+	// reservedConnections are kept of each target's connections for status
+	// requests.
+	reservedConnections = 1
+	// reserveShare bounds the part of a target's connections that is kept for
+	// instances that are no homes of its service, one each, for when its homes
+	// do not answer.
+	reserveShare = 0.25
+	// homeWeight is the share of a customer's rate that is expected at its homes
+	// before demand is published.
+	homeWeight = 0.5
+)
+
+// applyShares divides work and limits among the registered instances.
+func (d *Daemon) applyShares() {
+	c := d.engine.Catalog()
+	if c == nil {
+		return
+	}
+	registered := d.registrations()
+	peers := make([]platform.Instance, 0, len(registered))
+	able := make([]home.Instance, 0, len(registered))
+	for id, r := range registered {
+		peers = append(peers, platform.Instance{ID: id, Peer: r.Address, FailureDomain: r.FailureDomain, State: platform.InstanceLive})
+		if !r.Leaving {
+			able = append(able, home.Instance{ID: id, Processor: r.Processor})
+		}
+	}
+	services := d.engine.Services()
+	homes := home.Assign(services, able)
+	d.mesh.SetPeers(peers)
+	d.relay.Place(homes, spread(c))
+	connections := make(map[topology.ServiceID]int, len(c.Services))
+	for id, service := range c.Services {
+		connections[id] = d.connectionShare(service, homes.Homes(id), registered)
+	}
+	d.engine.SetShares(connections, d.rateShares(c, homes, registered))
+	eventShares.Log(d.log, "instances", len(registered), "connections", connections, "home_of", homes.Count(d.settings.Instance))
+}
+
+// registrations reads what the instances say of themselves.
+func (d *Daemon) registrations() map[topology.InstanceID]registration {
+	registered := make(map[topology.InstanceID]registration)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mirror.Each(prefixInstances, func(entry store.Entry) {
+		var r registration
+		if err := json.Unmarshal(entry.Value, &r); err != nil {
+			eventTargetBroken.LogError(d.log, err, "key", entry.Key)
+			return
+		}
+		registered[topology.InstanceID(strings.TrimPrefix(entry.Key, prefixInstances))] = r
+	})
+	return registered
+}
+
+// spread divides the customers between the homes of each service.
+func spread(c *catalog.Catalog) map[topology.CustomerID]int {
+	customers := make([]home.Customer, 0, len(c.Customers))
+	for id, customer := range c.Customers {
+		customers = append(customers, home.Customer{ID: id, Rate: customer.Rate})
+	}
+	return home.Spread(customers)
+}
+
+// connectionShare returns how many connections this instance may hold to each
+// target of a service.
+func (d *Daemon) connectionShare(service catalog.Service, homes []topology.InstanceID, registered map[topology.InstanceID]registration) int {
+	if !slices.Contains(homes, d.settings.Instance) {
+		return 1
+	}
+	needs := make(map[topology.InstanceID]float64, len(homes))
+	for _, id := range homes {
+		needs[id] = registered[id].Needs.Services[service.ID]
+	}
+	reserve := min(len(registered)-len(homes), int(float64(service.MaxConnections)*reserveShare))
+	return share.Connections(d.settings.Instance, service.MaxConnections-reservedConnections-reserve, needs)
+}
+
+// rateShares returns this instance's part of each customer's rate.
+func (d *Daemon) rateShares(c *catalog.Catalog, homes home.Assignment, registered map[topology.InstanceID]registration) map[topology.CustomerID]float64 {
+	customers := spread(c)
+	fractions := make(map[topology.CustomerID]float64, len(c.Customers))
+	for id, customer := range c.Customers {
+		needs := make(map[topology.InstanceID]float64, len(registered))
+		for instance, r := range registered {
+			needs[instance] = r.Needs.Customers[id]
+		}
+		for service := range c.Services {
+			if at := homes.Homes(service); len(at) > 0 {
+				needs[at[customers[id]%len(at)]] += customer.Rate * homeWeight / float64(len(c.Services))
+			}
+		}
+		fractions[id] = share.Fraction(d.settings.Instance, needs)
+	}
+	return fractions
+}
--- a/process/entrysettings/settings.go
+++ b/process/entrysettings/settings.go
@@ -17,11 +17,15 @@
 	CallerAddress    string
 	ReadinessAddress string
 	// MetricsAddress is empty when metrics are not served.
-	MetricsAddress   string
+	MetricsAddress string
+	// PeerAddress is where other instances reach this one.
+	PeerAddress      string
 	StoreAddress     string
 	PromotionAddress string
-	MemoryBytes      int64
-	Descriptors      int
+	// Processor is the share of a core that the instance has.
+	Processor   float64
+	MemoryBytes int64
+	Descriptors int
 	// DrainLimit is the time after which a leaving target gets no statements.
 	DrainLimit time.Duration
 	// Grace is the time between SIGTERM and SIGKILL.
@@ -39,6 +43,7 @@
 		{"failure domain", string(s.FailureDomain)},
 		{"caller address", s.CallerAddress},
 		{"readiness address", s.ReadinessAddress},
+		{"peer address", s.PeerAddress},
 		{"store address", s.StoreAddress},
 		{"promotion address", s.PromotionAddress},
 	}
--- a/process/peer/mesh.go
+++ b/process/peer/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -55,6 +56,8 @@
 	Identity *Identity
 	// Seeds are addresses to dial before any list of instances is known.
 	Seeds []string
+	// Dial, when set, opens the connections of links.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Known, when set, returns the platform's list of instances as this instance
 	// has read it last. Small lists are told to peers when a link comes up.
 	Known func() []platform.Instance
@@ -73,6 +76,7 @@
 	receivers [256]Receiver
 	counters  Counters
 	onUp      func(platform.Instance, []platform.Instance)
+	onDown    func(topology.InstanceID)
 
 	mu struct {
 		sync.RWMutex
@@ -86,7 +90,7 @@
 // New returns a mesh without links.
 func New(cfg Config, logger logr.Logger) *Mesh {
 	m := &Mesh{cfg: cfg, logger: logger, scheme: "ws"}
-	transport := &http.Transport{}
+	transport := &http.Transport{DialContext: cfg.Dial}
 	if cfg.Identity != nil {
 		transport.TLSClientConfig = cfg.Identity.clientConfig()
 		m.scheme = "wss"
@@ -105,6 +109,22 @@
 // quickly.
 func (m *Mesh) OnUp(f func(peer platform.Instance, known []platform.Instance)) { m.onUp = f }
 
+// OnDown sets a function that is told of each peer whose last link has ended. It
+// is called before Run and must return quickly.
+func (m *Mesh) OnDown(f func(peer topology.InstanceID)) { m.onDown = f }
+
+// Reachable reports whether a peer has a link.
+func (m *Mesh) Reachable(id topology.InstanceID) bool { return m.linkTo(id) != nil }
+
+// Reset closes the links to a peer, which are then opened anew.
+func (m *Mesh) Reset(id topology.InstanceID) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, l := range m.mu.links[id] {
+		go l.conn.CloseNow()
+	}
+}
+
 // Counters returns the traffic counters.
 func (m *Mesh) Counters() *Counters { return &m.counters }
 
@@ -340,11 +360,14 @@
 
 func (m *Mesh) remove(l *link) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	rest := slices.DeleteFunc(m.mu.links[l.peer], func(other *link) bool { return other == l })
-	if len(rest) == 0 {
+	if len(rest) > 0 {
+		m.mu.links[l.peer] = rest
+	} else {
 		delete(m.mu.links, l.peer)
-		return
 	}
-	m.mu.links[l.peer] = rest
+	m.mu.Unlock()
+	if len(rest) == 0 && m.onDown != nil {
+		m.onDown(l.peer)
+	}
 }
--- a/process/peer/peer.go
+++ b/process/peer/peer.go
@@ -15,6 +15,7 @@
 	KindConfig
 	KindLedger
 	KindGroup
+	KindRelay
 )
 
 // Sender hands messages to peers. Send never blocks and may drop the message,
--- a/process/share/share.go
+++ b/process/share/share.go
@@ -13,7 +13,7 @@
 
 // baseWeight is the weight of an instance that has published no need, as a share
 // of the average weight: new demand is served from it until it is published.
-const baseWeight = 0.25
+const baseWeight = 0.1
 
 // Needs is what an instance publishes.
 type Needs struct {
--- a/process/statement/statement.go
+++ b/process/statement/statement.go
@@ -42,22 +42,22 @@
 
 // Statement is one statement of a session. Only the fields of its kind are set.
 type Statement struct {
-	Kind Kind
+	Kind Kind `cbor:"1,keyasint,omitempty"`
 	// ID is the caller's request id; empty for statements of the daemon itself.
-	ID string
+	ID string `cbor:"2,keyasint,omitempty"`
 	// Text is what the caller wrote, opaque to everything but the codec.
-	Text string
+	Text string `cbor:"3,keyasint,omitempty"`
 	// Name is the session value's name of Set, or the prepared statement's name.
-	Name string
+	Name string `cbor:"4,keyasint,omitempty"`
 	// Argument is the value of Set, the shape of Prepare, or the item and data of
 	// Execute.
-	Argument string
+	Argument string `cbor:"5,keyasint,omitempty"`
 	// Writes reports a Prepare of a statement that writes.
-	Writes bool
+	Writes bool `cbor:"6,keyasint,omitempty"`
 	// Term is the argument of Pause and Demote.
-	Term topology.Term
+	Term topology.Term `cbor:"7,keyasint,omitempty"`
 	// After is the log position that a read or a Begin requires; zero for none.
-	After topology.Point
+	After topology.Point `cbor:"8,keyasint"`
 }
 
 // TransactionState is the state of a session after an answer.
@@ -115,14 +115,14 @@
 
 // Answer is the complete answer to a statement.
 type Answer struct {
-	Rows []string
+	Rows []string `cbor:"1,keyasint,omitempty"`
 	// Signature proves which target ran the statement; empty when the daemon
 	// answers itself.
-	Signature string
+	Signature string `cbor:"2,keyasint,omitempty"`
 	// Code is OK on success.
-	Code   Code
-	Detail string
-	State  TransactionState
+	Code   Code             `cbor:"3,keyasint,omitempty"`
+	Detail string           `cbor:"4,keyasint,omitempty"`
+	State  TransactionState `cbor:"5,keyasint,omitempty"`
 	// Position is the end of the target's log, zero when not told.
-	Position topology.Point
+	Position topology.Point `cbor:"6,keyasint"`
 }
--- a/request/perform/operation.go
+++ b/request/perform/operation.go
@@ -77,6 +77,31 @@
 	return op, nil
 }
 
+// Place says which service an operation of a session needs, for whom, and how
+// long a statement of it may take.
+type Place struct {
+	Service  topology.ServiceID
+	Customer topology.CustomerID
+	Timeout  time.Duration
+}
+
+// Refusal is why an operation is refused before anything ran.
+type Refusal struct{ refusal }
+
+// Answer turns the refusal into an answer.
+func (r *Refusal) Answer(o *Outcome, state statement.TransactionState) statement.Answer {
+	return r.refusal.answer(o, state)
+}
+
+// Locate authorizes a session's next operation without admitting it.
+func (e *Engine) Locate(s *client.Session) (Place, *Refusal) {
+	op, refused := e.authorize(e.Clock(), s)
+	if refused != nil {
+		return Place{}, &Refusal{*refused}
+	}
+	return Place{Service: op.service.id, Customer: op.customer, Timeout: op.route.StatementTimeout}, nil
+}
+
 // Authorize checks a session at its start.
 func (e *Engine) Authorize(s *client.Session) (code statement.Code, why string) {
 	if _, refused := e.authorize(e.Clock(), s); refused != nil {
--- a/request/perform/outcome.go
+++ b/request/perform/outcome.go
@@ -33,11 +33,13 @@
 	// required; negative without one.
 	FloorAge time.Duration
 	Version  uint64
+	// Via is the home that ran the statement, empty when this instance did.
+	Via topology.InstanceID
 }
 
 func (o *Outcome) log(logger logr.Logger, id string) {
 	eventAnswered.Log(logger, "request", id, "kind", o.Kind.String(), "code", o.Code.String(),
 		"service", o.Service, "customer", o.Customer, "target", o.Target, "primary", o.Primary,
 		"waited_us", o.Waited.Microseconds(), "took_us", o.Took.Microseconds(), "attempts", o.Attempts,
-		"why", o.Why, "floor_age_ms", o.FloorAge.Milliseconds(), "version", o.Version)
+		"why", o.Why, "floor_age_ms", o.FloorAge.Milliseconds(), "version", o.Version, "via", o.Via)
 }
--- a/request/perform/single.go
+++ b/request/perform/single.go
@@ -10,8 +10,8 @@
 	"samphirehitch.example/samphirehitch/version/catalog"
 )
 
-// single runs a statement outside of a transaction.
-func (e *Engine) single(s *client.Session, st statement.Statement, o *Outcome) statement.Answer {
+// Single implements Operations.
+func (e *Engine) Single(s *client.Session, st statement.Statement, o *Outcome) statement.Answer {
 	op, refused := e.admit(s)
 	o.describe(&op)
 	if refused != nil {
--- a/request/perform/transaction.go
+++ b/request/perform/transaction.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"samphirehitch.example/samphirehitch/connection/client"
 	"samphirehitch.example/samphirehitch/process/statement"
 	"samphirehitch.example/samphirehitch/process/target"
 	"samphirehitch.example/samphirehitch/version/catalog"
@@ -18,68 +19,68 @@
 // transaction is a caller's open transaction. The target learns of it with its
 // first statement, so that a caller that pauses after BEGIN holds nothing.
 type transaction struct {
+	engine   *Engine
+	session  *client.Session
 	op       operation
 	readOnly bool
 	// conn is nil before the first statement and after the transaction failed.
-	conn *held
-	// failed transactions only wait for their end.
-	failed bool
-	// told reports that the caller knows of the failure.
-	told  bool
+	conn  *held
 	wrote bool
 }
 
-// begin opens a transaction.
-func (c *Conversation) begin(st statement.Statement, o *Outcome) statement.Answer {
-	op, refused := c.engine.admit(c.Session)
+// Begin implements Operations.
+func (e *Engine) Begin(s *client.Session, readOnly bool, o *Outcome) (Transaction, statement.Answer) {
+	op, refused := e.admit(s)
 	o.describe(&op)
 	if refused != nil {
-		return refused.answer(o, statement.Idle)
+		return nil, refused.answer(o, statement.Idle)
 	}
-	c.tx = &transaction{op: op, readOnly: st.Kind == statement.BeginReadOnly}
 	o.Why = "deferred to the first statement"
-	return statement.Answer{State: statement.Open}
+	return &transaction{engine: e, session: s, op: op, readOnly: readOnly}, statement.Answer{State: statement.Open}
 }
 
-// inTransaction runs a read or write of the open transaction.
-func (c *Conversation) inTransaction(st statement.Statement, o *Outcome) statement.Answer {
-	tx, e := c.tx, c.engine
-	o.describe(&tx.op)
-	end := e.Clock() + tx.op.route.StatementTimeout
-	if tx.conn == nil {
-		if answer := c.open(o, end); answer.Code != statement.OK {
-			return c.fail(answer)
+// HoldsConnection implements Transaction.
+func (t *transaction) HoldsConnection() bool { return t.conn != nil }
+
+// Run implements Transaction.
+func (t *transaction) Run(st statement.Statement, o *Outcome) statement.Answer {
+	e := t.engine
+	o.describe(&t.op)
+	end := e.Clock() + t.op.route.StatementTimeout
+	if t.conn == nil {
+		if answer := t.open(o, end); answer.Code != statement.OK {
+			return t.fail(answer)
 		}
 	}
-	o.place(tx.conn)
-	tx.wrote = tx.wrote || c.Session.Writes(st)
-	return c.runInTransaction(st, end)
+	o.place(t.conn)
+	t.wrote = t.wrote || t.session.Writes(st)
+	return t.runInTransaction(st, end)
 }
 
 // open begins the transaction at a target.
-func (c *Conversation) open(o *Outcome, end time.Duration) statement.Answer {
-	tx, e := c.tx, c.engine
-	needsPrimary := !tx.readOnly || tx.op.route.Consistency == catalog.Primary
-	request := tx.op.request(c.Session, needsPrimary, end)
-	request.Late = max(request.Late, e.Clock()+tx.op.route.Objective/2) // the pauses between statements do not count
-	o.floor(&tx.op, request)
+func (t *transaction) open(o *Outcome, end time.Duration) statement.Answer {
+	e := t.engine
+	needsPrimary := !t.readOnly || t.op.route.Consistency == catalog.Primary
+	request := t.op.request(t.session, needsPrimary, end)
+	request.Late = max(request.Late, e.Clock()+t.op.route.Objective/2) // the pauses between statements do not count
+	o.floor(&t.op, request)
 	begin := statement.Statement{Kind: statement.Begin}
-	if tx.readOnly {
+	if t.readOnly {
 		begin.Kind = statement.BeginReadOnly
 	}
 	for o.Attempts = 1; ; o.Attempts++ {
 		waitFrom := e.Clock()
-		h, refused := e.acquire(&tx.op, request)
+		h, refused := e.acquire(&t.op, request)
 		o.Waited += e.Clock() - waitFrom
 		if refused != nil {
-			if o.Attempts < attemptsLimit && e.Clock() < end && e.again(&tx.op, request, refused) {
+			if o.Attempts < attemptsLimit && e.Clock() < end && e.again(&t.op, request, refused) {
 				continue
 			}
 			return refused.answer(o, statement.Failed)
 		}
-		answer := c.beginAt(h, begin, end-e.Clock())
+		answer := t.beginAt(h, begin, end-e.Clock())
 		if answer.Code == statement.OK {
-			tx.conn = h
+			t.conn = h
 			return answer
 		}
 		if answer.Code == statement.Lagging {
@@ -95,18 +96,18 @@
 
 // beginAt sends BEGIN on a leased connection, which it gives back on failure.
 // Nothing has run when it fails.
-func (c *Conversation) beginAt(h *held, begin statement.Statement, timeout time.Duration) statement.Answer {
-	e := c.engine
+func (t *transaction) beginAt(h *held, begin statement.Statement, timeout time.Duration) statement.Answer {
+	e := t.engine
 	if timeout <= 0 || !e.mayUse(h) {
 		e.release(h)
 		return statement.Answer{Code: statement.Busy, Detail: "no time or right left to begin"}
 	}
-	if err := e.align(h, c.Session, statement.Statement{}, timeout); err != nil {
+	if err := e.align(h, t.session, statement.Statement{}, timeout); err != nil {
 		e.drop(h, failureOf(err) != target.Refused)
 		return statement.Answer{Code: statement.Busy, Detail: err.Error()}
 	}
 	if !h.lease.Primary {
-		begin.After = c.tx.op.floor.Point
+		begin.After = t.op.floor.Point
 	}
 	answer, err := h.link.Conn.Do(begin, timeout)
 	if err != nil {
@@ -118,7 +119,7 @@
 	}
 	if answer.Code == statement.Lagging {
 		h.service.mu.Lock()
-		h.service.dispatch.Lagging(e.Clock(), h.lease, c.tx.op.request(c.Session, false, 0))
+		h.service.dispatch.Lagging(e.Clock(), h.lease, t.op.request(t.session, false, 0))
 		h.service.mu.Unlock()
 	}
 	if answer.State != statement.Idle || answer.Code == statement.OK {
@@ -131,31 +132,31 @@
 }
 
 // runInTransaction sends a statement on the transaction's connection.
-func (c *Conversation) runInTransaction(st statement.Statement, end time.Duration) statement.Answer {
-	tx, e := c.tx, c.engine
-	h := tx.conn
-	c.resume()
-	defer c.pause()
+func (t *transaction) runInTransaction(st statement.Statement, end time.Duration) statement.Answer {
+	e := t.engine
+	h := t.conn
+	t.resume()
+	defer t.pause()
 	for attempt := 1; ; attempt++ {
 		if !e.mayUse(h) {
-			return c.abort("the right to the primary has ended", false)
+			return t.abort("the right to the primary has ended", false)
 		}
 		timeout := end - e.Clock()
 		if timeout <= 0 {
-			return c.abort("the statement's time is over", false)
+			return t.abort("the statement's time is over", false)
 		}
-		if err := e.align(h, c.Session, st, timeout); err != nil {
-			return c.abort(err.Error(), failureOf(err) != target.Refused)
+		if err := e.align(h, t.session, st, timeout); err != nil {
+			return t.abort(err.Error(), failureOf(err) != target.Refused)
 		}
 		sent := e.Clock()
-		answer, err := h.link.Conn.Do(h.link.Translate(c.Session, st), timeout)
+		answer, err := h.link.Conn.Do(h.link.Translate(t.session, st), timeout)
 		if err != nil {
-			return c.abort(err.Error(), failureOf(err) != target.Late)
+			return t.abort(err.Error(), failureOf(err) != target.Late)
 		}
 		e.observe(h, sent, answer.Position)
 		switch {
 		case answer.Code == statement.OK && answer.Signature == "":
-			return c.abort("unusable answer", false)
+			return t.abort("unusable answer", false)
 		case answer.Code == statement.OK && answer.State == statement.Open:
 			return answer
 		case answer.Code == statement.UnknownPrepared && answer.State == statement.Open && attempt <= busyRetries:
@@ -163,58 +164,57 @@
 		case answer.Code == statement.Busy && answer.State == statement.Open && attempt <= busyRetries:
 			time.Sleep(retryPause)
 		case answer.Code == statement.OK:
-			return c.abort("the target left the transaction", false)
+			return t.abort("the target left the transaction", false)
 		default:
-			return c.fail(answer)
+			return t.fail(answer)
 		}
 	}
 }
 
 // pause and resume keep the dispatcher's count of statements in flight right
 // while the caller thinks.
-func (c *Conversation) pause() {
-	if h := c.tx.conn; h != nil {
+func (t *transaction) pause() {
+	if h := t.conn; h != nil {
 		h.service.mu.Lock()
-		h.service.dispatch.End(c.engine.Clock(), h.lease)
+		h.service.dispatch.End(t.engine.Clock(), h.lease)
 		h.service.mu.Unlock()
 	}
 }
 
-func (c *Conversation) resume() {
-	h := c.tx.conn
+func (t *transaction) resume() {
+	h := t.conn
 	h.service.mu.Lock()
-	h.service.dispatch.Begin(c.engine.Clock(), h.lease)
+	h.service.dispatch.Begin(t.engine.Clock(), h.lease)
 	h.service.mu.Unlock()
 }
 
 // abort closes the transaction's connection. As COMMIT was not sent, nothing of
 // the transaction is kept.
-func (c *Conversation) abort(why string, broken bool) statement.Answer {
-	if c.tx.conn != nil {
-		c.engine.drop(c.tx.conn, broken)
-		c.tx.conn = nil
+func (t *transaction) abort(why string, broken bool) statement.Answer {
+	if t.conn != nil {
+		t.engine.drop(t.conn, broken)
+		t.conn = nil
 	}
-	c.tx.failed, c.tx.told = true, true
 	return statement.Answer{Code: statement.Aborted, Detail: why, State: statement.Failed}
 }
 
 // fail ends the transaction at the target after an error and leaves the caller to
 // end it.
-func (c *Conversation) fail(answer statement.Answer) statement.Answer {
-	c.rollback()
-	c.tx.failed, c.tx.told = true, true
+func (t *transaction) fail(answer statement.Answer) statement.Answer {
+	t.Rollback()
 	answer.Rows, answer.Signature, answer.State = nil, "", statement.Failed
 	return answer
 }
 
-// rollback ends the transaction at its target in the background.
-func (c *Conversation) rollback() {
-	h := c.tx.conn
+// Rollback implements Transaction. It ends the transaction at its target in the
+// background.
+func (t *transaction) Rollback() {
+	h := t.conn
 	if h == nil {
 		return
 	}
-	c.tx.conn = nil
-	e := c.engine
+	t.conn = nil
+	e := t.engine
 	go func() {
 		answer, err := h.link.Conn.Do(statement.Statement{Kind: statement.Rollback}, endTimeout)
 		if err != nil || answer.State != statement.Idle {
@@ -225,41 +225,37 @@
 	}()
 }
 
-// commit ends the transaction.
-func (c *Conversation) commit(st statement.Statement, o *Outcome) statement.Answer {
-	tx, e := c.tx, c.engine
-	o.describe(&tx.op)
-	defer func() { c.tx = nil }()
-	if tx.failed {
-		return statement.Answer{Code: statement.Aborted, Detail: "the transaction has failed", State: statement.Idle}
-	}
-	end := e.Clock() + tx.op.route.StatementTimeout
-	if tx.conn == nil {
-		if answer := c.open(o, end); answer.Code != statement.OK {
+// Commit implements Transaction.
+func (t *transaction) Commit(st statement.Statement, o *Outcome) statement.Answer {
+	e := t.engine
+	o.describe(&t.op)
+	end := e.Clock() + t.op.route.StatementTimeout
+	if t.conn == nil {
+		if answer := t.open(o, end); answer.Code != statement.OK {
 			answer.State = statement.Idle
 			return answer
 		}
 	}
-	o.place(tx.conn)
-	c.resume()
-	answer := c.runCommit(st, end)
+	o.place(t.conn)
+	t.resume()
+	answer := t.runCommit(st, end)
 	answer.State = statement.Idle
 	return answer
 }
 
 // runCommit sends COMMIT and says what became of it.
-func (c *Conversation) runCommit(st statement.Statement, end time.Duration) statement.Answer {
-	tx, e := c.tx, c.engine
-	h := tx.conn
+func (t *transaction) runCommit(st statement.Statement, end time.Duration) statement.Answer {
+	e := t.engine
+	h := t.conn
 	for attempt := 1; ; attempt++ {
 		timeout := end - e.Clock()
 		if timeout <= 0 || !e.mayUse(h) {
-			return c.abort("no time or right left to commit", false)
+			return t.abort("no time or right left to commit", false)
 		}
 		sent := e.Clock()
 		answer, err := h.link.Conn.Do(st, timeout)
 		if err != nil {
-			tx.conn = nil
+			t.conn = nil
 			if failureOf(err) == target.Late {
 				e.salvage(h)
 			} else {
@@ -273,26 +269,26 @@
 			time.Sleep(retryPause)
 			continue
 		}
-		return c.committed(answer, sent, usable)
+		return t.committed(answer, sent, usable)
 	}
 }
 
 // committed evaluates the answer to COMMIT and gives the connection back.
-func (c *Conversation) committed(answer statement.Answer, sent time.Duration, usable bool) statement.Answer {
-	tx, e := c.tx, c.engine
-	h := tx.conn
-	tx.conn = nil
+func (t *transaction) committed(answer statement.Answer, sent time.Duration, usable bool) statement.Answer {
+	e := t.engine
+	h := t.conn
+	t.conn = nil
 	if answer.State == statement.Idle {
 		e.release(h)
 	} else {
 		e.drop(h, false)
 	}
 	switch {
-	case answer.Code == statement.OK && (answer.Signature == "" || tx.wrote && !usable):
+	case answer.Code == statement.OK && (answer.Signature == "" || t.wrote && !usable):
 		return statement.Answer{Code: statement.InDoubt, Detail: "the commit cannot be confirmed"}
 	case answer.Code == statement.OK:
-		if tx.wrote {
-			c.Session.Wrote(sent, answer.Position)
+		if t.wrote {
+			t.session.Wrote(sent, answer.Position)
 		}
 	case answer.Code == statement.TimedOut || answer.Code == statement.Unrecognized:
 		answer.Code = statement.InDoubt
--- /dev/null
+++ b/request/relay/message.go
@@ -0,0 +1,97 @@
+// Package relay hands callers' operations to the homes of their service. The
+// instance that a caller is connected to keeps the session and says truthfully
+// what became of a statement when a home does not answer; the home runs it with
+// its own engine.
+package relay
+
+import (
+	"time"
+
+	"samphirehitch.example/samphirehitch/connection/client"
+	"samphirehitch.example/samphirehitch/process/statement"
+	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/request/perform"
+)
+
+// message is what crosses a link; exactly one field is set.
+type message struct {
+	Request *request `cbor:"1,keyasint,omitempty"`
+	Reply   *reply   `cbor:"2,keyasint,omitempty"`
+	// End gives up the open transaction of a session.
+	End *sessionID `cbor:"3,keyasint,omitempty"`
+	// Ping asks for a Pong with the same number.
+	Ping uint64 `cbor:"4,keyasint,omitempty"`
+	Pong uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// sessionID names a session of a process.
+type sessionID struct {
+	Born   int64  `cbor:"1,keyasint"`
+	Number uint64 `cbor:"2,keyasint"`
+}
+
+// opening says whether a request opens a transaction before its statement.
+type opening uint8
+
+const (
+	openNone opening = iota
+	openReadWrite
+	openReadOnly
+)
+
+// request asks a home to run one statement.
+type request struct {
+	ID      uint64    `cbor:"1,keyasint"`
+	Session sessionID `cbor:"2,keyasint"`
+	// Within says that the statement belongs to the session's open transaction.
+	Within bool    `cbor:"3,keyasint,omitempty"`
+	Open   opening `cbor:"4,keyasint,omitempty"`
+	// Version is that of the sender's configuration; a home with an older one
+	// declines.
+	Version  uint64            `cbor:"5,keyasint"`
+	Database string            `cbor:"6,keyasint"`
+	Key      string            `cbor:"7,keyasint,omitempty"`
+	Values   map[string]string `cbor:"8,keyasint,omitempty"`
+	Prepared *client.Prepared  `cbor:"9,keyasint,omitempty"`
+	Floor    topology.Point    `cbor:"10,keyasint"`
+	// FloorAge is how long ago the floor was evident.
+	FloorAge  time.Duration       `cbor:"11,keyasint,omitempty"`
+	Statement statement.Statement `cbor:"12,keyasint"`
+}
+
+// placement says where and why a statement ran.
+type placement struct {
+	Target   topology.TargetID   `cbor:"1,keyasint,omitempty"`
+	Primary  bool                `cbor:"2,keyasint,omitempty"`
+	Waited   time.Duration       `cbor:"3,keyasint,omitempty"`
+	Attempts int                 `cbor:"4,keyasint,omitempty"`
+	Why      string              `cbor:"5,keyasint,omitempty"`
+	FloorAge time.Duration       `cbor:"6,keyasint,omitempty"`
+	Service  topology.ServiceID  `cbor:"7,keyasint,omitempty"`
+	Customer topology.CustomerID `cbor:"8,keyasint,omitempty"`
+}
+
+func placementOf(o perform.Outcome) placement {
+	return placement{Target: o.Target, Primary: o.Primary, Waited: o.Waited, Attempts: o.Attempts,
+		Why: o.Why, FloorAge: o.FloorAge, Service: o.Service, Customer: o.Customer}
+}
+
+// note copies the placement into an outcome.
+func (p placement) note(o *perform.Outcome) {
+	o.Target, o.Primary, o.Waited, o.Attempts = p.Target, p.Primary, p.Waited, p.Attempts
+	o.Why, o.FloorAge, o.Service, o.Customer = p.Why, p.FloorAge, p.Service, p.Customer
+}
+
+// reply answers a request.
+type reply struct {
+	ID     uint64           `cbor:"1,keyasint"`
+	Answer statement.Answer `cbor:"2,keyasint"`
+	// Declined says that the home has not begun to run the statement and another
+	// instance should.
+	Declined bool `cbor:"3,keyasint,omitempty"`
+	// Placement is for the log and the metrics of the instance that asked.
+	Placement placement `cbor:"4,keyasint"`
+	// Floor is the session's floor afterwards, FloorAge its age.
+	Floor    topology.Point `cbor:"5,keyasint"`
+	FloorAge time.Duration  `cbor:"6,keyasint,omitempty"`
+}
--- /dev/null
+++ b/request/relay/operations.go
@@ -0,0 +1,275 @@
+package relay
+
+import (
+	"time"
+
+	"samphirehitch.example/samphirehitch/connection/client"
+	"samphirehitch.example/samphirehitch/process/statement"
+	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/request/perform"
+)
+
+// replySlack is how much longer than the statement may take its reply is awaited:
+// the way there and back.
+const replySlack = 100 * time.Millisecond
+
+// attempts bounds the instances that are tried for one read.
+const attempts = 3
+
+// Single implements perform.Operations.
+func (r *Relay) Single(s *client.Session, st statement.Statement, o *perform.Outcome) statement.Answer {
+	place, refused := r.Engine.Locate(s)
+	if refused != nil {
+		return refused.Answer(o, statement.Idle)
+	}
+	var excluded []topology.InstanceID
+	for range attempts {
+		to := r.choose(place.Service, place.Customer, excluded)
+		if to == r.Self {
+			break
+		}
+		answer, outcome := r.ask(to, s, r.request(s, st), place.Timeout, o)
+		switch {
+		case outcome == replied:
+			return answer
+		case outcome == unanswered && s.Writes(st):
+			return statement.Answer{Code: statement.InDoubt, Detail: "home gave no answer", State: statement.Idle}
+		}
+		eventRelayFailed.Log(r.Log, "request", st.ID, "home", to, "kind", st.Kind.String(), "outcome", outcome.String())
+		excluded = append(excluded, to)
+	}
+	return r.Engine.Single(s, st, o)
+}
+
+// asked is the outcome of a request to a home.
+type asked uint8
+
+const (
+	replied asked = iota + 1
+	// declined requests have not begun to run.
+	declined
+	// unanswered requests may have run.
+	unanswered
+)
+
+func (a asked) String() string { return [...]string{"", "replied", "declined", "unanswered"}[a] }
+
+// request describes a statement to a home.
+func (r *Relay) request(s *client.Session, st statement.Statement) *request {
+	q := &request{
+		ID: r.lastID.Add(1), Session: sessionID{Born: r.Born, Number: s.Number}, Database: s.Database, Key: s.Key,
+		Values: s.Values, Floor: s.Floor, FloorAge: r.Clock() - s.FloorAt, Statement: st,
+	}
+	if c := r.Engine.Catalog(); c != nil {
+		q.Version = c.Version
+	}
+	if prepared, known := s.Prepared[st.Name]; known && st.Kind == statement.Execute {
+		q.Prepared = &prepared
+	}
+	return q
+}
+
+// ask sends a request and waits for its reply.
+func (r *Relay) ask(to topology.InstanceID, s *client.Session, q *request, timeout time.Duration, o *perform.Outcome) (statement.Answer, asked) {
+	c := &call{to: to, since: r.Clock(), repeatable: !q.Within && q.Open == openNone && !s.Writes(q.Statement), done: make(chan *reply, 1)}
+	r.mu.Lock()
+	r.pending[q.ID] = c
+	r.mu.Unlock()
+	r.send(to, &message{Request: q})
+	timer := time.NewTimer(timeout + replySlack)
+	defer timer.Stop()
+	var answer *reply
+	select {
+	case answer = <-c.done:
+	case <-timer.C:
+	}
+	r.mu.Lock()
+	delete(r.pending, q.ID)
+	r.mu.Unlock()
+	switch {
+	case answer == nil:
+		return statement.Answer{}, unanswered
+	case answer.Declined:
+		return statement.Answer{}, declined
+	}
+	answer.Placement.note(o)
+	o.Via = to
+	if answer.Floor.Reaches(s.Floor) {
+		s.Floor, s.FloorAt = answer.Floor, r.Clock()-answer.FloorAge
+	}
+	return answer.Answer, replied
+}
+
+// abandonReads lets reads that wait for a silent home go elsewhere.
+func (r *Relay) abandonReads(id topology.InstanceID) {
+	r.mu.Lock()
+	var abandoned []*call
+	for number, c := range r.pending {
+		if c.to == id && c.repeatable {
+			abandoned = append(abandoned, c)
+			delete(r.pending, number)
+		}
+	}
+	r.mu.Unlock()
+	for _, c := range abandoned {
+		c.done <- nil
+	}
+}
+
+// Begin implements perform.Operations. The home learns of the transaction with
+// its first statement.
+func (r *Relay) Begin(s *client.Session, readOnly bool, o *perform.Outcome) (perform.Transaction, statement.Answer) {
+	place, refused := r.Engine.Locate(s)
+	if refused != nil {
+		return nil, refused.Answer(o, statement.Idle)
+	}
+	to := r.choose(place.Service, place.Customer, nil)
+	if to == r.Self {
+		return r.Engine.Begin(s, readOnly, o)
+	}
+	o.Why, o.Service, o.Customer = "deferred to the first statement", place.Service, place.Customer
+	return &transaction{relay: r, session: s, place: place, readOnly: readOnly}, statement.Answer{State: statement.Open}
+}
+
+// transaction is a transaction at a home, or here when no home could take it.
+type transaction struct {
+	relay    *Relay
+	session  *client.Session
+	place    perform.Place
+	readOnly bool
+	// home runs the transaction, empty before its first statement.
+	home topology.InstanceID
+	// local runs it here instead.
+	local perform.Transaction
+}
+
+// Run implements perform.Transaction.
+func (t *transaction) Run(st statement.Statement, o *perform.Outcome) statement.Answer {
+	answer := t.run(st, o)
+	if answer.Code != statement.OK && answer.State != statement.Open {
+		answer.State = statement.Failed
+	}
+	return answer
+}
+
+func (t *transaction) run(st statement.Statement, o *perform.Outcome) statement.Answer {
+	switch {
+	case t.local != nil:
+		return t.local.Run(st, o)
+	case t.home != "":
+		return t.within(st, o)
+	}
+	if answer, done := t.first(st, o); done {
+		return answer
+	}
+	if answer, ok := t.here(o); !ok {
+		return answer
+	}
+	return t.local.Run(st, o)
+}
+
+// here opens the transaction on this instance.
+func (t *transaction) here(o *perform.Outcome) (statement.Answer, bool) {
+	local, answer := t.relay.Engine.Begin(t.session, t.readOnly, o)
+	if local == nil {
+		answer.State = statement.Failed
+		return answer, false
+	}
+	t.local = local
+	return answer, true
+}
+
+// first sends the first statement, which opens the transaction. It is not done
+// when the transaction is to run here.
+func (t *transaction) first(st statement.Statement, o *perform.Outcome) (statement.Answer, bool) {
+	r := t.relay
+	var excluded []topology.InstanceID
+	for range attempts {
+		to := r.choose(t.place.Service, t.place.Customer, excluded)
+		if to == r.Self {
+			return statement.Answer{}, false
+		}
+		q := r.request(t.session, st)
+		q.Open = openReadWrite
+		if t.readOnly {
+			q.Open = openReadOnly
+		}
+		answer, outcome := r.ask(to, t.session, q, t.place.Timeout, o)
+		switch outcome {
+		case replied:
+			t.home = to
+			return answer, true
+		case unanswered:
+			t.end(to)
+			return lost(st), true
+		}
+		excluded = append(excluded, to)
+	}
+	return statement.Answer{}, false
+}
+
+// lost says what became of a transaction whose home gave no answer: a COMMIT may
+// have run, and without one nothing is kept.
+func lost(st statement.Statement) statement.Answer {
+	if st.Kind == statement.Commit {
+		return statement.Answer{Code: statement.InDoubt, Detail: "home gave no answer", State: statement.Idle}
+	}
+	return statement.Answer{Code: statement.Aborted, Detail: "home gave no answer", State: statement.Failed}
+}
+
+// within sends a later statement.
+func (t *transaction) within(st statement.Statement, o *perform.Outcome) statement.Answer {
+	q := t.relay.request(t.session, st)
+	q.Within = true
+	answer, outcome := t.relay.ask(t.home, t.session, q, t.place.Timeout, o)
+	switch outcome {
+	case replied:
+		return answer
+	case declined:
+		return statement.Answer{Code: statement.Aborted, Detail: "home has ended the transaction", State: statement.Failed}
+	default:
+		if st.Kind != statement.Commit {
+			t.end(t.home)
+		}
+		return lost(st)
+	}
+}
+
+// Commit implements perform.Transaction.
+func (t *transaction) Commit(st statement.Statement, o *perform.Outcome) statement.Answer {
+	var answer statement.Answer
+	switch {
+	case t.local != nil:
+		answer = t.local.Commit(st, o)
+	case t.home != "":
+		answer = t.within(st, o)
+	default:
+		var done bool
+		if answer, done = t.first(st, o); !done {
+			if answer, done = t.here(o); done {
+				answer = t.local.Commit(st, o)
+			}
+		}
+	}
+	answer.State = statement.Idle
+	return answer
+}
+
+// Rollback implements perform.Transaction.
+func (t *transaction) Rollback() {
+	switch {
+	case t.local != nil:
+		t.local.Rollback()
+	case t.home != "":
+		t.end(t.home)
+	}
+}
+
+func (t *transaction) end(to topology.InstanceID) {
+	t.relay.send(to, &message{End: &sessionID{Born: t.relay.Born, Number: t.session.Number}})
+}
+
+// HoldsConnection implements perform.Transaction.
+func (t *transaction) HoldsConnection() bool {
+	return t.home != "" || t.local != nil && t.local.HoldsConnection()
+}
--- /dev/null
+++ b/request/relay/relay.go
@@ -0,0 +1,260 @@
+package relay
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-logr/logr"
+
+	"samphirehitch.example/samphirehitch/process/clock"
+	"samphirehitch.example/samphirehitch/process/event"
+	"samphirehitch.example/samphirehitch/process/home"
+	"samphirehitch.example/samphirehitch/process/peer"
+	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/request/perform"
+)
+
+var (
+	eventPeerSilent  = event.Define(1320, event.Warning, "home does not answer, its work goes elsewhere")
+	eventPeerBack    = event.Define(1321, event.Info, "home answers again")
+	eventBadMessage  = event.Define(1322, event.Warning, "message of a peer cannot be read")
+	eventRelayFailed = event.Define(6510, event.Decision, "home gave no answer")
+)
+
+// Times of judging a home.
+const (
+	// pingAfter is how long a request may be outstanding before the home is asked
+	// whether it lives; most answers come sooner.
+	pingAfter = 100 * time.Millisecond
+	// silentAfter is how long a home may leave a ping unanswered: far more than a
+	// round trip of 3 ms and a busy processor's delay.
+	silentAfter = 250 * time.Millisecond
+	// resetAfter is how long a link may stay silent before it is opened anew.
+	resetAfter = 1200 * time.Millisecond
+	// reprobeInterval is the pause between pings of a silent home.
+	reprobeInterval = 200 * time.Millisecond
+)
+
+// Link sends messages to peers; peer.Mesh implements it.
+type Link interface {
+	Send(to topology.InstanceID, kind peer.Kind, payload any)
+	Reachable(id topology.InstanceID) bool
+	Reset(id topology.InstanceID)
+}
+
+// Dependencies of a Relay.
+type Dependencies struct {
+	Self   topology.InstanceID
+	Born   int64
+	Engine *perform.Engine
+	Link   Link
+	Clock  clock.Clock
+	Log    logr.Logger
+	// Stopping reports that this instance takes no more work of others.
+	Stopping func() bool
+}
+
+// Relay implements perform.Operations by handing operations to homes. It is safe
+// for concurrent use.
+type Relay struct {
+	Dependencies
+	server   *server
+	lastID   atomic.Uint64
+	places   atomic.Pointer[places]
+	mu       sync.Mutex
+	pending  map[uint64]*call
+	liveness map[topology.InstanceID]*liveness
+}
+
+// places says where work goes.
+type places struct {
+	homes  home.Assignment
+	spread map[topology.CustomerID]int
+}
+
+// call is a request that waits for its reply.
+type call struct {
+	to    topology.InstanceID
+	since time.Duration
+	// repeatable requests only read and may run elsewhere as well.
+	repeatable bool
+	// done receives the reply, or nil when the link ended.
+	done chan *reply
+}
+
+// liveness is what is known of one home.
+type liveness struct {
+	heard time.Duration
+	// asked is when the oldest unanswered ping was sent, zero for none.
+	asked  time.Duration
+	pinged time.Duration
+	silent bool
+}
+
+// New returns a relay that runs everything here until Place is called.
+func New(d Dependencies) *Relay {
+	r := &Relay{Dependencies: d, pending: make(map[uint64]*call), liveness: make(map[topology.InstanceID]*liveness)}
+	r.server = newServer(r)
+	r.places.Store(&places{})
+	return r
+}
+
+// Place sets where work goes.
+func (r *Relay) Place(homes home.Assignment, spread map[topology.CustomerID]int) {
+	r.places.Store(&places{homes: homes, spread: spread})
+}
+
+// Busy reports that work of other instances is under way here.
+func (r *Relay) Busy() bool { return r.server.busy() }
+
+func (r *Relay) send(to topology.InstanceID, m *message) { r.Link.Send(to, peer.KindRelay, m) }
+
+// Receive takes a message of a peer.
+func (r *Relay) Receive(from topology.InstanceID, payload []byte) {
+	var m message
+	if err := cbor.Unmarshal(payload, &m); err != nil {
+		eventBadMessage.LogError(r.Log, err, "peer", from)
+		return
+	}
+	r.heard(from)
+	switch {
+	case m.Request != nil:
+		go r.server.handle(from, m.Request)
+	case m.Reply != nil:
+		r.replied(m.Reply)
+	case m.End != nil:
+		go r.server.end(remoteSession{instance: from, id: *m.End})
+	case m.Ping != 0:
+		r.send(from, &message{Pong: m.Ping})
+	}
+}
+
+func (r *Relay) heard(from topology.InstanceID) {
+	r.mu.Lock()
+	l := r.livenessOf(from)
+	l.heard, l.asked = r.Clock(), 0
+	back := l.silent
+	l.silent = false
+	r.mu.Unlock()
+	if back {
+		eventPeerBack.Log(r.Log, "peer", from)
+	}
+}
+
+// livenessOf returns the liveness of a peer. The caller holds the lock.
+func (r *Relay) livenessOf(id topology.InstanceID) *liveness {
+	l, known := r.liveness[id]
+	if !known {
+		l = &liveness{}
+		r.liveness[id] = l
+	}
+	return l
+}
+
+func (r *Relay) replied(answer *reply) {
+	r.mu.Lock()
+	c := r.pending[answer.ID]
+	delete(r.pending, answer.ID)
+	r.mu.Unlock()
+	if c != nil {
+		c.done <- answer
+	}
+}
+
+// Lost notes that the last link to a peer has ended.
+func (r *Relay) Lost(id topology.InstanceID) {
+	r.mu.Lock()
+	var lost []*call
+	for number, c := range r.pending {
+		if c.to == id {
+			lost = append(lost, c)
+			delete(r.pending, number)
+		}
+	}
+	delete(r.liveness, id)
+	r.mu.Unlock()
+	for _, c := range lost {
+		c.done <- nil
+	}
+	r.server.lost(id)
+}
+
+// Tick judges the homes that requests wait for. The driver calls it every few
+// tens of milliseconds.
+func (r *Relay) Tick() {
+	now := r.Clock()
+	r.mu.Lock()
+	for _, c := range r.pending {
+		if l := r.livenessOf(c.to); l.asked == 0 && now-max(c.since, l.heard) > pingAfter {
+			l.asked = now
+		}
+	}
+	var ping, reset, silenced []topology.InstanceID
+	for id, l := range r.liveness {
+		if l.asked == 0 {
+			continue
+		}
+		if !l.silent && now-l.asked > silentAfter {
+			l.silent = true
+			silenced = append(silenced, id)
+		}
+		if now-l.asked > resetAfter {
+			l.asked = now
+			reset = append(reset, id)
+		}
+		if now-l.pinged >= reprobeInterval {
+			l.pinged = now
+			ping = append(ping, id)
+		}
+	}
+	r.mu.Unlock()
+	for _, id := range silenced {
+		eventPeerSilent.Log(r.Log, "peer", id)
+		r.abandonReads(id)
+	}
+	for _, id := range reset {
+		r.Link.Reset(id)
+	}
+	for _, id := range ping {
+		r.send(id, &message{Ping: r.lastID.Add(1)})
+	}
+}
+
+// usable reports whether work can go to a peer.
+func (r *Relay) usable(id topology.InstanceID) bool {
+	if !r.Link.Reachable(id) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l, known := r.liveness[id]
+	return !known || !l.silent
+}
+
+// choose returns where an operation of a customer goes: its home, the other home,
+// or this instance itself.
+func (r *Relay) choose(service topology.ServiceID, customer topology.CustomerID, excluded []topology.InstanceID) topology.InstanceID {
+	p := r.places.Load()
+	homes := p.homes.Homes(service)
+	for i := range homes {
+		id := homes[(p.spread[customer]+i)%len(homes)]
+		if id == r.Self {
+			return id
+		}
+		if !contains(excluded, id) && r.usable(id) {
+			return id
+		}
+	}
+	return r.Self
+}
+
+func contains(ids []topology.InstanceID, id topology.InstanceID) bool {
+	for _, other := range ids {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
