Replace a primary on its homes' word; follow one that came back under another id

Ruled out: lost orders, fences (acknowledged within 250 ms). Entries of a service whose home cannot reach the primary go to the other home.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"strconv"
 	"sync"
@@ -111,7 +112,10 @@
 	targets       map[topology.ServiceID]targetMap
 	records       map[topology.ServiceID]groupRecord
 	brokenTargets map[string]store.Revision
-	instances     int
+	// homeCount is how many homes each service has.
+	homeCount map[topology.ServiceID]int
+	// logged is what logChange logged last by subject.
+	logged map[string]string
 }
 
 // New returns a daemon that Run starts.
@@ -125,6 +129,7 @@
 		confirmWake: make(chan struct{}, 1), leadWake: make(chan struct{}, 1),
 		mirror: mirror.New(), records: make(map[topology.ServiceID]groupRecord),
 		targets: make(map[topology.ServiceID]targetMap), brokenTargets: make(map[string]store.Revision),
+		logged: make(map[string]string),
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.suspects = newSuspects(d)
@@ -209,6 +214,19 @@
 	}
 }
 
+// logChange logs an event whose pairs differ from when it was last logged for the
+// subject.
+func (d *Daemon) logChange(e event.Event, subject string, pairs ...any) {
+	text := fmt.Sprint(pairs...)
+	d.mu.Lock()
+	same := d.logged[subject] == text
+	d.logged[subject] = text
+	d.mu.Unlock()
+	if !same {
+		e.Log(d.log, pairs...)
+	}
+}
+
 // notify wakes a loop without waiting for it.
 func notify(wake chan struct{}) {
 	select {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -136,10 +136,10 @@
 			targets, shares, groups = true, true, true
 		case strings.HasPrefix(key, d.adapter.TargetPrefix):
 			targets = true
-		case strings.HasPrefix(key, prefixInstances):
+		case strings.HasPrefix(key, prefixInstances), strings.HasPrefix(key, prefixSuspects):
 			shares = true
 		case strings.HasPrefix(key, prefixGroups):
-			groups = true
+			groups, shares = true, true
 		}
 	}
 	if targets {
@@ -198,7 +198,7 @@
 	d.mu.Unlock()
 	for id, targets := range byService {
 		d.engine.SetTargets(id, targets)
-		eventTargets.Log(d.log, "service", id, "targets", targets.String())
+		d.logChange(eventTargets, "targets of "+string(id), "service", id, "targets", targets.String())
 	}
 }
 
--- a/edge/lead.go
+++ b/edge/lead.go
@@ -174,7 +174,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	entry := d.mirror.Get(groupKey(service))
-	v := failover.View{Targets: d.targets[service], Revision: entry.Revision}
+	v := failover.View{Targets: d.targets[service], Revision: entry.Revision, Homes: d.homeCount[service]}
 	if entry.Revision != 0 {
 		record, err := failover.DecodeRecord(entry.Value)
 		if err != nil {
--- a/edge/shares.go
+++ b/edge/shares.go
@@ -10,6 +10,7 @@
 	"samphirehitch.example/samphirehitch/process/share"
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/request/relay"
 	"samphirehitch.example/samphirehitch/version/catalog"
 )
 
@@ -44,14 +45,35 @@
 	}
 	services := d.engine.Services()
 	homes := home.Assign(services, able)
+	counts := make(map[topology.ServiceID]int, len(services))
+	for _, id := range services {
+		counts[id] = len(homes.Homes(id))
+	}
+	d.mu.Lock()
+	d.homeCount = counts
+	d.mu.Unlock()
 	d.mesh.SetPeers(peers)
-	d.relay.Place(homes, spread(c))
+	d.relay.Place(homes, spread(c), d.cutOff())
 	connections := make(map[topology.ServiceID]int, len(c.Services))
 	for id, service := range c.Services {
 		connections[id] = d.connectionShare(service, homes.Homes(id), registered)
 	}
 	d.engine.SetShares(connections, d.rateShares(c, homes, registered))
-	eventShares.Log(d.log, "instances", len(registered), "connections", connections, "home_of", homes.Count(d.settings.Instance))
+	d.logChange(eventShares, "shares", "instances", len(registered), "connections", connections, "home_of", homes.Count(d.settings.Instance))
+}
+
+// cutOff lists the instances that cannot reach the primary of a service.
+func (d *Daemon) cutOff() map[relay.Pair]bool {
+	cut := make(map[relay.Pair]bool)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mirror.Each(prefixSuspects, func(entry store.Entry) {
+		service, instance := cutOwner(prefixSuspects, entry.Key)
+		if string(entry.Value) == string(d.records[service].Primary) {
+			cut[relay.Pair{Service: service, Instance: instance}] = true
+		}
+	})
+	return cut
 }
 
 // registrations reads what the instances say of themselves.
--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"math"
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/directory"
@@ -23,8 +24,8 @@
 	// retryInterval is the pause after a failed action.
 	retryInterval = 150 * time.Millisecond
 	// suspectShare is the share of instances whose connections must fail before
-	// a primary is replaced. Below it the failure is more likely to lie with the
-	// instances.
+	// a primary is replaced, unless all homes of its service say so. Below it the
+	// failure is more likely to lie with the instances.
 	suspectShare = 0.3
 	// missingGrace is how long a primary's entry may be missing before it counts
 	// as gone: entries that lapsed in an outage of the store are back within two
@@ -42,6 +43,8 @@
 	Targets map[topology.TargetID]directory.Target
 	// Instances counts the registered instances.
 	Instances int
+	// Homes counts the instances that hold most connections to the service.
+	Homes int
 	// Suspects counts the instances that cannot reach the record's primary.
 	Suspects int
 	// Acknowledged reports that every instance that may hold a right to the
@@ -215,24 +218,43 @@
 		if !c.missing {
 			c.missing, c.missingSince = true, now
 		}
-		if now-c.missingSince >= missingGrace || v.Suspects >= suspectsNeeded(v.Instances) {
+		switch {
+		case successorLeads(v):
+			return "another target leads in its place"
+		case now-c.missingSince >= missingGrace || v.Suspects >= suspectsNeeded(v):
 			return "its entry is gone"
+		default:
+			return ""
 		}
-		return ""
 	}
 	c.missing = false
 	switch {
 	case primary.Draining:
 		return "it leaves"
-	case v.Suspects >= suspectsNeeded(v.Instances):
+	case v.Suspects >= suspectsNeeded(v):
 		return "instances cannot reach it"
 	default:
 		return ""
 	}
 }
 
-func suspectsNeeded(instances int) int {
-	needed := int(float64(instances)*suspectShare + 0.999)
+// successorLeads reports whether a listed target other than the record's primary
+// says that it leads: a primary may come back under another id.
+func successorLeads(v View) bool {
+	for id, t := range v.Targets {
+		if id != v.Record.Primary && t.Role == topology.RolePrimary && !t.Draining {
+			return true
+		}
+	}
+	return false
+}
+
+// suspectsNeeded is how many instances must find the primary unreachable.
+func suspectsNeeded(v View) int {
+	needed := int(math.Ceil(float64(v.Instances) * suspectShare))
+	if v.Homes > 0 {
+		needed = min(needed, v.Homes)
+	}
 	return max(1, needed)
 }
 
@@ -313,7 +335,7 @@
 	}
 	if c.phase == confirming {
 		status, answered := r.Statuses[c.successor]
-		if !answered || status.Role != topology.RolePrimary || status.Term <= v.Record.Term && c.successor != v.Record.Primary {
+		if !answered || status.Role != topology.RolePrimary || status.Term < v.Record.Term {
 			return Action{}
 		}
 		return c.follow(c.publish(v, status))
@@ -325,6 +347,10 @@
 	if !found {
 		return Action{}
 	}
+	if status.Role == topology.RolePrimary && successor != v.Record.Primary {
+		c.successor = successor
+		return c.follow(c.publish(v, status))
+	}
 	if old, alive := r.Statuses[v.Record.Primary]; alive && now-c.since < catchUpLimit &&
 		successor != v.Record.Primary && !status.Received.Reaches(old.Received) {
 		return Action{}
@@ -356,8 +382,9 @@
 	}
 }
 
-// best returns the candidate with the longest log. A target that already leads a
-// later term wins: an order whose answer was lost has taken effect.
+// best returns the candidate with the longest log. A target that already leads
+// wins: an order whose answer was lost has taken effect, or the primary came back
+// with its log under another id.
 func best(v View, statuses map[topology.TargetID]TargetStatus) (topology.TargetID, TargetStatus, bool) {
 	var id topology.TargetID
 	var chosen TargetStatus
@@ -366,12 +393,12 @@
 		if t.Draining {
 			continue
 		}
-		if status.Role == topology.RolePrimary && status.Term > v.Record.Term {
-			return candidate, status, true
-		}
 		if candidate == v.Record.Primary {
 			continue
 		}
+		if status.Role == topology.RolePrimary && status.Term >= v.Record.Term {
+			return candidate, status, true
+		}
 		longer := status.Received.Compare(chosen.Received)
 		if id == "" || longer > 0 || (longer == 0 && candidate < id) {
 			id, chosen = candidate, status
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -72,6 +72,14 @@
 type places struct {
 	homes  home.Assignment
 	spread map[topology.CustomerID]int
+	// cutOff holds the homes that cannot reach their service's primary.
+	cutOff map[Pair]bool
+}
+
+// Pair is a home of a service.
+type Pair struct {
+	Service  topology.ServiceID
+	Instance topology.InstanceID
 }
 
 // call is a request that waits for its reply.
@@ -102,8 +110,8 @@
 }
 
 // Place sets where work goes.
-func (r *Relay) Place(homes home.Assignment, spread map[topology.CustomerID]int) {
-	r.places.Store(&places{homes: homes, spread: spread})
+func (r *Relay) Place(homes home.Assignment, spread map[topology.CustomerID]int, cutOff map[Pair]bool) {
+	r.places.Store(&places{homes: homes, spread: spread, cutOff: cutOff})
 }
 
 // Busy reports that work of other instances is under way here.
@@ -238,16 +246,18 @@
 func (r *Relay) choose(service topology.ServiceID, customer topology.CustomerID, excluded []topology.InstanceID) topology.InstanceID {
 	p := r.places.Load()
 	homes := p.homes.Homes(service)
-	for i := range homes {
+	chosen, found := r.Self, false
+	for i := len(homes) - 1; i >= 0; i-- {
 		id := homes[(p.spread[customer]+i)%len(homes)]
-		if id == r.Self {
-			return id
+		if contains(excluded, id) || id != r.Self && !r.usable(id) {
+			continue
 		}
-		if !contains(excluded, id) && r.usable(id) {
-			return id
+		if p.cutOff[Pair{service, id}] && found {
+			continue
 		}
+		chosen, found = id, true
 	}
-	return r.Self
+	return chosen
 }
 
 func contains(ids []topology.InstanceID, id topology.InstanceID) bool {
