--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -134,7 +134,7 @@
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.suspects = newSuspects(d)
 	d.engine = perform.NewEngine(perform.Dependencies{
-		FailureDomain: o.Settings.FailureDomain, Clock: d.clock, Tenure: d.tenure, Dialer: o.Dialer,
+		FailureDomain: o.Settings.FailureDomain, RateWindow: o.Settings.RateWindow, Clock: d.clock, Tenure: d.tenure, Dialer: o.Dialer,
 		Reachability: d.suspects, Observer: d.metrics, Log: o.Log,
 	})
 	d.mesh = peer.New(peer.Config{Instance: o.Settings.Instance, FailureDomain: o.Settings.FailureDomain,
--- a/edge/register.go
+++ b/edge/register.go
@@ -46,7 +46,7 @@
 	Processor float64 `json:"processor"`
 	// Leaving instances take no more work of others.
 	Leaving bool        `json:"leaving,omitempty"`
-	Needs   share.Needs `json:"needs"`
+	Needs   share.Needs `json:"needs,omitempty"`
 }
 
 // register keeps the registration alive and publishes needs.
@@ -159,11 +159,7 @@
 }
 
 func differ(a, b share.Needs) bool {
-	return differInMap(a.Customers, b.Customers) || differInMap(a.Services, b.Services)
-}
-
-func differInMap[K comparable](a, b map[K]float64) bool {
-	keys := make(map[K]bool)
+	keys := make(map[topology.CustomerID]bool)
 	for key := range maps.Keys(a) {
 		keys[key] = true
 	}
--- a/edge/shares.go
+++ b/edge/shares.go
@@ -56,7 +56,7 @@
 	d.relay.Place(homes, spread(c), d.cutOff())
 	connections := make(map[topology.ServiceID]int, len(c.Services))
 	for id, service := range c.Services {
-		connections[id] = d.connectionShare(service, homes.Homes(id), registered)
+		connections[id] = d.connectionShare(service, homes.Homes(id), len(registered))
 	}
 	d.engine.SetShares(connections, d.rateShares(c, homes, registered))
 	d.logChange(eventShares, "shares", "instances", len(registered), "connections", connections, "home_of", homes.Count(d.settings.Instance))
@@ -102,17 +102,13 @@
 }
 
 // connectionShare returns how many connections this instance may hold to each
-// target of a service.
-func (d *Daemon) connectionShare(service catalog.Service, homes []topology.InstanceID, registered map[topology.InstanceID]registration) int {
+// target of a service: homes divide what is not kept for the others.
+func (d *Daemon) connectionShare(service catalog.Service, homes []topology.InstanceID, instances int) int {
 	if !slices.Contains(homes, d.settings.Instance) {
 		return 1
 	}
-	needs := make(map[topology.InstanceID]float64, len(homes))
-	for _, id := range homes {
-		needs[id] = registered[id].Needs.Services[service.ID]
-	}
-	reserve := min(len(registered)-len(homes), int(float64(service.MaxConnections)*reserveShare))
-	return share.Connections(d.settings.Instance, service.MaxConnections-reservedConnections-reserve, needs)
+	reserve := min(instances-len(homes), int(float64(service.MaxConnections)*reserveShare))
+	return max(1, (service.MaxConnections-reservedConnections-reserve)/len(homes))
 }
 
 // rateShares returns this instance's part of each customer's rate.
@@ -122,7 +118,7 @@
 	for id, customer := range c.Customers {
 		needs := make(map[topology.InstanceID]float64, len(registered))
 		for instance, r := range registered {
-			needs[instance] = r.Needs.Customers[id]
+			needs[instance] = r.Needs[id]
 		}
 		for service := range c.Services {
 			if at := homes.Homes(service); len(at) > 0 {
--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -34,10 +34,8 @@
 	// connections is how many connections this instance may hold to each target.
 	connections int
 	// Floors is the evidence of the log's growth.
-	Floors     floor.History
-	evicted    []any
-	pressure   float64
-	pressureAt time.Duration
+	Floors  floor.History
+	evicted []any
 }
 
 // New returns a dispatcher without targets.
@@ -443,25 +441,3 @@
 
 // Waiting returns the length of the queue.
 func (d *Dispatcher) Waiting() int { return len(d.queue) }
-
-// busyMemory is the time constant of the measured use of connections.
-const busyMemory = 2 * time.Second
-
-// Pressure returns how many connections to its busiest target the instance uses
-// on average, and whether requests lately waited for want of a connection.
-func (d *Dispatcher) Pressure(now time.Duration) (busy float64, starved bool) {
-	most := 0
-	for _, t := range d.targets {
-		used := t.opening
-		for _, l := range t.links {
-			if !l.idle {
-				used++
-			}
-		}
-		most = max(most, used)
-	}
-	weight := min(1, float64(now-d.pressureAt)/float64(busyMemory))
-	d.pressure += (float64(most+len(d.queue)) - d.pressure) * weight
-	d.pressureAt = now
-	return float64(int(d.pressure*10)) / 10, len(d.queue) > 0
-}
--- a/process/entrysettings/settings.go
+++ b/process/entrysettings/settings.go
@@ -32,6 +32,8 @@
 	Grace time.Duration
 	// WithdrawalLimit is the time after which a withdrawn key runs nothing.
 	WithdrawalLimit time.Duration
+	// RateWindow is the span over which customers' limits count.
+	RateWindow time.Duration
 	// LeastLease is the shortest lease that the store grants.
 	LeastLease time.Duration
 }
@@ -59,6 +61,7 @@
 		{"drain limit", s.DrainLimit},
 		{"grace", s.Grace},
 		{"withdrawal limit", s.WithdrawalLimit},
+		{"rate window", s.RateWindow},
 	}
 	for _, field := range positive {
 		if field.value <= 0 {
--- a/process/share/bucket.go
+++ b/process/share/bucket.go
@@ -8,33 +8,81 @@
 // demandMemory is the time constant of the measured demand.
 const demandMemory = 2 * time.Second
 
-// Bucket admits a customer's operations on one instance. It is not safe for
-// concurrent use.
+// windowSlots is into how many slots a window is divided. A slot counts until it
+// has wholly left the window, so that no window of any position holds more than
+// the limit.
+const windowSlots = 20
+
+// Limit is a customer's limit: in any Window at most Rate times Window plus Burst
+// operations.
+type Limit struct {
+	// Rate is in operations a second, Burst in operations.
+	Rate, Burst float64
+	Window      time.Duration
+}
+
+// part returns a fraction of the limit.
+func (l Limit) part(fraction float64) Limit {
+	return Limit{Rate: l.Rate * fraction, Burst: l.Burst * fraction, Window: l.Window}
+}
+
+// refill is the steady rate that fills a window up to its limit.
+func (l Limit) refill() float64 { return l.Rate + l.Burst/l.Window.Seconds() }
+
+// most is how many operations a window may hold.
+func (l Limit) most() float64 { return l.Rate*l.Window.Seconds() + l.Burst }
+
+// Bucket admits a customer's operations on one instance: a token bucket that
+// smooths bursts, and a count of the last window that bounds them. It is not safe
+// for concurrent use.
 type Bucket struct {
-	rate, burst float64
-	level       float64
-	at          time.Duration
-	demand      float64
-	demandAt    time.Duration
+	limit    Limit
+	level    float64
+	at       time.Duration
+	demand   float64
+	demandAt time.Duration
+	slots    [windowSlots + 1]float64
+	slot     int64
 }
 
-// NewBucket returns a full bucket with this instance's part of rate and burst.
-func NewBucket(now time.Duration, rate, burst float64) *Bucket {
-	return &Bucket{rate: rate, burst: burst, level: burst, at: now, demandAt: now}
+// NewBucket returns a full bucket with this instance's fraction of a limit.
+func NewBucket(now time.Duration, limit Limit, fraction float64) *Bucket {
+	part := limit.part(fraction)
+	return &Bucket{limit: part, level: part.Burst, at: now, demandAt: now}
 }
 
-// Resize changes the parts. Tokens above the new burst are lost; none are added.
-func (b *Bucket) Resize(now time.Duration, rate, burst float64) {
+// Resize changes the part. Tokens above the new burst are lost; none are added.
+func (b *Bucket) Resize(now time.Duration, limit Limit, fraction float64) {
 	b.settle(now)
-	b.rate, b.burst = rate, burst
-	b.level = min(b.level, max(burst, 1))
+	b.limit = limit.part(fraction)
+	b.level = min(b.level, b.capacity())
 }
 
+// capacity is the most that the bucket holds: parts of small limits still let
+// single operations pass.
+func (b *Bucket) capacity() float64 { return max(b.limit.Burst, 1) }
+
 func (b *Bucket) settle(now time.Duration) {
 	if now > b.at {
-		b.level = min(max(b.burst, 1), b.level+b.rate*(now-b.at).Seconds())
+		b.level = min(b.capacity(), b.level+b.limit.refill()*(now-b.at).Seconds())
 		b.at = now
 	}
+	current := int64(now / (b.limit.Window / windowSlots))
+	for ; b.slot < current; b.slot++ {
+		if current-b.slot > int64(len(b.slots)) {
+			b.slot = current - int64(len(b.slots))
+		}
+		b.slots[(b.slot+1)%int64(len(b.slots))] = 0
+	}
+}
+
+// inWindow returns how many operations the last window holds.
+func (b *Bucket) inWindow() float64 {
+	sum := 0.0
+	for _, count := range b.slots {
+		sum += count
+	}
+	return sum
 }
 
 // Take admits one operation that can wait for the given time. It returns how
@@ -42,18 +90,22 @@
 func (b *Bucket) Take(now, patience time.Duration) (time.Duration, bool) {
 	b.settle(now)
 	b.count(now)
-	if b.level >= 1 {
-		b.level--
-		return 0, true
-	}
-	if b.rate <= 0 {
+	if b.inWindow()+1 > max(b.limit.most(), 1) {
 		return 0, false
 	}
-	wait := time.Duration((1 - b.level) / b.rate * float64(time.Second))
-	if wait > patience {
-		return wait, false
+	wait := time.Duration(0)
+	if b.level < 1 {
+		refill := b.limit.refill()
+		if refill <= 0 {
+			return 0, false
+		}
+		wait = time.Duration((1 - b.level) / refill * float64(time.Second))
+		if wait > patience {
+			return wait, false
+		}
 	}
 	b.level--
+	b.slots[b.slot%int64(len(b.slots))]++
 	return wait, true
 }
 
@@ -70,5 +122,5 @@
 
 // Pressed reports that the demand takes up the given share of the rate.
 func (b *Bucket) Pressed(now time.Duration, share float64) bool {
-	return b.Demand(now) > share*b.rate
+	return b.Demand(now) > share*b.limit.refill()
 }
--- a/request/perform/engine.go
+++ b/request/perform/engine.go
@@ -1,6 +1,7 @@
 package perform
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,12 +35,14 @@
 // Dependencies of an Engine.
 type Dependencies struct {
 	FailureDomain topology.FailureDomain
-	Clock         clock.Clock
-	Tenure        Tenure
-	Dialer        target.Dialer
-	Reachability  Reachability
-	Observer      Observer
-	Log           logr.Logger
+	// RateWindow is the span over which customers' limits count.
+	RateWindow   time.Duration
+	Clock        clock.Clock
+	Tenure       Tenure
+	Dialer       target.Dialer
+	Reachability Reachability
+	Observer     Observer
+	Log          logr.Logger
 }
 
 // Engine runs statements. It is safe for concurrent use.
@@ -56,7 +59,7 @@
 	return &Engine{
 		Dependencies: d,
 		services:     make(map[topology.ServiceID]*service),
-		rates:        rates{buckets: make(map[topology.CustomerID]*share.Bucket), fractions: make(map[topology.CustomerID]float64)},
+		rates:        rates{window: d.RateWindow, buckets: make(map[topology.CustomerID]*share.Bucket), fractions: make(map[topology.CustomerID]float64)},
 	}
 }
 
@@ -147,23 +150,9 @@
 	}
 }
 
-// Needs returns what this instance needs of the fleet's limits and whether its
+// Needs returns what this instance needs of the customers' rates and whether its
 // present parts press.
-func (e *Engine) Needs() (needs share.Needs, pressed bool) {
-	now := e.Clock()
-	needs.Customers, pressed = e.rates.needs(now)
-	needs.Services = make(map[topology.ServiceID]float64)
-	e.mu.RLock()
-	defer e.mu.RUnlock()
-	for id, s := range e.services {
-		s.mu.Lock()
-		busy, starved := s.dispatch.Pressure(now)
-		s.mu.Unlock()
-		needs.Services[id] = busy
-		pressed = pressed || starved
-	}
-	return needs, pressed
-}
+func (e *Engine) Needs() (share.Needs, bool) { return e.rates.needs(e.Clock()) }
 
 // Statuses describes the targets of every service.
 func (e *Engine) Statuses() map[topology.ServiceID][]dispatch.Status {
@@ -180,6 +169,7 @@
 
 // rates holds the buckets of all customers.
 type rates struct {
+	window    time.Duration
 	mu        sync.Mutex
 	customers map[topology.CustomerID]catalog.Customer
 	buckets   map[topology.CustomerID]*share.Bucket
@@ -211,13 +201,17 @@
 		bucket, known := r.buckets[id]
 		switch {
 		case known:
-			bucket.Resize(now, customer.Rate*fraction, customer.Burst*fraction)
+			bucket.Resize(now, r.limit(customer), fraction)
 		case fraction > 0:
-			r.buckets[id] = share.NewBucket(now, customer.Rate*fraction, customer.Burst*fraction)
+			r.buckets[id] = share.NewBucket(now, r.limit(customer), fraction)
 		}
 	}
 }
 
+func (r *rates) limit(c catalog.Customer) share.Limit {
+	return share.Limit{Rate: c.Rate, Burst: c.Burst, Window: r.window}
+}
+
 // take admits one operation of a customer.
 func (r *rates) take(now, patience time.Duration, id topology.CustomerID) (wait time.Duration, ok bool) {
 	r.mu.Lock()
@@ -232,13 +226,24 @@
 	return bucket.Take(now, patience)
 }
 
+// describe tells this instance's part of a customer's rate and the demand for it.
+func (r *rates) describe(now time.Duration, id topology.CustomerID) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	demand := 0.0
+	if bucket, known := r.buckets[id]; known {
+		demand = bucket.Demand(now)
+	}
+	return fmt.Sprintf("%.2f of %.1f/s, demand %.1f/s", r.fractions[id], r.customers[id].Rate, demand)
+}
+
 // pressedShare is the share of a rate above which a customer's demand presses.
 const pressedShare = 0.6
 
-func (r *rates) needs(now time.Duration) (map[topology.CustomerID]float64, bool) {
+func (r *rates) needs(now time.Duration) (share.Needs, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	needs := make(map[topology.CustomerID]float64, len(r.buckets))
+	needs := make(share.Needs, len(r.buckets))
 	pressed := false
 	for id, bucket := range r.buckets {
 		demand := bucket.Demand(now)
--- a/request/perform/operation.go
+++ b/request/perform/operation.go
@@ -121,6 +121,8 @@
 		patience := time.Duration(float64(op.route.Objective) * ratePatience)
 		wait, ok := e.rates.take(now, patience, op.customer)
 		if !ok {
+			eventRefused.Log(e.Log, "customer", op.customer, "why", "rate", "version", op.version,
+				"wait_ms", wait.Milliseconds(), "part", e.rates.describe(now, op.customer))
 			return op, &refusal{statement.Busy, "customer's rate is used up"}
 		}
 		if wait > 0 {
