--- a/edge/lead.go
+++ b/edge/lead.go
@@ -40,6 +40,13 @@
 	probeTimeout = 400 * time.Millisecond
 	// orderTimeout bounds a promotion order.
 	orderTimeout = 2 * time.Second
+	// dutyTerm is the term of the duty's lease. It is short, so that another
+	// instance soon takes over from one that is cut off.
+	dutyTerm = 1500 * time.Millisecond
+	// dutySpan is how long the duty counts as held after a renewal was asked.
+	dutySpan = 1200 * time.Millisecond
+	// dutyInterval leaves two tries before the duty counts as lost.
+	dutyInterval = 450 * time.Millisecond
 )
 
 type targetMap map[topology.TargetID]directory.Target
@@ -72,8 +79,12 @@
 // leader holds the duty's state. Only the lead loop and the actions it starts
 // use it.
 type leader struct {
-	mu           sync.Mutex
-	token        failover.Token
+	mu    sync.Mutex
+	token failover.Token
+	// lease holds the duty; renewed is when its last renewal was asked. Only the
+	// lead loop writes them.
+	lease        store.LeaseID
+	renewed      time.Duration
 	coordinators map[topology.ServiceID]*failover.Coordinator
 	// fences notes for each fenced record when its last right ends.
 	fences map[topology.ServiceID]fence
@@ -106,29 +117,84 @@
 		return false
 	}
 	d.mu.Lock()
-	entry, lease, listed := d.mirror.Get(keyDuty), d.lease, d.listed
+	entry, listed := d.mirror.Get(keyDuty), d.listed
 	d.mu.Unlock()
-	if lease == 0 || !listed {
+	if !listed {
 		return false
 	}
-	if entry.Revision != 0 {
-		mine := string(entry.Value) == d.incarnation() && entry.Lease == lease
-		d.setToken(mine, failover.Token(entry.Revision))
-		return mine
+	if entry.Revision == 0 {
+		return d.takeDuty(ctx)
+	}
+	mine := string(entry.Value) == d.incarnation()
+	if mine {
+		d.renewDuty(ctx)
 	}
+	mine = mine && d.dutyHeld()
+	d.setToken(mine, failover.Token(entry.Revision))
+	return mine
+}
+
+// dutyHeld reports whether the duty's lease holds for certain.
+func (d *Daemon) dutyHeld() bool {
+	d.leader.mu.Lock()
+	defer d.leader.mu.Unlock()
+	return d.leader.lease != 0 && d.clock()-d.leader.renewed < dutySpan
+}
+
+// setDutyLease notes the duty's lease as of a call made at asked.
+func (d *Daemon) setDutyLease(lease store.LeaseID, asked time.Duration) {
+	d.leader.mu.Lock()
+	defer d.leader.mu.Unlock()
+	d.leader.lease, d.leader.renewed = lease, asked
+}
+
+// takeDuty tries to take the free duty.
+func (d *Daemon) takeDuty(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	asked := d.clock()
+	lease, err := d.store.Grant(callCtx, max(dutyTerm, d.settings.LeastLease))
+	if err != nil {
+		d.storeFailed("grant lease of the duty", err)
+		return false
+	}
 	revision, err := d.store.CompareAndSwap(callCtx, store.Swap{Key: keyDuty, Value: []byte(d.incarnation()), Lease: lease})
 	if err != nil {
-		if !errors.Is(err, store.ErrConflict) {
+		var conflict *store.ConflictError
+		if errors.As(err, &conflict) {
+			d.takeOver(nil, conflict.Current)
+		} else {
 			d.storeFailed("take duty", err)
 		}
 		return false
 	}
+	d.setDutyLease(lease, asked)
 	d.apply([]store.Change{{Entry: store.Entry{Key: keyDuty, Value: []byte(d.incarnation()), Revision: revision, Lease: lease}}})
 	return false
 }
 
+// renewDuty renews the duty's lease when it is time.
+func (d *Daemon) renewDuty(ctx context.Context) {
+	d.leader.mu.Lock()
+	lease, renewed := d.leader.lease, d.leader.renewed
+	d.leader.mu.Unlock()
+	asked := d.clock()
+	if lease == 0 || asked-renewed < dutyInterval {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, dutyInterval)
+	defer cancel()
+	err := d.store.KeepAlive(callCtx, lease)
+	switch {
+	case err == nil:
+		d.setDutyLease(lease, asked)
+	case errors.Is(err, store.ErrLeaseExpired):
+		d.setDutyLease(0, 0)
+	default:
+		d.storeFailed("renew duty", err)
+	}
+}
+
 // setToken notes the duty's state. The revision at which the duty was taken
 // orders its holders.
 func (d *Daemon) setToken(mine bool, token failover.Token) {
@@ -233,7 +299,7 @@
 
 func (d *Daemon) act(ctx context.Context, service topology.ServiceID, a failover.Action, token failover.Token) failover.Result {
 	result := failover.Result{Action: a}
-	if !d.tenure.Registered(d.clock()) {
+	if !d.dutyHeld() {
 		result.Failed = true
 		return result
 	}
--- a/edge/register.go
+++ b/edge/register.go
@@ -63,8 +63,10 @@
 			pause(ctx, retryPause)
 			continue
 		}
-		d.publishNeeds(ctx)
-		pause(ctx, renewInterval)
+		for next := d.clock() + renewInterval; d.clock() < next && ctx.Err() == nil; {
+			d.publishNeeds(ctx)
+			pause(ctx, renewInterval/3)
+		}
 	}
 	return nil
 }
--- a/process/share/bucket.go
+++ b/process/share/bucket.go
@@ -43,12 +43,22 @@
 	demandAt time.Duration
 	slots    [windowSlots + 1]float64
 	slot     int64
+	// started is when the bucket came to be. What was admitted before, by an
+	// earlier process of the instance, is unknown, so for a window it gives less.
+	started time.Duration
 }
 
-// NewBucket returns a full bucket with this instance's fraction of a limit.
+// startShare is the share of the burst that a new bucket holds, and earlyShare
+// the share of the burst that is added to its rate in its first window: together
+// with a full window of an earlier process they stay within a tenth of the limit.
+const (
+	startShare = 0.25
+	earlyShare = 0.5
+)
+
+// NewBucket returns a bucket with this instance's fraction of a limit.
 func NewBucket(now time.Duration, limit Limit, fraction float64) *Bucket {
-	part := limit.part(fraction)
-	return &Bucket{limit: part, level: part.Burst, at: now, demandAt: now}
+	return &Bucket{limit: limit.part(fraction), level: startShare * limit.Burst * fraction, at: now, demandAt: now, started: now, slot: int64(now / (limit.Window / windowSlots))}
 }
 
 // Resize changes the part. Tokens above the new burst are lost; none are added.
@@ -64,7 +74,7 @@
 
 func (b *Bucket) settle(now time.Duration) {
 	if now > b.at {
-		b.level = min(b.capacity(), b.level+b.limit.refill()*(now-b.at).Seconds())
+		b.level = min(b.capacity(), b.level+b.refill(now)*(now-b.at).Seconds())
 		b.at = now
 	}
 	current := int64(now / (b.limit.Window / windowSlots))
@@ -76,6 +86,14 @@
 	}
 }
 
+// refill returns the rate at which tokens come.
+func (b *Bucket) refill(now time.Duration) float64 {
+	if now-b.started < b.limit.Window {
+		return b.limit.Rate + earlyShare*b.limit.Burst/b.limit.Window.Seconds()
+	}
+	return b.limit.refill()
+}
+
 // inWindow returns how many operations the last window holds.
 func (b *Bucket) inWindow() float64 {
 	sum := 0.0
@@ -95,7 +113,7 @@
 	}
 	wait := time.Duration(0)
 	if b.level < 1 {
-		refill := b.limit.refill()
+		refill := b.refill(now)
 		if refill <= 0 {
 			return 0, false
 		}
--- a/request/relay/operations.go
+++ b/request/relay/operations.go
@@ -90,6 +90,9 @@
 	case answer == nil:
 		return statement.Answer{}, unanswered
 	case answer.Declined:
+		if !q.Within {
+			r.declinedBy(to)
+		}
 		return statement.Answer{}, declined
 	}
 	answer.Placement.note(o)
@@ -100,6 +103,13 @@
 	return answer.Answer, replied
 }
 
+// declinedBy keeps work from a home for a while.
+func (r *Relay) declinedBy(id topology.InstanceID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.livenessOf(id).declinedUntil = r.Clock() + declinedPause
+}
+
 // abandonReads lets reads that wait for a silent home go elsewhere.
 func (r *Relay) abandonReads(id topology.InstanceID) {
 	r.mu.Lock()
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -31,6 +31,9 @@
 	// silentAfter is how long a home may leave a ping unanswered: far more than a
 	// round trip of 3 ms and a busy processor's delay.
 	silentAfter = 250 * time.Millisecond
+	// declinedPause is how long a home that declined work gets no more: it lacks a
+	// configuration that spreads within seconds, or it leaves.
+	declinedPause = 400 * time.Millisecond
 	// resetAfter is how long a link may stay silent before it is opened anew.
 	resetAfter = 1200 * time.Millisecond
 	// reprobeInterval is the pause between pings of a silent home.
@@ -99,6 +102,8 @@
 	asked  time.Duration
 	pinged time.Duration
 	silent bool
+	// declinedUntil is when a home that declined work is asked again.
+	declinedUntil time.Duration
 }
 
 // New returns a relay that runs everything here until Place is called.
@@ -238,7 +243,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l, known := r.liveness[id]
-	return !known || !l.silent
+	return !known || !l.silent && r.Clock() >= l.declinedUntil
 }
 
 // choose returns where an operation of a customer goes: its home, the other home,
