Let only homes and backups use a service, tell demand over the mesh

A fence waits for the instances that declared to use the service's primary before they did; the division of limits is computed at most ten times a second.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -98,10 +98,12 @@
 	storeLost   atomic.Bool
 	confirmWake chan struct{}
 	leadWake    chan struct{}
+	sharesWake  chan struct{}
+	usesWake    chan struct{}
 
-	// published is what the registration says; only the register loop uses it.
-	published   share.Needs
-	publishedAt time.Duration
+	// toldAt is when the demand here was last told; only the register loop uses
+	// it.
+	toldAt time.Duration
 
 	mu     sync.Mutex
 	mirror *mirror.Mirror
@@ -114,6 +116,12 @@
 	brokenTargets map[string]store.Revision
 	// homeCount is how many homes each service has.
 	homeCount map[topology.ServiceID]int
+	// uses are the services whose primaries this instance is to use, declared
+	// those that its registration names.
+	uses, declared []topology.ServiceID
+	// sharers divide the customers' rates; needs is the demand at each.
+	sharers []topology.InstanceID
+	needs   map[topology.InstanceID]share.Needs
 	// logged is what logChange logged last by subject.
 	logged map[string]string
 }
@@ -127,6 +135,7 @@
 		tenure:      tenure.New(o.Settings.WithdrawalLimit - keyMargin),
 		born:        time.Now().UnixNano(),
 		confirmWake: make(chan struct{}, 1), leadWake: make(chan struct{}, 1),
+		sharesWake: make(chan struct{}, 1), usesWake: make(chan struct{}, 1), needs: make(map[topology.InstanceID]share.Needs),
 		mirror: mirror.New(), records: make(map[topology.ServiceID]groupRecord),
 		targets: make(map[topology.ServiceID]targetMap), brokenTargets: make(map[string]store.Revision),
 		logged: make(map[string]string),
@@ -140,7 +149,7 @@
 	d.mesh = peer.New(peer.Config{Instance: o.Settings.Instance, FailureDomain: o.Settings.FailureDomain,
 		Address: o.Settings.PeerAddress, Dial: o.Adapter.DialPeer}, o.Log)
 	d.relay = relay.New(relay.Dependencies{Self: o.Settings.Instance, Born: d.born, Engine: d.engine, Link: d.mesh,
-		Clock: d.clock, Log: o.Log, Stopping: d.stopping.Load})
+		Clock: d.clock, Log: o.Log, Stopping: d.stopping.Load, OnNeeds: d.noteNeeds})
 	d.mesh.Handle(peer.KindRelay, d.relay.Receive)
 	d.mesh.OnDown(d.relay.Lost)
 	d.metrics.watch(d)
@@ -160,7 +169,7 @@
 	}
 	var group run.Group
 	for _, loop := range []func(context.Context) error{
-		d.follow, d.relist, d.confirm, d.register, d.lead, d.tick, d.mesh.Run, d.suspects.run, d.suspects.recheck,
+		d.follow, d.relist, d.confirm, d.register, d.lead, d.tick, d.mesh.Run, d.shareLoop, d.suspects.run, d.suspects.recheck,
 	} {
 		group.Add(func() error { return loop(d.ctx) }, func(error) { d.cancel() })
 	}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -67,11 +68,30 @@
 			after = max(after, asOf)
 			d.apply(changes)
 			d.sawUntil(after)
+			pause(ctx, d.batchPause())
 		}
 	}
 	return nil
 }
 
+// Pauses between watches, in which changes collect: those who neither lead nor use
+// primaries need not hear of every change at once, and in a large fleet each
+// change would cost a call of every instance.
+const (
+	briefPause = 10 * time.Millisecond
+	longPause  = 300 * time.Millisecond
+)
+
+// batchPause returns the pause before the next watch.
+func (d *Daemon) batchPause() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.declared) > 0 || string(d.mirror.Get(keyDuty).Value) == d.incarnation() {
+		return briefPause
+	}
+	return longPause
+}
+
 // listAll reads everything that the daemon follows.
 func (d *Daemon) listAll(ctx context.Context) (store.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
@@ -149,7 +169,7 @@
 		d.applyRecords()
 	}
 	if shares {
-		d.applyShares()
+		notify(d.sharesWake)
 	}
 	if len(keys) > 0 {
 		d.wakeLead()
@@ -224,7 +244,7 @@
 		d.engine.SetRecord(service, r.Record, r.revision)
 		eventRecord.Log(d.log, "service", service, "primary", r.Primary, "term", r.Term,
 			"fenced", r.Fenced, "sequence", r.Sequence, "revision", r.revision)
-		if r.Fenced {
+		if r.Fenced && slices.Contains(d.declaredUses(), service) {
 			go d.yield(service, r.Record)
 		}
 	}
--- a/edge/lead.go
+++ b/edge/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -253,6 +254,10 @@
 	// mirror holds every change up to it.
 	v.Acknowledged = v.Record.Fenced && d.seen >= entry.Revision
 	d.mirror.Each(prefixInstances, func(instance store.Entry) {
+		var r registration
+		if err := json.Unmarshal(instance.Value, &r); err == nil && !slices.Contains(r.Uses, service) {
+			return // it holds no right to the primary
+		}
 		v.Instances++
 		id := topology.InstanceID(strings.TrimPrefix(instance.Key, prefixInstances))
 		yielded := d.mirror.Get(yieldKey(service, id))
--- a/edge/register.go
+++ b/edge/register.go
@@ -4,11 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"maps"
-	"math"
+	"slices"
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/event"
+	"samphirehitch.example/samphirehitch/process/failover"
 	"samphirehitch.example/samphirehitch/process/share"
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/tenure"
@@ -25,14 +25,11 @@
 const (
 	// renewInterval leaves three tries before the right ends.
 	renewInterval = 900 * time.Millisecond
-	// publishInterval is the least time between publications of needs, which
-	// wake every instance.
-	publishInterval = 1200 * time.Millisecond
-	// publishChange is the relative change of a need that is worth publishing.
-	publishChange = 0.3
-	// negligibleNeed is a change in operations a second, or connections, that is
-	// not worth publishing.
-	negligibleNeed = 1.5
+	// needsInterval is the pause between looks at the demand, and between
+	// tellings of it while it presses on this instance's parts.
+	needsInterval = 300 * time.Millisecond
+	// calmNeedsInterval is the pause between tellings of demand that does not.
+	calmNeedsInterval = 1500 * time.Millisecond
 )
 
 // registration is what an instance says of itself in the store.
@@ -45,32 +42,76 @@
 	// Processor is the share of a core that the instance has.
 	Processor float64 `json:"processor"`
 	// Leaving instances take no more work of others.
-	Leaving bool        `json:"leaving,omitempty"`
-	Needs   share.Needs `json:"needs,omitempty"`
+	Leaving bool `json:"leaving,omitempty"`
+	// Uses lists the services whose primaries the instance may use. It is
+	// written before the first use, so that a fence waits for the instance.
+	Uses []topology.ServiceID `json:"uses,omitempty"`
 }
 
-// register keeps the registration alive and publishes needs.
+// register keeps the registration alive and up to date.
 func (d *Daemon) register(ctx context.Context) error {
+	var renewAt time.Duration
 	for ctx.Err() == nil {
 		switch {
 		case !d.knowsStore():
 		case d.lease == 0:
 			d.enroll(ctx)
-		default:
+			renewAt = d.clock() + renewInterval
+		case d.clock() >= renewAt:
+			renewAt = d.clock() + renewInterval
 			d.renew(ctx)
 		}
 		if d.lease == 0 {
 			pause(ctx, retryPause)
 			continue
 		}
-		for next := d.clock() + renewInterval; d.clock() < next && ctx.Err() == nil; {
-			d.publishNeeds(ctx)
-			pause(ctx, renewInterval/3)
+		d.declareUses(ctx)
+		d.tellNeeds()
+		select {
+		case <-ctx.Done():
+		case <-time.After(needsInterval):
+		case <-d.usesWake:
 		}
 	}
 	return nil
 }
 
+// declareUses writes the registration anew when the instance is to use the
+// primaries of other services.
+func (d *Daemon) declareUses(ctx context.Context) {
+	d.mu.Lock()
+	uses, declared := d.uses, d.declared
+	d.mu.Unlock()
+	if slices.Equal(uses, declared) {
+		return
+	}
+	d.putRegistration(ctx, d.lease, uses)
+}
+
+// tellNeeds tells the demand here to the instances that divide the customers'
+// rates with this one.
+func (d *Daemon) tellNeeds() {
+	needs, pressed := d.engine.Needs()
+	now := d.clock()
+	if len(needs) == 0 || !pressed && now-d.toldAt < calmNeedsInterval {
+		return
+	}
+	d.toldAt = now
+	d.noteNeeds(d.settings.Instance, needs)
+	d.mu.Lock()
+	sharers := d.sharers
+	d.mu.Unlock()
+	d.relay.TellNeeds(sharers, needs)
+}
+
+// noteNeeds takes the demand at an instance.
+func (d *Daemon) noteNeeds(from topology.InstanceID, needs share.Needs) {
+	d.mu.Lock()
+	d.needs[from] = needs
+	d.mu.Unlock()
+	notify(d.sharesWake)
+}
+
 // knowsStore reports whether the store's content was read: an instance that
 // cannot serve does not register.
 func (d *Daemon) knowsStore() bool {
@@ -89,10 +130,9 @@
 		d.storeFailed("grant lease", err)
 		return
 	}
-	if !d.putRegistration(ctx, lease, share.Needs{}) {
+	if !d.putRegistration(ctx, lease, d.declaredUses()) {
 		return
 	}
-	d.published, d.publishedAt = share.Needs{}, d.clock()
 	d.setLease(lease)
 	d.tenure.Renewed(asked)
 	eventRegistered.Log(d.log, "lease", lease)
@@ -105,9 +145,9 @@
 	d.lease = lease
 }
 
-func (d *Daemon) putRegistration(ctx context.Context, lease store.LeaseID, needs share.Needs) bool {
+func (d *Daemon) putRegistration(ctx context.Context, lease store.LeaseID, uses []topology.ServiceID) bool {
 	value, err := json.Marshal(registration{FailureDomain: d.settings.FailureDomain, Born: d.born,
-		Address: d.settings.PeerAddress, Processor: d.settings.Processor, Leaving: d.stopping.Load(), Needs: needs})
+		Address: d.settings.PeerAddress, Processor: d.settings.Processor, Leaving: d.stopping.Load(), Uses: uses})
 	if err != nil {
 		eventConfigBroken.LogError(d.log, err, "key", instanceKey(d.settings.Instance))
 		return false
@@ -122,6 +162,7 @@
 		d.storeFailed("put registration", err)
 		return false
 	}
+	d.declare(uses)
 	return true
 }
 
@@ -148,41 +189,30 @@
 	eventLapsed.Log(d.log)
 }
 
-// publishNeeds publishes what this instance needs when its parts press and the
-// needs have changed.
-func (d *Daemon) publishNeeds(ctx context.Context) {
-	needs, pressed := d.engine.Needs()
-	if !pressed || d.clock()-d.publishedAt < publishInterval || !differ(needs, d.published) {
-		return
-	}
-	if d.putRegistration(ctx, d.lease, needs) {
-		d.published, d.publishedAt = needs, d.clock()
-	}
-}
-
-func differ(a, b share.Needs) bool {
-	keys := make(map[topology.CustomerID]bool)
-	for key := range maps.Keys(a) {
-		keys[key] = true
-	}
-	for key := range maps.Keys(b) {
-		keys[key] = true
-	}
-	for key := range keys {
-		change := math.Abs(a[key] - b[key])
-		if change > negligibleNeed && change > publishChange*max(a[key], b[key]) {
-			return true
+// declare notes the services that the registration names. Those whose primary is
+// fenced are yielded at once, since the fence waits for every declared user.
+func (d *Daemon) declare(uses []topology.ServiceID) {
+	fenced := make(map[topology.ServiceID]failover.Record)
+	d.mu.Lock()
+	for _, service := range uses {
+		if r := d.records[service]; r.Fenced && !slices.Contains(d.declared, service) {
+			fenced[service] = r.Record
 		}
 	}
-	return false
+	d.declared = uses
+	d.mu.Unlock()
+	for service, record := range fenced {
+		go d.yield(service, record)
+	}
+	notify(d.sharesWake)
 }
 
 // announceLeaving tells the others to take their work elsewhere.
 func (d *Daemon) announceLeaving() {
 	d.mu.Lock()
-	lease := d.lease
+	lease, declared := d.lease, d.declared
 	d.mu.Unlock()
 	if lease != 0 {
-		d.putRegistration(d.ctx, lease, share.Needs{})
+		d.putRegistration(d.ctx, lease, declared)
 	}
 }
--- a/edge/shares.go
+++ b/edge/shares.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"context"
 	"encoding/json"
 	"slices"
 	"strings"
+	"time"
 
 	"samphirehitch.example/samphirehitch/process/home"
 	"samphirehitch.example/samphirehitch/process/platform"
@@ -19,15 +21,29 @@
 	// reservedConnections are kept of each target's connections for status
 	// requests.
 	reservedConnections = 1
-	// reserveShare bounds the part of a target's connections that is kept for
-	// instances that are no homes of its service, one each, for when its homes
-	// do not answer.
-	reserveShare = 0.25
 	// homeWeight is the share of a customer's rate that is expected at its homes
 	// before demand is published.
 	homeWeight = 0.5
+	// shareInterval is the least time between divisions.
+	shareInterval = 100 * time.Millisecond
 )
 
+// shareLoop divides work and limits anew when something that decides the division
+// has changed, in intervals, since instances come and go in groups.
+func (d *Daemon) shareLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.sharesWake:
+		}
+		d.applyShares()
+		if !pause(ctx, shareInterval) {
+			return nil
+		}
+	}
+}
+
 // applyShares divides work and limits among the registered instances.
 func (d *Daemon) applyShares() {
 	c := d.engine.Catalog()
@@ -45,23 +61,61 @@
 	}
 	services := d.engine.Services()
 	homes := home.Assign(services, able)
-	counts := make(map[topology.ServiceID]int, len(services))
-	for _, id := range services {
-		counts[id] = len(homes.Homes(id))
-	}
-	d.mu.Lock()
-	d.homeCount = counts
-	d.mu.Unlock()
+	uses, sharers := d.roles(services, homes)
 	d.mesh.SetPeers(peers)
 	d.relay.Place(homes, spread(c), d.cutOff())
 	connections := make(map[topology.ServiceID]int, len(c.Services))
 	for id, service := range c.Services {
-		connections[id] = d.connectionShare(service, homes.Homes(id), len(registered))
+		connections[id] = d.connectionShare(service, homes)
+	}
+	d.engine.SetUses(d.declaredUses())
+	d.engine.SetShares(connections, d.rateShares(c, homes, sharers))
+	if len(uses) > 0 {
+		for _, id := range sharers {
+			d.mesh.Want(id)
+		}
 	}
-	d.engine.SetShares(connections, d.rateShares(c, homes, registered))
 	d.logChange(eventShares, "shares", "instances", len(registered), "connections", connections, "home_of", homes.Count(d.settings.Instance))
 }
 
+// roles notes the services that this instance may use and the instances with which
+// it divides the customers' rates.
+func (d *Daemon) roles(services []topology.ServiceID, homes home.Assignment) (uses []topology.ServiceID, sharers []topology.InstanceID) {
+	counts := make(map[topology.ServiceID]int, len(services))
+	for _, id := range slices.Sorted(slices.Values(services)) {
+		counts[id] = len(homes.Homes(id))
+		if homes.Uses(d.settings.Instance, id) {
+			uses = append(uses, id)
+		}
+		for _, holder := range homes.Homes(id) {
+			if !slices.Contains(sharers, holder) {
+				sharers = append(sharers, holder)
+			}
+		}
+	}
+	slices.Sort(sharers)
+	d.mu.Lock()
+	// A service that the instance has used stays declared: statements may still
+	// be in flight on its primary.
+	all := slices.Concat(uses, d.declared)
+	slices.Sort(all)
+	d.homeCount, d.uses, d.sharers = counts, slices.Compact(all), sharers
+	changed := !slices.Equal(d.uses, d.declared)
+	d.mu.Unlock()
+	if changed {
+		notify(d.usesWake)
+	}
+	return uses, sharers
+}
+
+// declaredUses returns the services whose primaries this instance has declared to
+// use.
+func (d *Daemon) declaredUses() []topology.ServiceID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.declared
+}
+
 // cutOff lists the instances that cannot reach the primary of a service.
 func (d *Daemon) cutOff() map[relay.Pair]bool {
 	cut := make(map[relay.Pair]bool)
@@ -102,30 +156,40 @@
 }
 
 // connectionShare returns how many connections this instance may hold to each
-// target of a service: homes divide what is not kept for the others.
-func (d *Daemon) connectionShare(service catalog.Service, homes []topology.InstanceID, instances int) int {
-	if !slices.Contains(homes, d.settings.Instance) {
+// target of a service: one as a backup, a part of the rest as a home.
+func (d *Daemon) connectionShare(service catalog.Service, homes home.Assignment) int {
+	at := homes.Homes(service.ID)
+	if !slices.Contains(at, d.settings.Instance) {
 		return 1
 	}
-	reserve := min(instances-len(homes), int(float64(service.MaxConnections)*reserveShare))
-	return max(1, (service.MaxConnections-reservedConnections-reserve)/len(homes))
+	return max(1, (service.MaxConnections-reservedConnections-len(homes.Backups(service.ID)))/len(at))
 }
 
 // rateShares returns this instance's part of each customer's rate.
-func (d *Daemon) rateShares(c *catalog.Catalog, homes home.Assignment, registered map[topology.InstanceID]registration) map[topology.CustomerID]float64 {
+func (d *Daemon) rateShares(c *catalog.Catalog, homes home.Assignment, sharers []topology.InstanceID) map[topology.CustomerID]float64 {
 	customers := spread(c)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	totals := make(map[topology.CustomerID]float64, len(c.Customers))
+	for _, id := range sharers {
+		for customer, need := range d.needs[id] {
+			totals[customer] += need
+		}
+	}
+	mine := d.needs[d.settings.Instance]
+	sharing := slices.Contains(sharers, d.settings.Instance)
 	fractions := make(map[topology.CustomerID]float64, len(c.Customers))
 	for id, customer := range c.Customers {
-		needs := make(map[topology.InstanceID]float64, len(registered))
-		for instance, r := range registered {
-			needs[instance] = r.Needs[id]
-		}
+		expected := customer.Rate * homeWeight
+		need := mine[id]
 		for service := range c.Services {
-			if at := homes.Homes(service); len(at) > 0 {
-				needs[at[customers[id]%len(at)]] += customer.Rate * homeWeight / float64(len(c.Services))
+			if at := homes.Homes(service); len(at) > 0 && at[customers[id]%len(at)] == d.settings.Instance {
+				need += expected / float64(len(c.Services))
 			}
 		}
-		fractions[id] = share.Fraction(d.settings.Instance, needs)
+		if sharing {
+			fractions[id] = share.Fraction(need, totals[id]+expected, len(sharers))
+		}
 	}
 	return fractions
 }
--- a/process/home/home.go
+++ b/process/home/home.go
@@ -20,6 +20,10 @@
 // without a prepared home when it fails.
 const PerService = 2
 
+// Backups is how many more instances may hold connections to a service's targets,
+// one each, for when its homes do not answer.
+const Backups = 4
+
 // Instance is an instance that can be a home.
 type Instance struct {
 	ID topology.InstanceID
@@ -30,13 +34,17 @@
 
 // Assignment holds the homes of every service.
 type Assignment struct {
-	homes map[topology.ServiceID][]topology.InstanceID
+	homes   map[topology.ServiceID][]topology.InstanceID
+	backups map[topology.ServiceID][]topology.InstanceID
 }
 
 // Assign computes the assignment: highest random weight with a bound on the
 // services of one instance.
 func Assign(services []topology.ServiceID, instances []Instance) Assignment {
-	a := Assignment{homes: make(map[topology.ServiceID][]topology.InstanceID, len(services))}
+	a := Assignment{
+		homes:   make(map[topology.ServiceID][]topology.InstanceID, len(services)),
+		backups: make(map[topology.ServiceID][]topology.InstanceID, len(services)),
+	}
 	candidates := capable(instances, min(PerService, len(instances)))
 	if len(candidates) == 0 {
 		return a
@@ -53,6 +61,17 @@
 			}
 		}
 	}
+	for _, service := range sorted {
+		taken := slices.Clone(a.homes[service])
+		for slot := range Backups {
+			id, found := highest(service, perService+slot, candidates, taken, nil, 1)
+			if !found {
+				break
+			}
+			taken = append(taken, id)
+			a.backups[service] = append(a.backups[service], id)
+		}
+	}
 	return a
 }
 
@@ -87,6 +106,16 @@
 // Homes returns the homes of a service.
 func (a Assignment) Homes(service topology.ServiceID) []topology.InstanceID { return a.homes[service] }
 
+// Backups returns the backups of a service, the first to be asked first.
+func (a Assignment) Backups(service topology.ServiceID) []topology.InstanceID {
+	return a.backups[service]
+}
+
+// Uses reports whether the instance may hold connections to the service's targets.
+func (a Assignment) Uses(id topology.InstanceID, service topology.ServiceID) bool {
+	return slices.Contains(a.homes[service], id) || slices.Contains(a.backups[service], id)
+}
+
 // Count returns in how many of the services the instance is a home.
 func (a Assignment) Count(id topology.InstanceID) int {
 	count := 0
--- a/process/peer/mesh.go
+++ b/process/peer/mesh.go
@@ -74,9 +74,11 @@
 	client    *http.Client
 	scheme    string
 	receivers [256]Receiver
-	counters  Counters
-	onUp      func(platform.Instance, []platform.Instance)
-	onDown    func(topology.InstanceID)
+	// wake makes Run look for missing links before its next round.
+	wake     chan struct{}
+	counters Counters
+	onUp     func(platform.Instance, []platform.Instance)
+	onDown   func(topology.InstanceID)
 
 	mu struct {
 		sync.RWMutex
@@ -89,7 +91,7 @@
 
 // New returns a mesh without links.
 func New(cfg Config, logger logr.Logger) *Mesh {
-	m := &Mesh{cfg: cfg, logger: logger, scheme: "ws"}
+	m := &Mesh{cfg: cfg, logger: logger, scheme: "ws", wake: make(chan struct{}, 1)}
 	transport := &http.Transport{DialContext: cfg.Dial}
 	if cfg.Identity != nil {
 		transport.TLSClientConfig = cfg.Identity.clientConfig()
@@ -177,11 +179,25 @@
 	return links[len(links)-1]
 }
 
-// want notes that a link to a peer is needed.
+// want notes that a link to a peer is needed and makes Run look at once.
 func (m *Mesh) want(to topology.InstanceID) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
+	_, known := m.mu.demand[to]
 	m.mu.demand[to] = time.Now()
+	m.mu.Unlock()
+	if !known {
+		select {
+		case m.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Want opens a link to a peer soon if there is none.
+func (m *Mesh) Want(id topology.InstanceID) {
+	if !m.Reachable(id) {
+		m.want(id)
+	}
 }
 
 // Run dials wanted peers that have no link until ctx ends, then closes all
@@ -206,6 +222,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+		case <-m.wake:
 		}
 	}
 }
--- a/process/share/share.go
+++ b/process/share/share.go
@@ -14,27 +14,15 @@
 // Needs is the demand that an instance publishes, in operations a second.
 type Needs map[topology.CustomerID]float64
 
-// Fraction returns the part of a limit that self may use, given everyone's needs.
-// The parts of all instances add up to one.
-func Fraction(self topology.InstanceID, needs map[topology.InstanceID]float64) float64 {
-	if len(needs) == 0 {
+// Fraction returns the part of a limit for an instance with the given need, when
+// the needs of count instances add up to total. The parts of all add up to one.
+func Fraction(need, total float64, count int) float64 {
+	if count == 0 {
 		return 0
 	}
-	total := 0.0
-	for _, need := range needs {
-		total += need
-	}
-	count := float64(len(needs))
 	if total <= 0 {
-		if _, listed := needs[self]; !listed {
-			return 0
-		}
-		return 1 / count
-	}
-	need, listed := needs[self]
-	if !listed {
-		return 0
+		return 1 / float64(count)
 	}
-	base := baseWeight * total / count
+	base := baseWeight * total / float64(count)
 	return (base + need) / (total * (1 + baseWeight))
 }
--- a/request/perform/engine.go
+++ b/request/perform/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -124,6 +125,17 @@
 	return s == nil || s.yielded(force)
 }
 
+// SetUses names the services whose primaries this instance may use.
+func (e *Engine) SetUses(services []topology.ServiceID) {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	for id, s := range e.services {
+		s.mu.Lock()
+		s.declared = slices.Contains(services, id)
+		s.mu.Unlock()
+	}
+}
+
 // SetShares sets this instance's parts of the fleet's limits.
 func (e *Engine) SetShares(connections map[topology.ServiceID]int, fractions map[topology.CustomerID]float64) {
 	now := e.Clock()
--- a/request/perform/service.go
+++ b/request/perform/service.go
@@ -32,6 +32,8 @@
 	dispatch *dispatch.Dispatcher
 	record   failover.Record
 	revision store.Revision
+	// declared reports that the instance has declared to use the primary.
+	declared bool
 	// yielding is the primary that a fence forbids while statements in flight
 	// there may still be answered, until yieldEnd.
 	yielding topology.TargetID
@@ -43,7 +45,7 @@
 // usable returns the primary that may be used at now, empty for none. The caller
 // holds the lock.
 func (s *service) usable(now time.Duration) topology.TargetID {
-	if s.revision == 0 || s.record.Fenced || !s.tenure.Primary(now, s.id, s.revision) {
+	if !s.declared || s.revision == 0 || s.record.Fenced || !s.tenure.Primary(now, s.id, s.revision) {
 		return ""
 	}
 	return s.record.Primary
--- a/request/relay/message.go
+++ b/request/relay/message.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"samphirehitch.example/samphirehitch/connection/client"
+	"samphirehitch.example/samphirehitch/process/share"
 	"samphirehitch.example/samphirehitch/process/statement"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/request/perform"
@@ -22,6 +23,8 @@
 	// Ping asks for a Pong with the same number.
 	Ping uint64 `cbor:"4,keyasint,omitempty"`
 	Pong uint64 `cbor:"5,keyasint,omitempty"`
+	// Needs is the sender's demand by customer.
+	Needs share.Needs `cbor:"6,keyasint,omitempty"`
 }
 
 // sessionID names a session of a process.
--- a/request/relay/operations.go
+++ b/request/relay/operations.go
@@ -24,9 +24,12 @@
 	}
 	var excluded []topology.InstanceID
 	for range attempts {
-		to := r.choose(place.Service, place.Customer, excluded)
+		to, ok := r.place(place.Service, place.Customer, excluded)
+		if !ok {
+			return r.refuse(o, statement.Idle)
+		}
 		if to == r.Self {
-			break
+			return r.Engine.Single(s, st, o)
 		}
 		answer, outcome := r.ask(to, s, r.request(s, st), place.Timeout, o)
 		switch {
@@ -38,7 +41,14 @@
 		eventRelayFailed.Log(r.Log, "request", st.ID, "home", to, "kind", st.Kind.String(), "outcome", outcome.String())
 		excluded = append(excluded, to)
 	}
-	return r.Engine.Single(s, st, o)
+	return r.refuse(o, statement.Idle)
+}
+
+// refuse refuses an operation that no instance can run.
+func (r *Relay) refuse(o *perform.Outcome, state statement.TransactionState) statement.Answer {
+	answer := noInstance
+	answer.State, o.Why = state, answer.Detail
+	return answer
 }
 
 // asked is the outcome of a request to a home.
@@ -133,8 +143,11 @@
 	if refused != nil {
 		return nil, refused.Answer(o, statement.Idle)
 	}
-	to := r.choose(place.Service, place.Customer, nil)
-	if to == r.Self {
+	to, ok := r.place(place.Service, place.Customer, nil)
+	switch {
+	case !ok:
+		return nil, r.refuse(o, statement.Idle)
+	case to == r.Self:
 		return r.Engine.Begin(s, readOnly, o)
 	}
 	o.Why, o.Service, o.Customer = "deferred to the first statement", place.Service, place.Customer
@@ -195,7 +208,10 @@
 	r := t.relay
 	var excluded []topology.InstanceID
 	for range attempts {
-		to := r.choose(t.place.Service, t.place.Customer, excluded)
+		to, ok := r.place(t.place.Service, t.place.Customer, excluded)
+		if !ok {
+			break
+		}
 		if to == r.Self {
 			return statement.Answer{}, false
 		}
@@ -215,7 +231,7 @@
 		}
 		excluded = append(excluded, to)
 	}
-	return statement.Answer{}, false
+	return r.refuse(o, statement.Failed), true
 }
 
 // lost says what became of a transaction whose home gave no answer: a COMMIT may
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +14,8 @@
 	"samphirehitch.example/samphirehitch/process/event"
 	"samphirehitch.example/samphirehitch/process/home"
 	"samphirehitch.example/samphirehitch/process/peer"
+	"samphirehitch.example/samphirehitch/process/share"
+	"samphirehitch.example/samphirehitch/process/statement"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/request/perform"
 )
@@ -45,6 +49,8 @@
 	Send(to topology.InstanceID, kind peer.Kind, payload any)
 	Reachable(id topology.InstanceID) bool
 	Reset(id topology.InstanceID)
+	// Want opens a link soon if there is none.
+	Want(id topology.InstanceID)
 }
 
 // Dependencies of a Relay.
@@ -57,6 +63,8 @@
 	Log    logr.Logger
 	// Stopping reports that this instance takes no more work of others.
 	Stopping func() bool
+	// OnNeeds takes the demand that a peer tells.
+	OnNeeds func(from topology.InstanceID, needs share.Needs)
 }
 
 // Relay implements perform.Operations by handing operations to homes. It is safe
@@ -119,6 +127,15 @@
 	r.places.Store(&places{homes: homes, spread: spread, cutOff: cutOff})
 }
 
+// TellNeeds tells this instance's demand to others.
+func (r *Relay) TellNeeds(to []topology.InstanceID, needs share.Needs) {
+	for _, id := range to {
+		if id != r.Self {
+			r.send(id, &message{Needs: needs})
+		}
+	}
+}
+
 // Busy reports that work of other instances is under way here.
 func (r *Relay) Busy() bool { return r.server.busy() }
 
@@ -139,6 +156,8 @@
 		r.replied(m.Reply)
 	case m.End != nil:
 		go r.server.end(remoteSession{instance: from, id: *m.End})
+	case len(m.Needs) > 0:
+		r.OnNeeds(from, m.Needs)
 	case m.Ping != 0:
 		r.send(from, &message{Pong: m.Ping})
 	}
@@ -247,29 +266,51 @@
 }
 
 // choose returns where an operation of a customer goes: its home, the other home,
-// or this instance itself.
-func (r *Relay) choose(service topology.ServiceID, customer topology.CustomerID, excluded []topology.InstanceID) topology.InstanceID {
+// or a backup, which may be this instance. It is not ok when none can be reached.
+func (r *Relay) choose(service topology.ServiceID, customer topology.CustomerID, excluded []topology.InstanceID) (chosen topology.InstanceID, ok bool) {
 	p := r.places.Load()
 	homes := p.homes.Homes(service)
-	chosen, found := r.Self, false
-	for i := len(homes) - 1; i >= 0; i-- {
+	for i := range homes {
 		id := homes[(p.spread[customer]+i)%len(homes)]
-		if contains(excluded, id) || id != r.Self && !r.usable(id) {
+		if slices.Contains(excluded, id) || id != r.Self && !r.usable(id) {
 			continue
 		}
-		if p.cutOff[Pair{service, id}] && found {
-			continue
+		if !p.cutOff[Pair{service, id}] {
+			return id, true
+		}
+		if !ok {
+			chosen, ok = id, true
 		}
-		chosen, found = id, true
 	}
-	return chosen
+	if ok || p.homes.Uses(r.Self, service) {
+		return cmp.Or(chosen, r.Self), true
+	}
+	for _, id := range p.homes.Backups(service) {
+		if !slices.Contains(excluded, id) && r.usable(id) {
+			return id, true
+		}
+	}
+	return "", false
 }
 
-func contains(ids []topology.InstanceID, id topology.InstanceID) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
+// linkPatience is how long an operation waits for a link to a home: as long as a
+// link takes to open, and a margin.
+const linkPatience = 300 * time.Millisecond
+
+// place chooses an instance and waits a little for a link when there is none yet.
+func (r *Relay) place(service topology.ServiceID, customer topology.CustomerID, excluded []topology.InstanceID) (topology.InstanceID, bool) {
+	end := r.Clock() + linkPatience
+	for {
+		to, ok := r.choose(service, customer, excluded)
+		if ok || r.Clock() >= end {
+			return to, ok
+		}
+		for _, id := range r.places.Load().homes.Homes(service) {
+			r.Link.Want(id)
 		}
+		time.Sleep(10 * time.Millisecond)
 	}
-	return false
 }
+
+// noInstance refuses an operation that no instance can run.
+var noInstance = statement.Answer{Code: statement.Busy, Detail: "no home of the service can be reached"}
