--- a/edge/confirm.go
+++ b/edge/confirm.go
@@ -18,7 +18,7 @@
 			pause(ctx, retryPause)
 			continue
 		}
-		rest := max(retryPause/10, confirmInterval-(d.clock()-started))
+		rest := max(retryPause/10, d.confirmInterval()-(d.clock()-started))
 		select {
 		case <-ctx.Done():
 		case <-time.After(rest):
@@ -28,6 +28,24 @@
 	return nil
 }
 
+// confirmInterval returns the pause between confirmations. An instance that runs no
+// statements itself leaves the authorization of its callers' work to the homes.
+func (d *Daemon) confirmInterval() time.Duration {
+	if len(d.declaredUses()) > 0 {
+		return usingConfirmInterval
+	}
+	return relayingConfirmInterval
+}
+
+// confirmNow confirms the configuration for a refusal, once for all that wait.
+func (d *Daemon) confirmNow() {
+	d.confirming.Lock()
+	defer d.confirming.Unlock()
+	if !d.tenure.Keys(d.clock()) {
+		d.confirmOnce(d.ctx)
+	}
+}
+
 // confirmOnce makes one round of confirmations. It reports false when the store
 // has not answered.
 func (d *Daemon) confirmOnce(ctx context.Context) bool {
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -100,6 +100,8 @@
 	leadWake    chan struct{}
 	sharesWake  chan struct{}
 	usesWake    chan struct{}
+	// confirming is held while a refusal's confirmation runs.
+	confirming sync.Mutex
 
 	// toldAt is when the demand here was last told; only the register loop uses
 	// it.
@@ -143,7 +145,7 @@
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.suspects = newSuspects(d)
 	d.engine = perform.NewEngine(perform.Dependencies{
-		FailureDomain: o.Settings.FailureDomain, RateWindow: o.Settings.RateWindow, Clock: d.clock, Tenure: d.tenure, Dialer: o.Dialer,
+		FailureDomain: o.Settings.FailureDomain, RateWindow: o.Settings.RateWindow, Clock: d.clock, Tenure: d.tenure, Confirm: d.confirmNow, Dialer: o.Dialer,
 		Reachability: d.suspects, Observer: d.metrics, Log: o.Log,
 	})
 	d.mesh = peer.New(peer.Config{Instance: o.Settings.Instance, FailureDomain: o.Settings.FailureDomain,
@@ -198,7 +200,7 @@
 
 // ready tells the balancer whether to send callers.
 func (d *Daemon) ready() bool {
-	return !d.stopping.Load() && d.engine.Catalog() != nil && d.tenure.Keys(d.clock())
+	return !d.stopping.Load() && d.engine.Catalog() != nil && d.tenure.Registered(d.clock())
 }
 
 // incarnation names this process.
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -25,9 +25,14 @@
 
 // Times of following the store.
 const (
-	// confirmInterval is the pause between confirmations: several fit into the
-	// span of a right, so that a single lost one costs nothing.
-	confirmInterval = 900 * time.Millisecond
+	// usingConfirmInterval is the pause between confirmations of an instance that
+	// uses primaries: several fit into the span of a right, so that a single lost
+	// one costs nothing.
+	usingConfirmInterval = 900 * time.Millisecond
+	// relayingConfirmInterval is that of an instance that hands all work to
+	// others. It finds changes that a watch has missed within the time in which a
+	// configuration must be in force.
+	relayingConfirmInterval = 2500 * time.Millisecond
 	// callTimeout bounds a call: the store answers within 4 ms, 60 times that on
 	// bad days.
 	callTimeout = 900 * time.Millisecond
@@ -112,6 +117,9 @@
 // relist finds what watches of the targets have missed.
 func (d *Daemon) relist(ctx context.Context) error {
 	for pause(ctx, relistInterval) {
+		if len(d.declaredUses()) == 0 {
+			continue
+		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		listing, err := d.store.List(callCtx, d.adapter.TargetPrefix)
 		cancel()
--- a/request/perform/engine.go
+++ b/request/perform/engine.go
@@ -37,9 +37,11 @@
 type Dependencies struct {
 	FailureDomain topology.FailureDomain
 	// RateWindow is the span over which customers' limits count.
-	RateWindow   time.Duration
-	Clock        clock.Clock
-	Tenure       Tenure
+	RateWindow time.Duration
+	Clock      clock.Clock
+	Tenure     Tenure
+	// Confirm confirms the configuration with the store, or gives up soon.
+	Confirm      func()
 	Dialer       target.Dialer
 	Reachability Reachability
 	Observer     Observer
--- a/request/perform/operation.go
+++ b/request/perform/operation.go
@@ -46,25 +46,30 @@
 	why  string
 }
 
-// authorize finds the route and the customer of a session.
+// authorize finds the route and the customer of a session in a configuration that
+// was confirmed lately.
 func (e *Engine) authorize(now time.Duration, s *client.Session) (operation, *refusal) {
+	op, refused := e.lookUp(now, s)
+	switch {
+	case e.catalog.Load() == nil || e.Tenure.Keys(now) || refused == nil && op.route.Open:
+		return op, refused
+	default:
+		return operation{}, &refusal{statement.Busy, "configuration not confirmed lately"}
+	}
+}
+
+// lookUp finds the route and the customer of a session.
+func (e *Engine) lookUp(now time.Duration, s *client.Session) (operation, *refusal) {
 	c := e.catalog.Load()
 	if c == nil {
 		return operation{}, &refusal{statement.Busy, "no configuration yet"}
 	}
-	fresh := e.Tenure.Keys(now)
 	route, known := c.Routes[s.Database]
 	if !known {
-		if !fresh {
-			return operation{}, &refusal{statement.Busy, "unknown database, configuration not confirmed lately"}
-		}
 		return operation{}, &refusal{statement.UnknownDatabase, "no route"}
 	}
 	op := operation{route: route, version: c.Version, began: now, late: now + route.Objective, priority: route.Priority}
 	if !route.Open {
-		if !fresh {
-			return operation{}, &refusal{statement.Busy, "keys not confirmed lately"}
-		}
 		customer, held := c.Keys[s.Key]
 		if !held {
 			return operation{}, &refusal{statement.AuthenticationFailed, "unknown key"}
@@ -93,23 +98,38 @@
 	return r.refusal.answer(o, state)
 }
 
-// Locate authorizes a session's next operation without admitting it.
+// Locate finds where a session's next operation belongs without admitting it. Who
+// runs the operation authorizes it again with a configuration confirmed lately; a
+// refusal here is given only on one.
 func (e *Engine) Locate(s *client.Session) (Place, *Refusal) {
-	op, refused := e.authorize(e.Clock(), s)
+	op, refused := e.lookUp(e.Clock(), s)
 	if refused != nil {
-		return Place{}, &Refusal{*refused}
+		if refused = e.refuse(s); refused != nil {
+			return Place{}, &Refusal{*refused}
+		}
+		op, _ = e.lookUp(e.Clock(), s)
 	}
 	return Place{Service: op.service.id, Customer: op.customer, Timeout: op.route.StatementTimeout}, nil
 }
 
 // Authorize checks a session at its start.
 func (e *Engine) Authorize(s *client.Session) (code statement.Code, why string) {
-	if _, refused := e.authorize(e.Clock(), s); refused != nil {
+	if _, refused := e.Locate(s); refused != nil {
 		return refused.code, refused.why
 	}
 	return statement.OK, ""
 }
 
+// refuse checks a refusal with a configuration that is confirmed for it, unless
+// one was lately. It returns nil when the newer one does not refuse.
+func (e *Engine) refuse(s *client.Session) *refusal {
+	if !e.Tenure.Keys(e.Clock()) && e.Confirm != nil {
+		e.Confirm()
+	}
+	_, refused := e.authorize(e.Clock(), s)
+	return refused
+}
+
 // admit begins an operation: authorization, rate and floor.
 func (e *Engine) admit(s *client.Session) (operation, *refusal) {
 	now := e.Clock()
