End a stand-in's session before its cut log can be seen

Cause: a message that arrived while Terminate set the read's deadline was still run, and the log was cut before sessions were ended. Ruled out: rights of the product, lost streams (traced: the read returned a message 0.2 ms after Terminate).

--- a/standin/database/log.go
+++ b/standin/database/log.go
@@ -103,22 +103,24 @@
 
 // Receive takes a piece of a primary's log. A piece of a higher term makes the
 // server a replica of that term; where the logs differ, the server's is cut.
+// Sessions of the earlier role are ended before the cut can be seen.
 func (d *Database) Receive(stream Stream) StreamAnswer {
 	d.mu.Lock()
+	demoted := stream.Term > d.mu.term && d.adopt(stream.Term)
+	d.mu.Unlock()
+	if demoted {
+		d.onDemoted()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if stream.Term < d.mu.term || (stream.Term == d.mu.term && d.mu.role == topology.RolePrimary) {
-		defer d.mu.Unlock()
 		return StreamAnswer{Refused: true, Term: d.mu.term}
 	}
-	demoted := stream.Term > d.mu.term && d.adopt(stream.Term)
 	answer := StreamAnswer{Term: d.mu.term, Matched: d.agreement(stream.Previous)}
 	if answer.Matched == stream.Previous.Position {
 		d.extend(stream.Records)
 		answer.Matched += topology.Position(len(stream.Records))
 	}
-	d.mu.Unlock()
-	if demoted {
-		d.onDemoted()
-	}
 	return answer
 }
 
--- a/standin/session/session.go
+++ b/standin/session/session.go
@@ -120,16 +120,19 @@
 }
 
 func (s *Session) end(err error) error {
-	s.mu.Lock()
-	terminated := s.mu.terminated
-	s.mu.Unlock()
-	if !terminated {
+	if !s.isTerminated() {
 		return err
 	}
 	s.sendFatal(database.CodeAdminShutdown, "terminating connection due to administrator command")
 	return s.flush()
 }
 
+func (s *Session) isTerminated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mu.terminated
+}
+
 // Terminate ends the session with SQLSTATE 57P01, also in the middle of a
 // statement.
 func (s *Session) Terminate() {
@@ -185,6 +188,10 @@
 	if err != nil {
 		return eris.Wrap(err, "receive message")
 	}
+	if s.isTerminated() {
+		// The message arrived while the read's deadline was being set.
+		return errClosed
+	}
 	if err := s.cfg.Host.Pass(); err != nil {
 		return err
 	}
