Refuse on arrival what cannot be in time; demote the replaced primary

Cause: under overload each new request went before the late ones, which waited until they expired unserved; the coordinator remembered the new primary as the one to demote, so no primary was ever demoted (found by its test); reads went to a primary that drains (found by a test).

--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -16,6 +16,10 @@
 	// failoverPatience is how long work that needs the primary waits while there
 	// is none to use.
 	failoverPatience = 400 * time.Millisecond
+	// estimateMargin is how much longer than estimated an answer is taken to need:
+	// work times vary by two thirds of their mean, and a queue of ten evens that
+	// out to a fifth.
+	estimateMargin = 1.2
 )
 
 // Config sets up a Dispatcher.
@@ -132,7 +136,7 @@
 	if !d.hopeful(now, r) {
 		return nil, NoTarget
 	}
-	if len(d.queue) >= longestQueue || d.expectedWait(now, r) > r.Expires-now {
+	if len(d.queue) >= longestQueue || d.tooLong(now, r) {
 		return nil, Overloaded
 	}
 	if r.NeedsPrimary && d.primary == "" {
@@ -166,7 +170,7 @@
 		return len(d.targets) > 0
 	}
 	for id, t := range d.targets {
-		if t.gone || t.Draining && id != d.primary || r.excludes(id) || r.NeedsPrimary && id != d.primary {
+		if t.gone || t.Draining && !(d.leaving(t) && r.NeedsPrimary) || r.excludes(id) || r.NeedsPrimary && id != d.primary {
 			continue
 		}
 		if id != d.primary && !t.holds(r.Expires, r.FloorAt) {
@@ -180,12 +184,19 @@
 	return false
 }
 
-// expectedWait estimates the time until the request would start: the work in
-// front of it over the targets that can do it.
-func (d *Dispatcher) expectedWait(now time.Duration, r *Request) time.Duration {
-	ahead := 0
+// tooLong reports whether a request that has to wait could not be answered: within
+// its objective behind the work that is due before it, or before it expires behind
+// all that waits for the same targets. Late answers are worth little to callers,
+// and a queue that grows beyond what its members can wait for only delays their
+// refusal.
+func (d *Dispatcher) tooLong(now time.Duration, r *Request) bool {
+	ahead, all := 0, 0
 	for _, other := range d.queue {
-		if other.NeedsPrimary == r.NeedsPrimary && before(now, other, r) {
+		if other.NeedsPrimary != r.NeedsPrimary {
+			continue
+		}
+		all++
+		if now < other.Late && before(now, other, r) {
 			ahead++
 		}
 	}
@@ -199,9 +210,10 @@
 		latency = max(latency, t.expectedLatency(now))
 	}
 	if lanes == 0 {
-		return 0
+		return false
 	}
-	return latency * time.Duration(ahead) / time.Duration(lanes)
+	wait := func(count int) time.Duration { return latency * time.Duration(count) / time.Duration(lanes) }
+	return ahead > lanes && now+time.Duration(estimateMargin*float64(wait(ahead)+latency)) > r.Late || wait(all) > r.Expires-now
 }
 
 // lanes is how many statements this instance keeps in flight at a target.
@@ -280,7 +292,7 @@
 func (d *Dispatcher) consider(now time.Duration, r *Request, id topology.TargetID, t *target) (candidate, bool) {
 	isPrimary := id == d.primary
 	switch {
-	case !t.usable(now) && !(isPrimary && t.Draining && !t.gone && now >= t.downUntil):
+	case !t.usable(now) && !(d.leaving(t) && r.NeedsPrimary && now >= t.downUntil):
 		return candidate{}, false
 	case r.NeedsPrimary && !isPrimary, r.excludes(id):
 		return candidate{}, false
@@ -308,6 +320,10 @@
 	return c, true
 }
 
+// leaving reports whether the target is a primary that drains: until its successor
+// leads, nobody else can run what needs a primary.
+func (d *Dispatcher) leaving(t *target) bool { return t.ID == d.primary && t.Draining && !t.gone }
+
 // take hands the candidate's connection to the request.
 func (d *Dispatcher) take(now time.Duration, r *Request, c candidate) *Lease {
 	t := c.target
--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -117,15 +117,12 @@
 	missing      bool
 	successor    topology.TargetID
 	rejected     map[topology.TargetID]time.Duration
-	// published is the last record of this coordinator, for the demotion.
-	old     topology.TargetID
-	demote  topology.Term
-	stopped bool
+	// old is the primary that was replaced; it is demoted at term demote, zero
+	// for none.
+	old    topology.TargetID
+	demote topology.Term
 }
 
-// Reset forgets everything, when the duty was lost.
-func (c *Coordinator) Reset() { *c = Coordinator{running: c.running} }
-
 func (c *Coordinator) enter(now time.Duration, p phase) {
 	c.phase, c.since, c.notBefore = p, now, now
 }
@@ -197,7 +194,7 @@
 		old, known := v.Targets[c.old]
 		term := c.demote
 		c.demote = 0
-		if known && old.Role == topology.RolePrimary {
+		if known && c.old != v.Record.Primary && old.Role == topology.RolePrimary {
 			return Action{Kind: DemoteOld, Target: old, Term: term, Reason: "a later term leads"}
 		}
 	}
@@ -301,7 +298,7 @@
 			return Action{}
 		}
 		if !r.Action.Record.Fenced {
-			c.demote, c.old = r.Action.Record.Term, v.Record.Primary
+			c.demote = r.Action.Record.Term
 			c.enter(now, steady)
 		}
 	case AskAll:
@@ -376,6 +373,7 @@
 }
 
 func (c *Coordinator) publish(v View, status TargetStatus) Action {
+	c.old = v.Record.Primary
 	return Action{
 		Kind: Publish, Revision: v.Revision, Reason: "the successor leads",
 		Record: Record{Primary: c.successor, Term: status.Term, Start: status.Received, Sequence: v.Record.Sequence},
--- /dev/null
+++ b/process/mirror/mirror_test.go
@@ -0,0 +1,44 @@
+package mirror
+
+import (
+	"slices"
+	"testing"
+
+	"samphirehitch.example/samphirehitch/process/store"
+)
+
+func put(key string, revision store.Revision) store.Change {
+	return store.Change{Entry: store.Entry{Key: key, Revision: revision, Value: []byte{byte(revision)}}}
+}
+
+func TestKeysNeverGoBack(t *testing.T) {
+	m := New()
+	m.Apply(put("a", 5))
+	if m.Apply(put("a", 4)) || m.Apply(put("a", 5)) || m.Get("a").Revision != 5 {
+		t.Fatal("an earlier change was applied")
+	}
+	if !m.Absent("a", 6) || m.Apply(put("a", 5)) || m.Get("a").Revision != 0 {
+		t.Fatal("a deleted key came back")
+	}
+}
+
+// A listing overtakes the watch, which then delivers what is older.
+func TestListingOvertakesTheWatch(t *testing.T) {
+	m := New()
+	m.Apply(put("p/a", 5))
+	m.Apply(put("p/new", 20))
+	changed := m.Replace("p/", store.Listing{Revision: 10, Entries: []store.Entry{{Key: "p/b", Revision: 8}}})
+	slices.Sort(changed)
+	if !slices.Equal(changed, []string{"p/a", "p/b"}) {
+		t.Fatalf("changed %v", changed)
+	}
+	if m.Get("p/new").Revision != 20 {
+		t.Fatal("a key that is newer than the listing was dropped")
+	}
+	if m.Apply(put("p/a", 9)) {
+		t.Fatal("a change before the listing brought a deleted key back")
+	}
+	if !m.Apply(put("p/a", 11)) {
+		t.Fatal("a change after the listing was ignored")
+	}
+}
