--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -270,7 +270,7 @@
 func (d *Dispatcher) grant(now time.Duration, r *Request) *Lease {
 	var best candidate
 	for id, t := range d.targets {
-		if c, ok := d.consider(now, r, id, t); ok && (best.target == nil || c.cost < best.cost) {
+		if c, ok := d.consider(now, r, id, t); ok && (best.target == nil || c.cost < best.cost || c.cost == best.cost && id < best.target.ID) {
 			best = c
 		}
 	}
