--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -21,7 +21,7 @@
 	otherDomainCost = 3 * time.Millisecond
 	// primaryCost keeps reads that replicas can serve away from the primary,
 	// which alone can serve the others.
-	primaryCost = 15 * time.Millisecond
+	primaryCost = 25 * time.Millisecond
 	// firstBackoff and longestBackoff bound the pause after a failed connection.
 	firstBackoff   = 100 * time.Millisecond
 	longestBackoff = 800 * time.Millisecond
