--- a/docscheck/docscheck_test.go
+++ b/docscheck/docscheck_test.go
@@ -11,6 +11,7 @@
 	"testing"
 
 	_ "samphirehitch.example/samphirehitch/demo"
+	_ "samphirehitch.example/samphirehitch/edge"
 	"samphirehitch.example/samphirehitch/process/event"
 )
 
@@ -147,7 +148,7 @@
 }
 
 func TestCommandsInPagesExist(t *testing.T) {
-	pattern := regexp.MustCompile(`(samphirehitch(?:d|ctl|-standin|-load|-demo|-capacity))\b`)
+	pattern := regexp.MustCompile(`(samphirehitch(?:d|ctl|-standin|-load|-demo|-capacity|-edge))\b`)
 	for _, page := range pages(t) {
 		for _, match := range pattern.FindAllStringSubmatch(read(t, page), -1) {
 			if _, err := os.Stat(filepath.Join(root, "cmd", match[1])); err != nil {
@@ -172,13 +173,15 @@
 // metricSource returns the code that defines metrics.
 func metricSource(t *testing.T) string {
 	t.Helper()
-	files, err := filepath.Glob(filepath.Join(root, "daemon/*.go"))
-	if err != nil {
-		t.Fatal(err)
-	}
 	var all strings.Builder
-	for _, file := range files {
-		all.WriteString(read(t, file))
+	for _, pattern := range []string{"daemon/*.go", "edge/*.go"} {
+		files, err := filepath.Glob(filepath.Join(root, pattern))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, file := range files {
+			all.WriteString(read(t, file))
+		}
 	}
 	return all.String()
 }
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -20,8 +20,13 @@
 	eventSessionFailed  = event.Define(5101, event.Decision, "session ended by an error")
 )
 
-// startupTimeout bounds the wait for a caller's first message.
-const startupTimeout = 5 * time.Second
+const (
+	// startupTimeout bounds the wait for a caller's first message.
+	startupTimeout = 5 * time.Second
+	// servingPatience is how long callers of a process that has just started wait
+	// for its first configuration; they give up after two seconds.
+	servingPatience = 1500 * time.Millisecond
+)
 
 // CallerCodec speaks with one caller.
 type CallerCodec interface {
@@ -120,6 +125,7 @@
 	if err != nil {
 		return // probes of the port end so; nothing was asked
 	}
+	d.awaitServing()
 	session := client.NewSession(number, database, key)
 	if code, why := d.engine.Authorize(session); code != statement.OK {
 		eventSessionRefused.Log(d.log, "database", database, "code", code.String(), "why", why)
@@ -136,6 +142,16 @@
 	}
 }
 
+// awaitServing waits until the daemon can serve for the first time.
+func (d *Daemon) awaitServing() {
+	timer := time.NewTimer(servingPatience)
+	defer timer.Stop()
+	select {
+	case <-d.serving:
+	case <-timer.C:
+	}
+}
+
 // converse runs a session's statements until it ends.
 func (d *Daemon) converse(one *caller, conversation *perform.Conversation) error {
 	for {
--- a/edge/confirm.go
+++ b/edge/confirm.go
@@ -12,12 +12,14 @@
 
 // confirm proves in intervals that configuration and records are the newest.
 func (d *Daemon) confirm(ctx context.Context) error {
+	var retry backoff
 	for ctx.Err() == nil {
 		started := d.clock()
 		if !d.confirmOnce(ctx) {
-			pause(ctx, retryPause)
+			retry.pause(ctx)
 			continue
 		}
+		retry.reset()
 		rest := max(retryPause/10, d.confirmInterval()-(d.clock()-started))
 		select {
 		case <-ctx.Done():
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -100,6 +100,8 @@
 	leadWake    chan struct{}
 	sharesWake  chan struct{}
 	usesWake    chan struct{}
+	// serving is closed once the daemon can serve.
+	serving chan struct{}
 	// confirming is held while a refusal's confirmation runs.
 	confirming sync.Mutex
 
@@ -137,7 +139,7 @@
 		tenure:      tenure.New(o.Settings.WithdrawalLimit - keyMargin),
 		born:        time.Now().UnixNano(),
 		confirmWake: make(chan struct{}, 1), leadWake: make(chan struct{}, 1),
-		sharesWake: make(chan struct{}, 1), usesWake: make(chan struct{}, 1), needs: make(map[topology.InstanceID]share.Needs),
+		sharesWake: make(chan struct{}, 1), usesWake: make(chan struct{}, 1), serving: make(chan struct{}), needs: make(map[topology.InstanceID]share.Needs),
 		mirror: mirror.New(), records: make(map[topology.ServiceID]groupRecord),
 		targets: make(map[topology.ServiceID]targetMap), brokenTargets: make(map[string]store.Revision),
 		logged: make(map[string]string),
@@ -185,9 +187,14 @@
 }
 
 func (d *Daemon) tick(ctx context.Context) error {
+	started := false
 	for pause(ctx, tickInterval) {
 		d.engine.Tick()
 		d.relay.Tick()
+		if !started && d.ready() && d.tenure.Keys(d.clock()) {
+			started = true
+			close(d.serving)
+		}
 	}
 	return nil
 }
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -41,22 +41,36 @@
 	// relistInterval is the pause between listings of the targets, which find
 	// what a watch has missed well within the time to drain.
 	relistInterval = 2500 * time.Millisecond
-	// retryPause is the pause after a failed call.
-	retryPause = 100 * time.Millisecond
+	// retryPause is the pause after a failed call, and longestRetryPause that after
+	// several in a row: each call costs, and rights last for seconds.
+	retryPause        = 100 * time.Millisecond
+	longestRetryPause = 250 * time.Millisecond
 	// mostExpectations is how many keys one transaction may name.
 	mostExpectations = 30
 )
 
+// backoff spaces the tries of a call that fails.
+type backoff struct{ failures int }
+
+func (b *backoff) pause(ctx context.Context) {
+	wait := min(retryPause<<min(b.failures, 8), longestRetryPause)
+	b.failures++
+	pause(ctx, wait)
+}
+
+func (b *backoff) reset() { b.failures = 0 }
+
 // follow watches the store until the context ends.
 func (d *Daemon) follow(ctx context.Context) error {
 	var after store.Revision
+	var retry backoff
 	listed := false
 	for ctx.Err() == nil {
 		if !listed {
 			revision, err := d.listAll(ctx)
 			if err != nil {
 				d.storeFailed("list", err)
-				pause(ctx, retryPause)
+				retry.pause(ctx)
 				continue
 			}
 			after, listed = revision, true
@@ -68,12 +82,13 @@
 			listed = false
 		case err != nil:
 			d.storeFailed("watch", err)
-			pause(ctx, retryPause)
+			retry.pause(ctx)
 		default:
+			retry.reset()
 			after = max(after, asOf)
 			d.apply(changes)
 			d.sawUntil(after)
-			pause(ctx, d.batchPause())
+			pause(ctx, d.batchPause(changes))
 		}
 	}
 	return nil
@@ -84,11 +99,21 @@
 // change would cost a call of every instance.
 const (
 	briefPause = 10 * time.Millisecond
-	longPause  = 300 * time.Millisecond
+	// configurationPause follows changes of the configuration alone, which come in
+	// quick succession and have seconds to come into force.
+	configurationPause = 150 * time.Millisecond
+	longPause          = 300 * time.Millisecond
 )
 
 // batchPause returns the pause before the next watch.
-func (d *Daemon) batchPause() time.Duration {
+func (d *Daemon) batchPause(changes []store.Change) time.Duration {
+	configurationOnly := len(changes) > 0
+	for _, change := range changes {
+		configurationOnly = configurationOnly && change.Key == d.adapter.ConfigurationKey
+	}
+	if configurationOnly {
+		return configurationPause
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.declared) > 0 || string(d.mirror.Get(keyDuty).Value) == d.incarnation() {
