--- a/cmd/samphirehitch-edge/main.go
+++ b/cmd/samphirehitch-edge/main.go
@@ -47,9 +47,10 @@
 	defer output.Close()
 	logger, flush := logging.New(output, logging.Options{Decisions: true})
 	defer flush()
+	client := platform.NewStore(settings.StoreAddress)
 	daemon := edge.New(edge.Options{
 		Settings: settings,
-		Store:    platform.NewStore(settings.StoreAddress),
+		Store:    client,
 		Orders:   platform.NewPromotions(settings.PromotionAddress, settings.Instance),
 		Dialer:   platform.Targets{},
 		Adapter: edge.Adapter{
@@ -62,7 +63,9 @@
 			DialPeer:         platform.DialPeer,
 			Readiness:        platform.ReadinessHandler,
 		},
-		Log: logger,
+		Log:        logger,
+		Dropped:    output.Dropped,
+		CountCalls: client.CountCalls,
 	})
 	go reloadOnHangup(daemon, file)
 	if err := daemon.Run(); err != nil {
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -69,6 +69,10 @@
 	Dialer   target.Dialer
 	Adapter  Adapter
 	Log      logr.Logger
+	// Dropped returns how many lines of the log were dropped; nil when unknown.
+	Dropped func() uint64
+	// CountCalls, when set, receives the function that counts calls to the store.
+	CountCalls func(count func(call string, status int))
 }
 
 // Daemon is the entry daemon.
@@ -79,6 +83,7 @@
 	orders   failover.Orders
 	prober   *prober
 	log      logr.Logger
+	dropped  func() uint64
 	clock    clock.Clock
 	tenure   *tenure.Tenure
 	engine   *perform.Engine
@@ -135,7 +140,7 @@
 	d := &Daemon{
 		settings: o.Settings, adapter: o.Adapter, store: o.Store, orders: o.Orders,
 		prober: newProber(o.Dialer, o.Adapter.DecodeStatus),
-		log:    o.Log, clock: clock.Boot(), metrics: newMetrics(),
+		log:    o.Log, dropped: o.Dropped, clock: clock.Boot(), metrics: newMetrics(),
 		tenure:      tenure.New(o.Settings.WithdrawalLimit - keyMargin),
 		born:        time.Now().UnixNano(),
 		confirmWake: make(chan struct{}, 1), leadWake: make(chan struct{}, 1),
@@ -157,6 +162,9 @@
 	d.mesh.Handle(peer.KindRelay, d.relay.Receive)
 	d.mesh.OnDown(d.relay.Lost)
 	d.metrics.watch(d)
+	if o.CountCalls != nil {
+		o.CountCalls(d.metrics.storeCall)
+	}
 	return d
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"strconv"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
@@ -17,6 +19,7 @@
 	took          *prometheus.HistogramVec
 	waited        *prometheus.HistogramVec
 	storeFailures *prometheus.CounterVec
+	storeCalls    *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -32,7 +35,9 @@
 		storeFailures: prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "store_failures_total",
 			Help: "Failed calls to the platform's store."}, []string{"step"}),
 	}
-	m.registry.MustRegister(m.statements, m.took, m.waited, m.storeFailures, collectors.NewGoCollector())
+	m.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "store_calls_total",
+		Help: "Calls to the platform's store by kind and outcome; status 0 is no answer."}, []string{"call", "status"})
+	m.registry.MustRegister(m.statements, m.took, m.waited, m.storeFailures, m.storeCalls, collectors.NewGoCollector())
 	return m
 }
 
@@ -45,6 +50,10 @@
 	gauge("confirmation_age_seconds", "Age of the last confirmation of the configuration; negative without any.", func() float64 {
 		return d.tenure.Age(d.clock()).Seconds()
 	})
+	if d.dropped != nil {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_dropped_total",
+			Help: "Lines that did not fit into the log's buffer."}, func() float64 { return float64(d.dropped()) }))
+	}
 	gauge("configuration_version", "Version of the configuration in force.", func() float64 {
 		if c := d.engine.Catalog(); c != nil {
 			return float64(c.Version)
@@ -53,6 +62,11 @@
 	})
 }
 
+// storeCall counts a call to the store.
+func (m *metrics) storeCall(call string, status int) {
+	m.storeCalls.WithLabelValues(call, strconv.Itoa(status)).Inc()
+}
+
 // Answered implements perform.Observer.
 func (m *metrics) Answered(o perform.Outcome) {
 	role := "none"
