Let estimates of a replica's lag fade

Ruled out: floors of another term, replicas that really lagged (2 refusals a second remained), connections. The test fails without the change.

--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -440,10 +440,10 @@
 // Position takes the end of a replica's log as it told in an answer.
 func (d *Dispatcher) Position(now time.Duration, l *Lease, point topology.Point) {
 	if since, behind := d.Floors.BehindSince(point); behind {
-		l.target.observeLag(now - since)
+		l.target.observeLag(now, now-since)
 		return
 	}
-	l.target.observeLag(0)
+	l.target.observeLag(now, 0)
 }
 
 // Statuses describes the targets.
--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -254,3 +254,35 @@
 		t.Fatalf("lease at %s, evicted %d", kept.Target, len(evicted))
 	}
 }
+
+// Load pattern: both replicas received nothing for ten seconds and caught up. Reads
+// go back to them though nobody says so.
+func TestReplicaThatCaughtUpIsUsedAgain(t *testing.T) {
+	d := newGroup(2, 8)
+	for i := range 200 {
+		d.Floors.Observe(start+time.Duration(i)*50*time.Millisecond, topology.Point{Term: 1, Position: topology.Position(100 + i)})
+	}
+	now := start + 10*time.Second
+	for range 2 {
+		for range 8 {
+			r := read(now, "k")
+			l := submit(t, now, d, r)
+			if l.Target != "a" {
+				d.Position(now, l, topology.Point{Term: 1, Position: 50})
+				d.Lagging(now, l, r)
+			}
+			d.End(now, l)
+			d.Release(now, l)
+		}
+		now += lagRetry
+	}
+	for end := now + 3*time.Second; now < end; now += 50 * time.Millisecond {
+		l := submit(t, now, d, read(now, "k"))
+		d.End(now, l)
+		d.Release(now, l)
+		if l.Target != "a" {
+			return
+		}
+	}
+	t.Fatal("no read went to a replica within three seconds")
+}
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/directory"
@@ -30,6 +31,11 @@
 	lagRetry = 200 * time.Millisecond
 	// lagMargin is added to a replica's estimated lag.
 	lagMargin = 10 * time.Millisecond
+	// lagMemory is the time constant with which an estimate of the lag fades while
+	// the replica is not asked: one that has caught up says so only when asked.
+	lagMemory = 500 * time.Millisecond
+	// longestLag bounds the estimate, so that it fades to what reads need soon.
+	longestLag = 5 * time.Second
 )
 
 // target is what a service's dispatcher knows of one target.
@@ -43,8 +49,8 @@
 	// latency is the moving average of answers' times.
 	latency  time.Duration
 	latestAt time.Duration
-	// lag is how far the replica trails, as estimated from its answers.
-	lag time.Duration
+	// lag is how far the replica trailed at lagAt, as estimated from its answers.
+	lag, lagAt time.Duration
 	// laggingUntil and laggingFor say that reads of a floor younger than
 	// laggingFor are not tried before laggingUntil.
 	laggingUntil, laggingFor time.Duration
@@ -86,18 +92,31 @@
 	if now < t.laggingUntil && age <= t.laggingFor {
 		return false
 	}
-	return age >= t.lag+lagMargin
+	return age >= t.expectedLag(now)+lagMargin
+}
+
+// expectedLag is the estimate of the lag, faded by the time since the last answer
+// beyond what lies between two answers of a replica in use.
+func (t *target) expectedLag(now time.Duration) time.Duration {
+	unheard := now - t.lagAt - lagRetry
+	if unheard <= 0 {
+		return t.lag
+	}
+	return time.Duration(float64(t.lag) * math.Exp(-float64(unheard)/float64(lagMemory)))
 }
 
 // refusedForLag notes that the target lacked a floor of the given age.
 func (t *target) refusedForLag(now, floorAt time.Duration) {
 	t.laggingFor = now - floorAt
 	t.laggingUntil = now + lagRetry
-	t.lag = max(t.lag, min(t.laggingFor, time.Second))
+	t.lag, t.lagAt = min(max(t.lag, t.laggingFor), longestLag), now
 }
 
 // observeLag takes an estimate of the lag.
-func (t *target) observeLag(lag time.Duration) { t.lag += (lag - t.lag) / 4 }
+func (t *target) observeLag(now, lag time.Duration) {
+	t.lag += (min(lag, longestLag) - t.lag) / 4
+	t.lagAt = now
+}
 
 // failed notes a connection that could not be opened or broke.
 func (t *target) failed(now time.Duration) {
