--- a/edge/confirm.go
+++ b/edge/confirm.go
@@ -39,11 +39,12 @@
 	return relayingConfirmInterval
 }
 
-// confirmNow confirms the configuration for a refusal, once for all that wait.
+// confirmNow confirms the configuration at once, one call for all that wait for it.
 func (d *Daemon) confirmNow() {
+	asked := d.clock()
 	d.confirming.Lock()
 	defer d.confirming.Unlock()
-	if !d.tenure.Keys(d.clock()) {
+	if age := d.tenure.Age(d.clock()); age < 0 || age > d.clock()-asked {
 		d.confirmOnce(d.ctx)
 	}
 }
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -110,9 +110,10 @@
 	// confirming is held while a refusal's confirmation runs.
 	confirming sync.Mutex
 
-	// toldAt is when the demand here was last told; only the register loop uses
-	// it.
+	// toldAt is when the demand here was last told, and told what; only the
+	// register loop uses them.
 	toldAt time.Duration
+	told   share.Needs
 
 	mu     sync.Mutex
 	mirror *mirror.Mirror
@@ -158,7 +159,7 @@
 	d.mesh = peer.New(peer.Config{Instance: o.Settings.Instance, FailureDomain: o.Settings.FailureDomain,
 		Address: o.Settings.PeerAddress, Dial: o.Adapter.DialPeer}, o.Log)
 	d.relay = relay.New(relay.Dependencies{Self: o.Settings.Instance, Born: d.born, Engine: d.engine, Link: d.mesh,
-		Clock: d.clock, Log: o.Log, Stopping: d.stopping.Load, OnNeeds: d.noteNeeds})
+		Clock: d.clock, Log: o.Log, Stopping: d.stopping.Load, Fit: d.fit, OnNeeds: d.noteNeeds})
 	d.mesh.Handle(peer.KindRelay, d.relay.Receive)
 	d.mesh.OnDown(d.relay.Lost)
 	d.metrics.watch(d)
@@ -218,6 +219,12 @@
 	return !d.stopping.Load() && d.engine.Catalog() != nil && d.tenure.Registered(d.clock())
 }
 
+// fit reports that this instance may run work itself.
+func (d *Daemon) fit() bool {
+	now := d.clock()
+	return d.tenure.Registered(now) && d.tenure.Keys(now)
+}
+
 // incarnation names this process.
 func (d *Daemon) incarnation() string {
 	return string(d.settings.Instance) + " " + strconv.FormatInt(d.born, 10)
--- a/edge/register.go
+++ b/edge/register.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -93,10 +94,10 @@
 func (d *Daemon) tellNeeds() {
 	needs, pressed := d.engine.Needs()
 	now := d.clock()
-	if len(needs) == 0 || !pressed && now-d.toldAt < calmNeedsInterval {
+	if len(needs) == 0 || !pressed && now-d.toldAt < calmNeedsInterval && !differ(needs, d.told) {
 		return
 	}
-	d.toldAt = now
+	d.toldAt, d.told = now, needs
 	d.noteNeeds(d.settings.Instance, needs)
 	d.mu.Lock()
 	sharers := d.sharers
@@ -104,6 +105,23 @@
 	d.relay.TellNeeds(sharers, needs)
 }
 
+// needsChange is the relative change of a demand that is told at once, unless it is
+// below negligibleNeed operations a second.
+const (
+	needsChange    = 0.4
+	negligibleNeed = 3
+)
+
+// differ reports whether demands differ so much that others should know.
+func differ(a, b share.Needs) bool {
+	for id, need := range a {
+		if change := math.Abs(need - b[id]); change > negligibleNeed && change > needsChange*max(need, b[id]) {
+			return true
+		}
+	}
+	return false
+}
+
 // noteNeeds takes the demand at an instance.
 func (d *Daemon) noteNeeds(from topology.InstanceID, needs share.Needs) {
 	d.mu.Lock()
--- a/request/relay/message.go
+++ b/request/relay/message.go
@@ -49,8 +49,8 @@
 	// Within says that the statement belongs to the session's open transaction.
 	Within bool    `cbor:"3,keyasint,omitempty"`
 	Open   opening `cbor:"4,keyasint,omitempty"`
-	// Version is that of the sender's configuration; a home with an older one
-	// declines.
+	// Version is the newest of the configurations that decided for the sender's
+	// callers; a home with an older one declines.
 	Version  uint64            `cbor:"5,keyasint"`
 	Database string            `cbor:"6,keyasint"`
 	Key      string            `cbor:"7,keyasint,omitempty"`
@@ -97,4 +97,6 @@
 	// Floor is the session's floor afterwards, FloorAge its age.
 	Floor    topology.Point `cbor:"5,keyasint"`
 	FloorAge time.Duration  `cbor:"6,keyasint,omitempty"`
+	// Version is that of the configuration that decided.
+	Version uint64 `cbor:"7,keyasint,omitempty"`
 }
--- a/request/relay/operations.go
+++ b/request/relay/operations.go
@@ -26,7 +26,10 @@
 	for range attempts {
 		to, ok := r.place(place.Service, place.Customer, excluded)
 		if !ok {
-			return r.refuse(o, statement.Idle)
+			return r.refuse(noInstance, o, statement.Idle)
+		}
+		if to == r.Self && !r.upToDate() {
+			return r.refuse(behind, o, statement.Idle)
 		}
 		if to == r.Self {
 			return r.Engine.Single(s, st, o)
@@ -41,12 +44,11 @@
 		eventRelayFailed.Log(r.Log, "request", st.ID, "home", to, "kind", st.Kind.String(), "outcome", outcome.String())
 		excluded = append(excluded, to)
 	}
-	return r.refuse(o, statement.Idle)
+	return r.refuse(noInstance, o, statement.Idle)
 }
 
-// refuse refuses an operation that no instance can run.
-func (r *Relay) refuse(o *perform.Outcome, state statement.TransactionState) statement.Answer {
-	answer := noInstance
+// refuse refuses an operation that cannot run now.
+func (r *Relay) refuse(answer statement.Answer, o *perform.Outcome, state statement.TransactionState) statement.Answer {
 	answer.State, o.Why = state, answer.Detail
 	return answer
 }
@@ -70,8 +72,9 @@
 		ID: r.lastID.Add(1), Session: sessionID{Born: r.Born, Number: s.Number}, Database: s.Database, Key: s.Key,
 		Values: s.Values, Floor: s.Floor, FloorAge: r.Clock() - s.FloorAt, Statement: st,
 	}
+	q.Version = r.newest.Load()
 	if c := r.Engine.Catalog(); c != nil {
-		q.Version = c.Version
+		q.Version = max(q.Version, c.Version)
 	}
 	if prepared, known := s.Prepared[st.Name]; known && st.Kind == statement.Execute {
 		q.Prepared = &prepared
@@ -106,13 +109,41 @@
 		return statement.Answer{}, declined
 	}
 	answer.Placement.note(o)
-	o.Via = to
+	o.Via, o.Version = to, answer.Version
+	r.decidedBy(answer.Version)
 	if answer.Floor.Reaches(s.Floor) {
 		s.Floor, s.FloorAt = answer.Floor, r.Clock()-answer.FloorAge
 	}
 	return answer.Answer, replied
 }
 
+// decidedBy notes the version of a configuration that decided for a caller here.
+// Later work must not be decided by an older one.
+func (r *Relay) decidedBy(version uint64) {
+	for {
+		newest := r.newest.Load()
+		if version <= newest || r.newest.CompareAndSwap(newest, version) {
+			return
+		}
+	}
+}
+
+// upToDate reports whether this instance's own configuration may decide, after it
+// has looked for a newer one if need be.
+func (r *Relay) upToDate() bool {
+	current := func() bool {
+		c := r.Engine.Catalog()
+		return c != nil && c.Version >= r.newest.Load()
+	}
+	if !current() && r.Engine.Confirm != nil {
+		r.Engine.Confirm()
+	}
+	return current()
+}
+
+// behind refuses an operation that only an older configuration could decide on.
+var behind = statement.Answer{Code: statement.Busy, Detail: "a newer configuration is being read"}
+
 // declinedBy keeps work from a home for a while.
 func (r *Relay) declinedBy(id topology.InstanceID) {
 	r.mu.Lock()
@@ -146,7 +177,9 @@
 	to, ok := r.place(place.Service, place.Customer, nil)
 	switch {
 	case !ok:
-		return nil, r.refuse(o, statement.Idle)
+		return nil, r.refuse(noInstance, o, statement.Idle)
+	case to == r.Self && !r.upToDate():
+		return nil, r.refuse(behind, o, statement.Idle)
 	case to == r.Self:
 		return r.Engine.Begin(s, readOnly, o)
 	}
@@ -193,6 +226,9 @@
 
 // here opens the transaction on this instance.
 func (t *transaction) here(o *perform.Outcome) (statement.Answer, bool) {
+	if !t.relay.upToDate() {
+		return t.relay.refuse(behind, o, statement.Failed), false
+	}
 	local, answer := t.relay.Engine.Begin(t.session, t.readOnly, o)
 	if local == nil {
 		answer.State = statement.Failed
@@ -231,7 +267,7 @@
 		}
 		excluded = append(excluded, to)
 	}
-	return r.refuse(o, statement.Failed), true
+	return r.refuse(noInstance, o, statement.Failed), true
 }
 
 // lost says what became of a transaction whose home gave no answer: a COMMIT may
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -63,6 +63,9 @@
 	Log    logr.Logger
 	// Stopping reports that this instance takes no more work of others.
 	Stopping func() bool
+	// Fit reports that this instance's rights and configuration are fresh enough to
+	// run work itself.
+	Fit func() bool
 	// OnNeeds takes the demand that a peer tells.
 	OnNeeds func(from topology.InstanceID, needs share.Needs)
 }
@@ -71,8 +74,10 @@
 // for concurrent use.
 type Relay struct {
 	Dependencies
-	server   *server
-	lastID   atomic.Uint64
+	server *server
+	lastID atomic.Uint64
+	// newest is the newest version of a configuration that decided for a caller.
+	newest   atomic.Uint64
 	places   atomic.Pointer[places]
 	mu       sync.Mutex
 	pending  map[uint64]*call
@@ -242,6 +247,7 @@
 		}
 	}
 	r.mu.Unlock()
+	r.server.sweep(now)
 	for _, id := range silenced {
 		eventPeerSilent.Log(r.Log, "peer", id)
 		r.abandonReads(id)
@@ -282,7 +288,7 @@
 			chosen, ok = id, true
 		}
 	}
-	if ok || p.homes.Uses(r.Self, service) {
+	if ok || p.homes.Uses(r.Self, service) && !slices.Contains(excluded, r.Self) {
 		return cmp.Or(chosen, r.Self), true
 	}
 	for _, id := range p.homes.Backups(service) {
@@ -298,8 +304,14 @@
 const linkPatience = 300 * time.Millisecond
 
 // place chooses an instance and waits a little for a link when there is none yet.
+// This instance itself is chosen only while it is fit, or when no other is left.
 func (r *Relay) place(service topology.ServiceID, customer topology.CustomerID, excluded []topology.InstanceID) (topology.InstanceID, bool) {
 	end := r.Clock() + linkPatience
+	if !r.Fit() || !r.upToDate() {
+		if to, ok := r.choose(service, customer, append(slices.Clone(excluded), r.Self)); ok {
+			return to, ok
+		}
+	}
 	for {
 		to, ok := r.choose(service, customer, excluded)
 		if ok || r.Clock() >= end {
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -98,6 +98,8 @@
 	relays map[topology.InstanceID]*Relay
 	// cut loses messages to an instance; down says that it has no link.
 	cut, down map[topology.InstanceID]bool
+	// unfit instances have no fresh rights.
+	unfit map[topology.InstanceID]bool
 }
 
 type end struct {
@@ -137,7 +139,7 @@
 
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{t: t, targets: make(map[topology.InstanceID]*ranTarget), told: make(map[topology.InstanceID]share.Needs),
-		network: &network{relays: make(map[topology.InstanceID]*Relay), cut: make(map[topology.InstanceID]bool), down: make(map[topology.InstanceID]bool)}}
+		network: &network{relays: make(map[topology.InstanceID]*Relay), cut: make(map[topology.InstanceID]bool), down: make(map[topology.InstanceID]bool), unfit: make(map[topology.InstanceID]bool)}}
 	now := clock.System()
 	homes := home.Assign([]topology.ServiceID{"s"}, []home.Instance{{ID: "h1", Processor: 1}, {ID: "h2", Processor: 1}})
 	for _, id := range []topology.InstanceID{"h1", "h2", "e"} {
@@ -157,7 +159,12 @@
 		engine.SetRecord("s", failover.Record{Primary: "a", Term: 1}, 1)
 		r := New(Dependencies{Self: id, Born: 1, Engine: engine, Link: end{f.network, id}, Clock: now, Log: logr.Discard(),
 			Stopping: func() bool { return false },
-			OnNeeds:  func(from topology.InstanceID, needs share.Needs) { f.told[from] = needs }})
+			Fit: func() bool {
+				f.network.mu.Lock()
+				defer f.network.mu.Unlock()
+				return !f.network.unfit[id]
+			},
+			OnNeeds: func(from topology.InstanceID, needs share.Needs) { f.told[from] = needs }})
 		r.Place(homes, map[topology.CustomerID]int{"k": 0}, nil)
 		f.network.relays[id] = r
 	}
@@ -309,3 +316,57 @@
 		t.Fatalf("%v", f.told)
 	}
 }
+
+// A transaction whose end was lost is rolled back after the callers' limit.
+func TestForgottenTransactionIsRolledBack(t *testing.T) {
+	f := newFleet(t)
+	first, _ := f.homes()
+	home := f.network.relays[first]
+	limited := *home.Engine.Catalog()
+	limited.Version, limited.TransactionIdle = 2, 3*time.Second
+	home.Engine.SetCatalog(&limited)
+	c := f.converse()
+	f.run(c, statement.Begin, statement.OK)
+	f.run(c, statement.Write, statement.OK)
+	home.server.sweep(home.Clock() + 3*time.Second)
+	if !home.Busy() {
+		t.Fatal("rolled back too soon")
+	}
+	home.server.sweep(home.Clock() + 5*time.Second)
+	for home.Busy() {
+		time.Sleep(time.Millisecond)
+	}
+	f.run(c, statement.Write, statement.Aborted)
+}
+
+// A caller whose work was decided by a newer configuration is not served by an
+// older one, wherever it runs.
+func TestNoWorkIsDecidedByAnOlderConfiguration(t *testing.T) {
+	f := newFleet(t)
+	first, other := f.homes()
+	newer := *f.network.relays[first].Engine.Catalog()
+	newer.Version = 2
+	f.network.relays[first].Engine.SetCatalog(&newer)
+	c := f.converse()
+	f.run(c, statement.Write, statement.OK)
+	f.lose(first, f.network.down)
+	f.run(c, statement.Write, statement.Busy)
+	if len(f.targets[other].texts())+len(f.targets["e"].texts()) != 0 {
+		t.Fatal("an older configuration decided")
+	}
+}
+
+// An instance that the store turns away hands its callers' work to the others, and
+// takes none of theirs.
+func TestInstanceWithoutFreshRightsRunsNothing(t *testing.T) {
+	f := newFleet(t)
+	first, other := f.homes()
+	f.lose(first, f.network.unfit)
+	f.run(f.converse(), statement.Write, statement.OK)
+	r := f.network.relays[first]
+	c := r.Engine.Converse(client.NewSession(1, "d", "secret"), r)
+	f.run(c, statement.Write, statement.OK)
+	if len(f.targets[first].texts()) != 0 || len(f.targets[other].texts()) != 2 {
+		t.Fatalf("%v, %v", f.targets[first].texts(), f.targets[other].texts())
+	}
+}
--- a/request/relay/server.go
+++ b/request/relay/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"samphirehitch.example/samphirehitch/connection/client"
 	"samphirehitch.example/samphirehitch/process/statement"
@@ -36,6 +37,33 @@
 	// mu is held while a statement runs.
 	mu           sync.Mutex
 	conversation *perform.Conversation
+	// used is when its last request came, under the server's lock.
+	used time.Duration
+}
+
+// idleSlack is how much longer than callers may a transaction of another instance
+// rests here before it is rolled back: that instance ends it, unless its message
+// was lost or overtaken.
+const idleSlack = time.Second
+
+// sweep rolls back transactions that their instance seems to have forgotten.
+func (s *server) sweep(now time.Duration) {
+	c := s.relay.Engine.Catalog()
+	if c == nil || c.TransactionIdle <= 0 {
+		return
+	}
+	limit := c.TransactionIdle + idleSlack
+	s.mu.Lock()
+	var forgotten []remoteSession
+	for key, tx := range s.open {
+		if now-tx.used > limit {
+			forgotten = append(forgotten, key)
+		}
+	}
+	s.mu.Unlock()
+	for _, key := range forgotten {
+		go s.end(key)
+	}
 }
 
 // remoteNumbers is the first number of other instances' sessions; those of
@@ -99,7 +127,7 @@
 		answer = conversation.Run(q.Statement)
 	}
 	s.settle(key, tx)
-	return &reply{ID: q.ID, Answer: answer, Placement: placementOf(outcome), Floor: session.Floor, FloorAge: s.relay.Clock() - session.FloorAt}
+	return &reply{ID: q.ID, Answer: answer, Placement: placementOf(outcome), Floor: session.Floor, FloorAge: s.relay.Clock() - session.FloorAt, Version: outcome.Version}
 }
 
 // transaction returns the conversation in which the request runs. It is not ok
@@ -109,16 +137,21 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		tx, open := s.open[key]
+		if open {
+			tx.used = s.relay.Clock()
+		}
 		return tx, open
 	}
 	c := s.relay.Engine.Catalog()
-	if c == nil || c.Version < q.Version || s.relay.Stopping() {
+	if c == nil || c.Version < q.Version || s.relay.Stopping() || !s.relay.Fit() {
 		return nil, false
 	}
 	session := client.NewSession(s.number(key), q.Database, q.Key)
 	tx := &remoteTransaction{conversation: s.relay.Engine.Converse(session, s.relay.Engine)}
 	if q.Open != openNone {
+		s.end(key) // an earlier one is over, or the session would not open another
 		s.mu.Lock()
+		tx.used = s.relay.Clock()
 		s.open[key] = tx
 		s.mu.Unlock()
 	}
