--- a/edge/shares.go
+++ b/edge/shares.go
@@ -21,9 +21,6 @@
 	// reservedConnections are kept of each target's connections for status
 	// requests.
 	reservedConnections = 1
-	// homeWeight is the share of a customer's rate that is expected at its homes
-	// before demand is published.
-	homeWeight = 0.5
 	// shareInterval is the least time between divisions.
 	shareInterval = 100 * time.Millisecond
 )
@@ -179,17 +176,17 @@
 	mine := d.needs[d.settings.Instance]
 	sharing := slices.Contains(sharers, d.settings.Instance)
 	fractions := make(map[topology.CustomerID]float64, len(c.Customers))
+	if !sharing {
+		return fractions
+	}
 	for id, customer := range c.Customers {
-		expected := customer.Rate * homeWeight
-		need := mine[id]
+		claim := share.Claim{Need: mine[id], Total: totals[id], Rate: customer.Rate, Services: len(c.Services), Instances: len(sharers)}
 		for service := range c.Services {
 			if at := homes.Homes(service); len(at) > 0 && at[customers[id]%len(at)] == d.settings.Instance {
-				need += expected / float64(len(c.Services))
+				claim.Roles++
 			}
 		}
-		if sharing {
-			fractions[id] = share.Fraction(need, totals[id]+expected, len(sharers))
-		}
+		fractions[id] = claim.Fraction()
 	}
 	return fractions
 }
--- a/process/share/bucket.go
+++ b/process/share/bucket.go
@@ -68,9 +68,12 @@
 	b.level = min(b.level, b.capacity())
 }
 
-// capacity is the most that the bucket holds: parts of small limits still let
-// single operations pass.
-func (b *Bucket) capacity() float64 { return max(b.limit.Burst, 1) }
+// leastCapacity lets a small part admit a few operations that come together. The
+// count of the window bounds what passes in all.
+const leastCapacity = 3
+
+// capacity is the most that the bucket holds.
+func (b *Bucket) capacity() float64 { return max(b.limit.Burst, leastCapacity) }
 
 func (b *Bucket) settle(now time.Duration) {
 	if now > b.at {
--- a/process/share/share.go
+++ b/process/share/share.go
@@ -7,22 +7,36 @@
 	"samphirehitch.example/samphirehitch/process/topology"
 )
 
-// baseWeight is the weight of an instance that has published no need, as a share
-// of the average weight: new demand is served from it until it is published.
-const baseWeight = 0.1
+// openShare is the part of what nobody needs that goes to all instances alike; the
+// rest goes to a customer's homes, where its demand is expected.
+const openShare = 0.2
+
+// Claim is what an instance's part of a customer's limit follows from.
+type Claim struct {
+	// Need is the demand here and Total that of all instances, in operations a
+	// second; Rate is the customer's.
+	Need, Total, Rate float64
+	// Roles is in how many of the Services the instance is the customer's home.
+	Roles, Services int
+	// Instances divide the limit.
+	Instances int
+}
 
 // Needs is the demand that an instance publishes, in operations a second.
 type Needs map[topology.CustomerID]float64
 
-// Fraction returns the part of a limit for an instance with the given need, when
-// the needs of count instances add up to total. The parts of all add up to one.
-func Fraction(need, total float64, count int) float64 {
-	if count == 0 {
+// Fraction returns the claimed part of the limit. Every instance gets its demand and
+// a part of what is left; when more is demanded than the limit, all are cut alike.
+// The parts of all instances add up to one.
+func (c Claim) Fraction() float64 {
+	if c.Instances == 0 || c.Rate <= 0 {
 		return 0
 	}
-	if total <= 0 {
-		return 1 / float64(count)
+	demand := max(c.Total, c.Need)
+	left := max(0, c.Rate-demand)
+	expected := 1 / float64(c.Instances)
+	if c.Services > 0 {
+		expected = openShare/float64(c.Instances) + (1-openShare)*float64(c.Roles)/float64(c.Services)
 	}
-	base := baseWeight * total / float64(count)
-	return (base + need) / (total * (1 + baseWeight))
+	return (c.Need + left*expected) / (demand + left)
 }
--- a/process/share/share_test.go
+++ b/process/share/share_test.go
@@ -12,13 +12,19 @@
 func TestFractionsAddUpToOne(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		needs := rapid.SliceOfN(rapid.Float64Range(0, 500), 1, 30).Draw(t, "needs")
+		rate := rapid.Float64Range(1, 3000).Draw(t, "rate")
+		services := rapid.IntRange(1, 10).Draw(t, "services")
+		roles := make([]int, len(needs))
+		for range services {
+			roles[rapid.IntRange(0, len(needs)-1).Draw(t, "home")]++
+		}
 		total := 0.0
 		for _, need := range needs {
 			total += need
 		}
 		sum := 0.0
-		for _, need := range needs {
-			sum += Fraction(need, total, len(needs))
+		for i, need := range needs {
+			sum += Claim{Need: need, Total: total, Rate: rate, Roles: roles[i], Services: services, Instances: len(needs)}.Fraction()
 		}
 		if sum < 0.999 || sum > 1.001 {
 			t.Fatalf("fractions of %v add up to %f", needs, sum)
@@ -26,6 +32,18 @@
 	})
 }
 
+// A small customer at eight homes, at two thirds of its limit: no home may need more
+// than its part.
+func TestPartsCoverDemandBelowTheLimit(t *testing.T) {
+	needs := []float64{3, 0.5, 0.5, 0.5, 0.5, 0, 0, 0}
+	for _, need := range needs {
+		c := Claim{Need: need, Total: 5, Rate: 8, Roles: 1, Services: 8, Instances: 8}
+		if part := c.Fraction() * c.Rate; part < need {
+			t.Errorf("part %.2f of a demand of %.2f", part, need)
+		}
+	}
+}
+
 // admitted records when operations were admitted.
 type admitted []time.Duration
 
