--- a/edge/callers.go
+++ b/edge/callers.go
@@ -45,10 +45,9 @@
 
 // callers holds the open sessions.
 type callers struct {
-	mu     sync.Mutex
-	last   uint64
-	open   map[*caller]struct{}
-	closed chan struct{}
+	mu   sync.Mutex
+	last uint64
+	open map[*caller]struct{}
 }
 
 // caller is one open session.
--- a/edge/confirm.go
+++ b/edge/confirm.go
@@ -44,11 +44,21 @@
 	asked := d.clock()
 	d.confirming.Lock()
 	defer d.confirming.Unlock()
-	if age := d.tenure.Age(d.clock()); age < 0 || age > d.clock()-asked {
-		d.confirmOnce(d.ctx)
+	if age := d.tenure.Age(d.clock()); age >= 0 && age <= d.clock()-asked {
+		return
+	}
+	if d.clock() < d.confirmAgainAt {
+		return
+	}
+	if !d.confirmOnce(d.ctx) {
+		d.confirmAgainAt = d.clock() + confirmPause
 	}
 }
 
+// confirmPause is the pause after a confirmation that failed for a refusal: others
+// that wait for one are not held up by a store that does not answer.
+const confirmPause = 500 * time.Millisecond
+
 // confirmOnce makes one round of confirmations. It reports false when the store
 // has not answered.
 func (d *Daemon) confirmOnce(ctx context.Context) bool {
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -105,10 +105,14 @@
 	leadWake    chan struct{}
 	sharesWake  chan struct{}
 	usesWake    chan struct{}
+	// roleWake ends a watch that the instance's role has outgrown.
+	roleWake chan struct{}
 	// serving is closed once the daemon can serve.
 	serving chan struct{}
-	// confirming is held while a refusal's confirmation runs.
-	confirming sync.Mutex
+	// confirming is held while a refusal's confirmation runs; confirmAgainAt is
+	// when the next one may start.
+	confirming     sync.Mutex
+	confirmAgainAt time.Duration
 
 	// toldAt is when the demand here was last told, and told what; only the
 	// register loop uses them.
@@ -145,7 +149,7 @@
 		tenure:      tenure.New(o.Settings.WithdrawalLimit - keyMargin),
 		born:        time.Now().UnixNano(),
 		confirmWake: make(chan struct{}, 1), leadWake: make(chan struct{}, 1),
-		sharesWake: make(chan struct{}, 1), usesWake: make(chan struct{}, 1), serving: make(chan struct{}), needs: make(map[topology.InstanceID]share.Needs),
+		sharesWake: make(chan struct{}, 1), usesWake: make(chan struct{}, 1), serving: make(chan struct{}), roleWake: make(chan struct{}, 1), needs: make(map[topology.InstanceID]share.Needs),
 		mirror: mirror.New(), records: make(map[topology.ServiceID]groupRecord),
 		targets: make(map[topology.ServiceID]targetMap), brokenTargets: make(map[string]store.Revision),
 		logged: make(map[string]string),
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -64,7 +64,7 @@
 func (d *Daemon) follow(ctx context.Context) error {
 	var after store.Revision
 	var retry backoff
-	listed := false
+	listed, partial := false, false
 	for ctx.Err() == nil {
 		if !listed {
 			revision, err := d.listAll(ctx)
@@ -75,8 +75,15 @@
 			}
 			after, listed = revision, true
 		}
-		changes, asOf, err := d.store.WatchFor(ctx, "", after, watchWait)
+		prefix := d.followed()
+		if prefix == "" && partial {
+			partial, listed = false, false
+			continue
+		}
+		partial = prefix != ""
+		changes, asOf, err := d.watchUntilRoleChange(ctx, prefix, after)
 		switch {
+		case err == nil && asOf == 0: // this instance has another role now
 		case errors.Is(err, store.ErrHistoryGone):
 			eventWatchReset.Log(d.log, "after", after)
 			listed = false
@@ -94,6 +101,40 @@
 	return nil
 }
 
+// followed returns the prefix that this instance watches. One that runs no
+// statements needs no targets, and learns of configurations by its confirmations.
+func (d *Daemon) followed() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.uses) == 0 && d.engine.Catalog() != nil {
+		return prefixOwn
+	}
+	return ""
+}
+
+// watchUntilRoleChange watches a prefix. It returns no revision when this
+// instance's role changes meanwhile.
+func (d *Daemon) watchUntilRoleChange(ctx context.Context, prefix string, after store.Revision) ([]store.Change, store.Revision, error) {
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	changed := make(chan bool, 1)
+	go func() {
+		select {
+		case <-d.roleWake:
+			changed <- true
+			cancel()
+		case <-watchCtx.Done():
+			changed <- false
+		}
+	}()
+	changes, asOf, err := d.store.WatchFor(watchCtx, prefix, after, watchWait)
+	cancel()
+	if <-changed && err != nil {
+		return nil, 0, nil
+	}
+	return changes, asOf, err
+}
+
 // Pauses between watches, in which changes collect: those who neither lead nor use
 // primaries need not hear of every change at once, and in a large fleet each
 // change would cost a call of every instance.
@@ -189,7 +230,12 @@
 			targets, shares, groups = true, true, true
 		case strings.HasPrefix(key, d.adapter.TargetPrefix):
 			targets = true
-		case strings.HasPrefix(key, prefixInstances), strings.HasPrefix(key, prefixSuspects):
+		case strings.HasPrefix(key, prefixSuspects):
+			shares = true
+			if service, from := cutOwner(prefixSuspects, key); from != d.settings.Instance && slices.Contains(d.declaredUses(), service) {
+				go d.suspects.verify(d.ctx, service)
+			}
+		case strings.HasPrefix(key, prefixInstances):
 			shares = true
 		case strings.HasPrefix(key, prefixGroups):
 			groups, shares = true, true
@@ -281,7 +327,7 @@
 			go d.yield(service, r.Record)
 		}
 	}
-	if len(records) > 0 {
+	if len(records) > 0 && len(d.declaredUses()) > 0 {
 		d.wakeConfirm()
 	}
 }
--- a/edge/lead.go
+++ b/edge/lead.go
@@ -34,6 +34,10 @@
 	leadInterval = 250 * time.Millisecond
 	// busyLeadInterval is the pause while a failover is under way.
 	busyLeadInterval = 25 * time.Millisecond
+	// leadListInterval is the pause between listings by the holder of the duty, and
+	// busyListInterval that during a failover.
+	leadListInterval = time.Second
+	busyListInterval = 200 * time.Millisecond
 	// yieldPatience is how long statements in flight on a fenced primary may take
 	// before their answers are given up.
 	yieldPatience = 250 * time.Millisecond
@@ -41,13 +45,6 @@
 	probeTimeout = 400 * time.Millisecond
 	// orderTimeout bounds a promotion order.
 	orderTimeout = 2 * time.Second
-	// dutyTerm is the term of the duty's lease. It is short, so that another
-	// instance soon takes over from one that is cut off.
-	dutyTerm = 1500 * time.Millisecond
-	// dutySpan is how long the duty counts as held after a renewal was asked.
-	dutySpan = 1200 * time.Millisecond
-	// dutyInterval leaves two tries before the duty counts as lost.
-	dutyInterval = 450 * time.Millisecond
 )
 
 type targetMap map[topology.TargetID]directory.Target
@@ -98,10 +95,18 @@
 
 // lead takes the duty when it is free and drives the failovers while it is held.
 func (d *Daemon) lead(ctx context.Context) error {
+	var listAt time.Duration
 	for ctx.Err() == nil {
 		wait := leadInterval
-		if d.holdDuty(ctx) && d.stepAll(ctx) {
-			wait = busyLeadInterval
+		if d.holdDuty(ctx) {
+			listEvery := leadListInterval
+			if d.stepAll(ctx) {
+				wait, listEvery = busyLeadInterval, busyListInterval
+			}
+			if now := d.clock(); now >= listAt {
+				listAt = now + listEvery
+				d.listOwn(ctx)
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -112,105 +117,20 @@
 	return nil
 }
 
-// holdDuty reports whether this instance holds the duty, and takes a free one.
-func (d *Daemon) holdDuty(ctx context.Context) bool {
-	if d.stopping.Load() || !d.tenure.Registered(d.clock()) {
-		return false
-	}
-	d.mu.Lock()
-	entry, listed := d.mirror.Get(keyDuty), d.listed
-	d.mu.Unlock()
-	if !listed {
-		return false
-	}
-	if entry.Revision == 0 {
-		return d.takeDuty(ctx)
-	}
-	mine := string(entry.Value) == d.incarnation()
-	if mine {
-		d.renewDuty(ctx)
-	}
-	mine = mine && d.dutyHeld()
-	d.setToken(mine, failover.Token(entry.Revision))
-	return mine
-}
-
-// dutyHeld reports whether the duty's lease holds for certain.
-func (d *Daemon) dutyHeld() bool {
-	d.leader.mu.Lock()
-	defer d.leader.mu.Unlock()
-	return d.leader.lease != 0 && d.clock()-d.leader.renewed < dutySpan
-}
-
-// setDutyLease notes the duty's lease as of a call made at asked.
-func (d *Daemon) setDutyLease(lease store.LeaseID, asked time.Duration) {
-	d.leader.mu.Lock()
-	defer d.leader.mu.Unlock()
-	d.leader.lease, d.leader.renewed = lease, asked
-}
-
-// takeDuty tries to take the free duty.
-func (d *Daemon) takeDuty(ctx context.Context) bool {
+// listOwn reads what instances say, which decides failovers: a watch may be deaf for
+// seconds while the store discards its history.
+func (d *Daemon) listOwn(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	asked := d.clock()
-	lease, err := d.store.Grant(callCtx, max(dutyTerm, d.settings.LeastLease))
+	listing, err := d.store.List(callCtx, prefixOwn)
 	if err != nil {
-		d.storeFailed("grant lease of the duty", err)
-		return false
-	}
-	revision, err := d.store.CompareAndSwap(callCtx, store.Swap{Key: keyDuty, Value: []byte(d.incarnation()), Lease: lease})
-	if err != nil {
-		var conflict *store.ConflictError
-		if errors.As(err, &conflict) {
-			d.takeOver(nil, conflict.Current)
-		} else {
-			d.storeFailed("take duty", err)
-		}
-		return false
-	}
-	d.setDutyLease(lease, asked)
-	d.apply([]store.Change{{Entry: store.Entry{Key: keyDuty, Value: []byte(d.incarnation()), Revision: revision, Lease: lease}}})
-	return false
-}
-
-// renewDuty renews the duty's lease when it is time.
-func (d *Daemon) renewDuty(ctx context.Context) {
-	d.leader.mu.Lock()
-	lease, renewed := d.leader.lease, d.leader.renewed
-	d.leader.mu.Unlock()
-	asked := d.clock()
-	if lease == 0 || asked-renewed < dutyInterval {
+		d.storeFailed("list instances", err)
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, dutyInterval)
-	defer cancel()
-	err := d.store.KeepAlive(callCtx, lease)
-	switch {
-	case err == nil:
-		d.setDutyLease(lease, asked)
-	case errors.Is(err, store.ErrLeaseExpired):
-		d.setDutyLease(0, 0)
-	default:
-		d.storeFailed("renew duty", err)
-	}
-}
-
-// setToken notes the duty's state. The revision at which the duty was taken
-// orders its holders.
-func (d *Daemon) setToken(mine bool, token failover.Token) {
-	d.leader.mu.Lock()
-	defer d.leader.mu.Unlock()
-	switch {
-	case mine && d.leader.token != token:
-		d.leader.token = token
-		d.leader.coordinators = make(map[topology.ServiceID]*failover.Coordinator)
-		d.leader.fences = make(map[topology.ServiceID]fence)
-		eventDutyTaken.Log(d.log, "token", token)
-	case !mine && d.leader.token != 0:
-		d.leader.token = 0
-		eventDutyLost.Log(d.log)
-	}
+	d.mu.Lock()
+	changed := d.mirror.Replace(prefixOwn, listing)
+	d.mu.Unlock()
+	d.changed(changed)
 }
 
 // stepAll steps every service's coordinator and reports whether one is busy.
@@ -415,9 +335,3 @@
 		pause(d.ctx, retryPause)
 	}
 }
-
-// deleteAt deletes a key that is still at the entry's revision.
-func (d *Daemon) deleteAt(ctx context.Context, entry store.Entry) error {
-	_, err := d.store.CompareAndSwap(ctx, store.Swap{Key: entry.Key, Expect: entry.Revision, Delete: true})
-	return err
-}
--- a/edge/shares.go
+++ b/edge/shares.go
@@ -96,9 +96,13 @@
 	// be in flight on its primary.
 	all := slices.Concat(uses, d.declared)
 	slices.Sort(all)
+	first := len(d.uses) == 0 && len(all) > 0
 	d.homeCount, d.uses, d.sharers = counts, slices.Compact(all), sharers
 	changed := !slices.Equal(d.uses, d.declared)
 	d.mu.Unlock()
+	if first {
+		notify(d.roleWake)
+	}
 	if changed {
 		notify(d.usesWake)
 	}
--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -7,6 +7,7 @@
 
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/request/perform"
 )
 
 // suspectPause is the pause between attempts to publish or withdraw a suspicion.
@@ -20,12 +21,15 @@
 	// wanted is what should be published for each service, empty for nothing.
 	wanted map[topology.ServiceID]topology.TargetID
 	held   map[topology.ServiceID]topology.TargetID
-	wake   chan struct{}
+	// verifying marks services whose primary is being tried.
+	verifying map[topology.ServiceID]bool
+	wake      chan struct{}
 }
 
 func newSuspects(d *Daemon) *suspects {
 	return &suspects{daemon: d, wake: make(chan struct{}, 1),
-		wanted: make(map[topology.ServiceID]topology.TargetID), held: make(map[topology.ServiceID]topology.TargetID)}
+		wanted: make(map[topology.ServiceID]topology.TargetID), held: make(map[topology.ServiceID]topology.TargetID),
+		verifying: make(map[topology.ServiceID]bool)}
 }
 
 // Reached implements perform.Reachability.
@@ -60,6 +64,35 @@
 	}
 }
 
+// verify tries to reach a primary that another instance cannot reach, so that the
+// holder of the duty soon knows whether it stands alone.
+func (s *suspects) verify(ctx context.Context, service topology.ServiceID) {
+	s.mu.Lock()
+	busy := s.verifying[service]
+	s.verifying[service] = true
+	s.mu.Unlock()
+	if busy {
+		return
+	}
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.verifying, service)
+	}()
+	d := s.daemon
+	d.mu.Lock()
+	t, listed := d.targets[service][d.records[service].Primary]
+	d.mu.Unlock()
+	if !listed {
+		return
+	}
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if _, err := d.prober.Status(probeCtx, t); perform.Unreachable(err) {
+		s.Unreachable(service, t.ID)
+	}
+}
+
 // run publishes changes until the context ends.
 func (s *suspects) run(ctx context.Context) error {
 	for {
@@ -97,10 +130,12 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if _, err := d.store.Transact(callCtx, change); err != nil {
+	revision, err := d.store.Transact(callCtx, change)
+	if err != nil {
 		d.storeFailed("publish suspicion", err)
 		return pause(ctx, suspectPause)
 	}
+	d.apply([]store.Change{{Entry: store.Entry{Key: key, Value: []byte(target), Revision: revision, Lease: lease}, Deleted: target == ""}})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.held[service] = target
--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -446,14 +446,5 @@
 	l.target.observeLag(now, 0)
 }
 
-// Statuses describes the targets.
-func (d *Dispatcher) Statuses() []Status {
-	statuses := make([]Status, 0, len(d.targets))
-	for id, t := range d.targets {
-		statuses = append(statuses, Status{Target: id, Connections: len(t.links), Running: t.running, Latency: t.latency, Lag: t.lag})
-	}
-	return statuses
-}
-
 // Waiting returns the length of the queue.
 func (d *Dispatcher) Waiting() int { return len(d.queue) }
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/directory"
-	"samphirehitch.example/samphirehitch/process/topology"
 )
 
 // Figures about targets.
@@ -165,12 +164,3 @@
 		}
 	}
 }
-
-// Status describes a target for the metrics and the log.
-type Status struct {
-	Target      topology.TargetID
-	Connections int
-	Running     int
-	Latency     time.Duration
-	Lag         time.Duration
-}
--- a/process/home/home.go
+++ b/process/home/home.go
@@ -21,8 +21,14 @@
 const PerService = 2
 
 // Backups is how many more instances may hold connections to a service's targets,
-// one each, for when its homes do not answer.
-const Backups = 4
+// one each, for when its homes do not answer. In a large fleet one is enough: the
+// others reach the next homes after the lapse of the lost ones, and each backup
+// follows the store as closely as a home does.
+const (
+	smallFleet        = 12
+	smallFleetBackups = 4
+	largeFleetBackups = 1
+)
 
 // Instance is an instance that can be a home.
 type Instance struct {
@@ -61,9 +67,13 @@
 			}
 		}
 	}
+	backups := smallFleetBackups
+	if len(instances) > smallFleet {
+		backups = largeFleetBackups
+	}
 	for _, service := range sorted {
 		taken := slices.Clone(a.homes[service])
-		for slot := range Backups {
+		for slot := range backups {
 			id, found := highest(service, perService+slot, candidates, taken, nil, 1)
 			if !found {
 				break
--- a/request/perform/acquire.go
+++ b/request/perform/acquire.go
@@ -100,7 +100,7 @@
 		s.dispatch.OpenFailed(now, h.lease, refused)
 		s.left(h.lease)
 		s.mu.Unlock()
-		if unreachable(err) {
+		if Unreachable(err) {
 			e.Reachability.Unreachable(s.id, h.lease.Target)
 		}
 		e.Log.V(1).Info("connection failed", "target", h.lease.Target, "service", s.id, "error", err.Error())
@@ -134,6 +134,15 @@
 	closeLinks(evicted)
 }
 
+// dropFailed closes a connection after an error. A target that went silent cannot be
+// reached, which a new connection would only show later.
+func (e *Engine) dropFailed(h *held, err error) {
+	e.drop(h, true)
+	if failureOf(err) == target.Silent {
+		e.Reachability.Unreachable(h.service.id, h.lease.Target)
+	}
+}
+
 // drop closes the connection, so that the target rolls back what is open on it.
 func (e *Engine) drop(h *held, broken bool) {
 	_ = h.link.Conn.Close() // it is given up either way
@@ -202,9 +211,12 @@
 	return !errors.As(err, &failed) || failed.Sent
 }
 
-// unreachable reports whether an error of opening a connection says that the
+// Unreachable reports whether an error of opening a connection says that the
 // target cannot be reached, rather than that it is busy.
-func unreachable(err error) bool {
+func Unreachable(err error) bool {
+	if err == nil {
+		return false
+	}
 	var failed *target.Error
 	if !errors.As(err, &failed) {
 		return true
--- a/request/perform/engine.go
+++ b/request/perform/engine.go
@@ -168,19 +168,6 @@
 // present parts press.
 func (e *Engine) Needs() (share.Needs, bool) { return e.rates.needs(e.Clock()) }
 
-// Statuses describes the targets of every service.
-func (e *Engine) Statuses() map[topology.ServiceID][]dispatch.Status {
-	e.mu.RLock()
-	defer e.mu.RUnlock()
-	all := make(map[topology.ServiceID][]dispatch.Status, len(e.services))
-	for id, s := range e.services {
-		s.mu.Lock()
-		all[id] = s.dispatch.Statuses()
-		s.mu.Unlock()
-	}
-	return all
-}
-
 // rates holds the buckets of all customers.
 type rates struct {
 	window    time.Duration
--- a/request/perform/fake_test.go
+++ b/request/perform/fake_test.go
@@ -38,6 +38,8 @@
 	return f.primary
 }
 
+func (f *fakeTenure) Age(time.Duration) time.Duration { return 0 }
+
 func (f *fakeTenure) End(topology.ServiceID) time.Duration { return time.Hour }
 
 func (f *fakeTenure) setPrimary(held bool) {
--- a/request/perform/operation.go
+++ b/request/perform/operation.go
@@ -120,10 +120,15 @@
 	return statement.OK, ""
 }
 
+// refusalAge is how old a confirmation may be for a refusal: just older than one in
+// the interval of instances that only relay. Configurations must be in force within
+// three seconds.
+const refusalAge = 2600 * time.Millisecond
+
 // refuse checks a refusal with a configuration that is confirmed for it, unless
 // one was lately. It returns nil when the newer one does not refuse.
 func (e *Engine) refuse(s *client.Session) *refusal {
-	if !e.Tenure.Keys(e.Clock()) && e.Confirm != nil {
+	if age := e.Tenure.Age(e.Clock()); e.Confirm != nil && (age < 0 || age > refusalAge) {
 		e.Confirm()
 	}
 	_, refused := e.authorize(e.Clock(), s)
--- a/request/perform/perform_test.go
+++ b/request/perform/perform_test.go
@@ -1,12 +1,14 @@
 package perform
 
 import (
+	"errors"
 	"testing"
 	"time"
 
 	"samphirehitch.example/samphirehitch/connection/client"
 	"samphirehitch.example/samphirehitch/process/failover"
 	"samphirehitch.example/samphirehitch/process/statement"
+	"samphirehitch.example/samphirehitch/process/target"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
 
@@ -363,3 +365,28 @@
 		t.Fatalf("connected as %q", s.customer)
 	}
 }
+
+// reports notes what the engine says of targets.
+type reports struct {
+	nobody
+	unreachable []topology.TargetID
+}
+
+func (r *reports) Unreachable(_ topology.ServiceID, id topology.TargetID) {
+	r.unreachable = append(r.unreachable, id)
+}
+
+// A primary that goes silent under a statement is reported without waiting for a
+// new connection to fail.
+func TestSilentPrimaryIsReportedAtOnce(t *testing.T) {
+	r := newRig(t)
+	told := &reports{}
+	r.engine.Reachability = told
+	r.targets.answer = func(s sent) (statement.Answer, error) {
+		return statement.Answer{}, &target.Error{Step: "write", Peer: "a", Failure: target.Silent, Sent: true, Err: errors.New("timed out")}
+	}
+	r.run(r.session(1, "strict"), writeA, statement.InDoubt)
+	if len(told.unreachable) != 1 || told.unreachable[0] != "a" {
+		t.Fatalf("%v", told.unreachable)
+	}
+}
--- a/request/perform/service.go
+++ b/request/perform/service.go
@@ -18,6 +18,8 @@
 // Tenure tells which rights hold; tenure.Tenure implements it.
 type Tenure interface {
 	Keys(now time.Duration) bool
+	// Age returns the time since the last confirmation, negative without any.
+	Age(now time.Duration) time.Duration
 	Primary(now time.Duration, service topology.ServiceID, revision store.Revision) bool
 	// End returns when the right to the service's primary ends.
 	End(service topology.ServiceID) time.Duration
--- a/request/perform/single.go
+++ b/request/perform/single.go
@@ -84,7 +84,7 @@
 	if late {
 		e.salvage(h)
 	} else {
-		e.drop(h, true)
+		e.dropFailed(h, err)
 	}
 	answer := statement.Answer{Detail: err.Error(), State: statement.Idle}
 	switch {
--- a/request/perform/transaction.go
+++ b/request/perform/transaction.go
@@ -111,7 +111,7 @@
 	}
 	answer, err := h.link.Conn.Do(begin, timeout)
 	if err != nil {
-		e.drop(h, true)
+		e.dropFailed(h, err)
 		return statement.Answer{Code: statement.Busy, Detail: err.Error()}
 	}
 	if answer.Code == statement.OK && answer.State == statement.Open {
@@ -259,7 +259,7 @@
 			if failureOf(err) == target.Late {
 				e.salvage(h)
 			} else {
-				e.drop(h, true)
+				e.dropFailed(h, err)
 			}
 			return statement.Answer{Code: statement.InDoubt, Detail: err.Error()}
 		}
