--- /dev/null
+++ b/process/share/main_test.go
@@ -0,0 +1,13 @@
+package share
+
+import (
+	"os"
+	"testing"
+
+	"samphirehitch.example/samphirehitch/fixedseed"
+)
+
+func TestMain(m *testing.M) {
+	fixedseed.Set(fixedseed.Rapid{Seed: "1"})
+	os.Exit(m.Run())
+}
