--- /dev/null
+++ b/edge/view_test.go
@@ -0,0 +1,100 @@
+package edge
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"samphirehitch.example/samphirehitch/process/entrysettings"
+	"samphirehitch.example/samphirehitch/process/failover"
+	"samphirehitch.example/samphirehitch/process/store"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+// newMirrored returns a daemon whose mirror a test fills.
+func newMirrored(t *testing.T) *Daemon {
+	t.Helper()
+	return New(Options{Settings: entrysettings.Settings{Instance: "self"}, Log: logr.Discard()})
+}
+
+// put writes a key into the mirror.
+func (d *Daemon) put(key string, value []byte, revision store.Revision) {
+	d.mirror.Apply(store.Change{Entry: store.Entry{Key: key, Value: value, Revision: revision}})
+}
+
+func registered(t *testing.T, uses ...topology.ServiceID) []byte {
+	t.Helper()
+	value, err := json.Marshal(registration{Uses: uses})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
+func TestFenceWaitsForEveryDeclaredUser(t *testing.T) {
+	d := newMirrored(t)
+	d.leader.fences = make(map[topology.ServiceID]fence)
+	d.put(instanceKey("a"), registered(t, "s"), 1)
+	d.put(instanceKey("b"), registered(t, "s", "other"), 2)
+	d.put(instanceKey("c"), registered(t, "other"), 3)
+	d.put(groupKey("s"), failover.Record{Primary: "x", Term: 1, Fenced: true, Sequence: 4}.Encode(), 10)
+	d.seen = 10
+	acknowledged := func() bool { return d.view(time.Second, "s").Acknowledged }
+	d.put(yieldKey("s", "a"), []byte(yieldValue(4)), 11)
+	if acknowledged() {
+		t.Fatal("acknowledged without b")
+	}
+	d.put(yieldKey("s", "b"), []byte(yieldValue(3)), 12)
+	if acknowledged() {
+		t.Fatal("an earlier fence's acknowledgement counts")
+	}
+	d.put(yieldKey("s", "b"), []byte(yieldValue(4)), 13)
+	if !acknowledged() {
+		t.Fatal("not acknowledged by a and b")
+	}
+	// A user that registered before the fence may be unknown to a mirror that is
+	// behind it.
+	d.seen = 9
+	if acknowledged() {
+		t.Fatal("acknowledged by a mirror that is behind the fence")
+	}
+	d.seen = 10
+	d.put(instanceKey("d"), registered(t, "s"), 14)
+	if acknowledged() {
+		t.Fatal("a user that declared itself later is not waited for")
+	}
+}
+
+func TestFenceEndsWithTheLastRight(t *testing.T) {
+	d := newMirrored(t)
+	d.leader.fences = make(map[topology.ServiceID]fence)
+	d.put(groupKey("s"), failover.Record{Primary: "x", Term: 1, Fenced: true, Sequence: 1}.Encode(), 10)
+	first := d.view(time.Second, "s").RightsEnd
+	if later := d.view(2*time.Second, "s").RightsEnd; first == 0 || later != first {
+		t.Fatalf("the end moved from %s to %s", first, later)
+	}
+	d.put(groupKey("s"), failover.Record{Primary: "y", Term: 2, Fenced: true, Sequence: 2}.Encode(), 20)
+	if next := d.view(10*time.Second, "s").RightsEnd; next <= first {
+		t.Fatalf("the next fence ends at %s", next)
+	}
+}
+
+func TestOnlySuspicionsOfThePresentPrimaryCount(t *testing.T) {
+	d := newMirrored(t)
+	d.put(instanceKey("a"), registered(t, "s"), 1)
+	d.put(instanceKey("b"), registered(t, "s"), 2)
+	d.put(groupKey("s"), failover.Record{Primary: "y", Term: 2}.Encode(), 10)
+	d.put(suspectKey("s", "a"), []byte("x"), 11)
+	d.put(suspectKey("s", "b"), []byte("y"), 12)
+	if v := d.view(time.Second, "s"); v.Suspects != 1 || v.Instances != 2 {
+		t.Fatalf("%+v", v)
+	}
+}
+
+func TestKeysNameTheirOwner(t *testing.T) {
+	if service, instance := cutOwner(prefixSuspects, suspectKey("s", "edge-1")); service != "s" || instance != "edge-1" {
+		t.Fatalf("%s, %s", service, instance)
+	}
+}
