Let only users of primaries hold the promotion duty

Cause: instances that only relay watch only the project's keys, so one of them that took the duty would decide on targets that it does not follow (found by reading the diff; possible where more instances are there than users, as on the grown sites). The test fails without the check.

--- a/edge/duty.go
+++ b/edge/duty.go
@@ -21,9 +21,15 @@
 	dutyInterval = 450 * time.Millisecond
 )
 
+// mayHoldDuty reports whether this instance knows enough to order promotions: one
+// that only relays work does not follow the targets.
+func (d *Daemon) mayHoldDuty() bool {
+	return !d.stopping.Load() && len(d.declaredUses()) > 0 && d.tenure.Registered(d.clock())
+}
+
 // holdDuty reports whether this instance holds the duty, and takes a free one.
 func (d *Daemon) holdDuty(ctx context.Context) bool {
-	if d.stopping.Load() || !d.tenure.Registered(d.clock()) {
+	if !d.mayHoldDuty() {
 		return false
 	}
 	d.mu.Lock()
--- a/edge/view_test.go
+++ b/edge/view_test.go
@@ -98,3 +98,17 @@
 		t.Fatalf("%s, %s", service, instance)
 	}
 }
+
+// An instance that only relays work does not follow the targets, so it must not
+// order promotions.
+func TestRelayingInstanceTakesNoDuty(t *testing.T) {
+	d := newMirrored(t)
+	d.tenure.Renewed(d.clock())
+	if d.mayHoldDuty() {
+		t.Fatal("an instance without declared services may hold the duty")
+	}
+	d.declared = []topology.ServiceID{"s"}
+	if !d.mayHoldDuty() {
+		t.Fatal("a user of primaries may not hold the duty")
+	}
+}
