Ask for links to the homes with every operation

Cause: in a fleet above 32 instances links are opened on demand, and an operation asked for one only when no instance at all could be reached. An instance that was linked to a backup, because that one is the home of other services, sent all work of the service there for good. A backup holds one connection to each target.

Ruled out: different views of the homes (all 63 instances logged the same count), too few connections at the homes (124 each), lags.

Test: TestWorkReturnsToAHomeThatHadNoLink, 0 of 3 statements at the home before.

--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -307,6 +307,7 @@
 // This instance itself is chosen only while it is fit, or when no other is left.
 func (r *Relay) place(service topology.ServiceID, customer topology.CustomerID, excluded []topology.InstanceID) (topology.InstanceID, bool) {
 	end := r.Clock() + linkPatience
+	r.wantHomes(service)
 	if !r.Fit() || !r.upToDate() {
 		if to, ok := r.choose(service, customer, append(slices.Clone(excluded), r.Self)); ok {
 			return to, ok
@@ -317,10 +318,18 @@
 		if ok || r.Clock() >= end {
 			return to, ok
 		}
-		for _, id := range r.places.Load().homes.Homes(service) {
+		r.wantHomes(service)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// wantHomes has missing links to the homes of a service opened. Without it work that
+// a backup took while a home had no link would stay with the backup.
+func (r *Relay) wantHomes(service topology.ServiceID) {
+	for _, id := range r.places.Load().homes.Homes(service) {
+		if id != r.Self {
 			r.Link.Want(id)
 		}
-		time.Sleep(10 * time.Millisecond)
 	}
 }
 
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -99,6 +99,8 @@
 	relays map[topology.InstanceID]*Relay
 	// cut loses messages to an instance; down says that it has no link.
 	cut, down map[topology.InstanceID]bool
+	// reopen lets wanted links open again.
+	reopen bool
 	// unfit instances have no fresh rights.
 	unfit map[topology.InstanceID]bool
 }
@@ -128,7 +130,15 @@
 }
 
 func (end) Reset(topology.InstanceID) {}
-func (end) Want(topology.InstanceID)  {}
+
+// Want opens a link that has ended, when the network allows it.
+func (e end) Want(id topology.InstanceID) {
+	e.network.mu.Lock()
+	defer e.network.mu.Unlock()
+	if e.network.reopen {
+		delete(e.network.down, id)
+	}
+}
 
 // fleet is two homes, h1 and h2, and an instance e that has callers.
 type fleet struct {
@@ -227,6 +237,22 @@
 	}
 }
 
+// A large fleet keeps no links that nobody asks for. Work that another instance took
+// while the home had none must not stay there.
+func TestWorkReturnsToAHomeThatHadNoLink(t *testing.T) {
+	f := newFleet(t)
+	first, other := f.homes()
+	f.network.reopen = true
+	f.lose(first, f.network.down)
+	c := f.converse()
+	for range 3 {
+		f.run(c, statement.Write, statement.OK)
+	}
+	if home, elsewhere := len(f.targets[first].texts()), len(f.targets[other].texts()); home < 2 {
+		t.Fatalf("%d statements at the home, %d elsewhere", home, elsewhere)
+	}
+}
+
 func TestWriteToASilentHomeIsInDoubtAndNotRepeated(t *testing.T) {
 	f := newFleetWith(t, 100*time.Millisecond)
 	first, other := f.homes()
