Hold calls back while the store is away; confirm at once when a primary comes into use

Cause: during an outage of the store five loops of every instance tried again each 100 to 250 ms, and every call costs. Change: process/store/outage counts failures in a row; after two, one call each 500 ms goes out besides renewals, which cost a tenth; a renewal that is answered releases what waits. Renewals are made every 0.3 s meanwhile, with a time-out of 0.5 s.

It now confirms when it declares the use. And registrations reach relaying instances after 0.3 s again, other changes after 1 s.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -79,7 +79,7 @@
 type Daemon struct {
 	settings entrysettings.Settings
 	adapter  Adapter
-	store    store.Transactor
+	store    *sparingStore
 	orders   failover.Orders
 	prober   *prober
 	log      logr.Logger
@@ -143,7 +143,7 @@
 // New returns a daemon that Run starts.
 func New(o Options) *Daemon {
 	d := &Daemon{
-		settings: o.Settings, adapter: o.Adapter, store: o.Store, orders: o.Orders,
+		settings: o.Settings, adapter: o.Adapter, store: newSparingStore(o.Store, clock.Boot()), orders: o.Orders,
 		prober: newProber(o.Dialer, o.Adapter.DecodeStatus),
 		log:    o.Log, dropped: o.Dropped, clock: clock.Boot(), metrics: newMetrics(),
 		tenure:      tenure.New(o.Settings.WithdrawalLimit - keyMargin),
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -29,7 +29,7 @@
 	// uses primaries: several fit into the span of a right, so that a single lost
 	// one costs nothing.
 	usingConfirmInterval = 1400 * time.Millisecond
-	// confirmTimeout bounds a confirmation: a store slowed 60 times answers in 240 ms,
+	// confirmTimeout bounds a confirmation or a renewal: a store slowed 60 times answers in 240 ms,
 	// and two more tries fit into the span of a right.
 	confirmTimeout = 500 * time.Millisecond
 	// relayingConfirmInterval is that of an instance that hands all work to
@@ -98,7 +98,7 @@
 			after = max(after, asOf)
 			d.apply(changes)
 			d.sawUntil(after)
-			pause(ctx, d.batchPause(changes))
+			d.collect(ctx, d.batchPause(changes))
 		}
 	}
 	return nil
@@ -138,6 +138,18 @@
 	return changes, asOf, err
 }
 
+// collect lets changes collect before the next watch, unless the instance's role
+// changes meanwhile.
+func (d *Daemon) collect(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-d.roleWake:
+	}
+}
+
 // Pauses between watches, in which changes collect: those who neither lead nor use
 // primaries need not hear of every change at once, and in a large fleet each
 // change would cost a call of every instance.
@@ -146,8 +158,10 @@
 	// settlingPause follows changes of the configuration or of registrations alone,
 	// which come in quick succession and have seconds to take effect.
 	settlingPause = 150 * time.Millisecond
-	// longPause is that of instances that only relay: they learn from their links
-	// which homes live.
+	// relayingPause follows registrations on instances that only relay, which decide
+	// where these send work.
+	relayingPause = 300 * time.Millisecond
+	// longPause follows all other changes there: these concern the homes.
 	longPause = time.Second
 )
 
@@ -156,15 +170,25 @@
 	d.mu.Lock()
 	relays := len(d.declared) == 0 && string(d.mirror.Get(keyDuty).Value) != d.incarnation()
 	d.mu.Unlock()
-	if relays {
-		return longPause
-	}
+	registrations, others := false, false
 	for _, change := range changes {
-		if change.Key != d.adapter.ConfigurationKey && !strings.HasPrefix(change.Key, prefixInstances) {
-			return briefPause
+		switch {
+		case strings.HasPrefix(change.Key, prefixInstances):
+			registrations = true
+		case change.Key != d.adapter.ConfigurationKey:
+			others = true
 		}
 	}
-	return settlingPause
+	switch {
+	case relays && registrations:
+		return relayingPause
+	case relays:
+		return longPause
+	case others:
+		return briefPause
+	default:
+		return settlingPause
+	}
 }
 
 // listAll reads everything that the daemon follows.
--- a/edge/register.go
+++ b/edge/register.go
@@ -61,6 +61,9 @@
 		case d.clock() >= renewAt:
 			renewAt = d.clock() + renewInterval
 			d.renew(ctx)
+			if d.store.away() {
+				renewAt = 0 // renewals find the store back at a tenth of the price
+			}
 		}
 		if d.lease == 0 {
 			pause(ctx, retryPause)
@@ -187,7 +190,7 @@
 // renew keeps the lease.
 func (d *Daemon) renew(ctx context.Context) {
 	asked := d.clock()
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	err := d.store.KeepAlive(callCtx, d.lease)
 	switch {
@@ -219,6 +222,7 @@
 	}
 	d.declared = uses
 	d.mu.Unlock()
+	d.wakeConfirm() // its rights need confirmations in shorter intervals from now on
 	for service, record := range fenced {
 		go d.yield(service, record)
 	}
--- a/edge/view_test.go
+++ b/edge/view_test.go
@@ -112,3 +112,18 @@
 		t.Fatal("a user of primaries may not hold the duty")
 	}
 }
+
+// An instance that only relayed confirms rarely. One that comes to use a primary asks
+// at once, or its first right would end before the next confirmation.
+func TestNewUserOfAPrimaryConfirmsAtOnce(t *testing.T) {
+	d := newMirrored(t)
+	d.declare([]topology.ServiceID{"s"})
+	select {
+	case <-d.confirmWake:
+	default:
+		t.Fatal("the confirmations are not woken")
+	}
+	if d.confirmInterval() != usingConfirmInterval {
+		t.Fatalf("confirms every %s", d.confirmInterval())
+	}
+}
