Give backups a tenth of each target's connections

A caller that rested in a transaction held it: for 2 s nothing ran (238 requests). Ruled out: a failover (the primary worked throughout), rights of the backup.

The division moved to process/home, with tests.

--- a/edge/shares.go
+++ b/edge/shares.go
@@ -16,14 +16,8 @@
 	"samphirehitch.example/samphirehitch/version/catalog"
 )
 
-// Figures of the division of connections.
-const (
-	// reservedConnections are kept of each target's connections for status
-	// requests.
-	reservedConnections = 1
-	// shareInterval is the least time between divisions.
-	shareInterval = 100 * time.Millisecond
-)
+// shareInterval is the least time between divisions.
+const shareInterval = 100 * time.Millisecond
 
 // shareLoop divides work and limits anew when something that decides the division
 // has changed, in intervals, since instances come and go in groups.
@@ -63,7 +57,7 @@
 	d.relay.Place(homes, spread(c), d.cutOff())
 	connections := make(map[topology.ServiceID]int, len(c.Services))
 	for id, service := range c.Services {
-		connections[id] = d.connectionShare(service, homes)
+		connections[id] = homes.Connections(d.settings.Instance, id, service.MaxConnections)
 	}
 	d.engine.SetUses(d.declaredUses())
 	d.engine.SetShares(connections, d.rateShares(c, homes, sharers))
@@ -156,16 +150,6 @@
 	return home.Spread(customers)
 }
 
-// connectionShare returns how many connections this instance may hold to each
-// target of a service: one as a backup, a part of the rest as a home.
-func (d *Daemon) connectionShare(service catalog.Service, homes home.Assignment) int {
-	at := homes.Homes(service.ID)
-	if !slices.Contains(at, d.settings.Instance) {
-		return 1
-	}
-	return max(1, (service.MaxConnections-reservedConnections-len(homes.Backups(service.ID)))/len(at))
-}
-
 // rateShares returns this instance's part of each customer's rate.
 func (d *Daemon) rateShares(c *catalog.Catalog, homes home.Assignment, sharers []topology.InstanceID) map[topology.CustomerID]float64 {
 	customers := spread(c)
