Let homes that the store turns away read configurations from their callers' instances

The answer carries the age of that instance's confirmation, counted from when the question was asked. Instances that only relay ask a home while the store is away. A refusal is not delayed any more by a confirmation that cannot be had.

Ruled out: sending the configuration with each decline (40 instances would send 60 KB each); working on with the older version (regresses that a target has seen the end of).

Test: TestHomeReadsAConfigurationThatItsCallerHasSeen. TestHomeWithAnOlderConfigurationDeclines stays, with peers that tell nothing.

--- a/edge/confirm.go
+++ b/edge/confirm.go
@@ -31,18 +31,37 @@
 }
 
 // noteConfirmation takes a home's word on the newest configuration. One that this
-// instance lacks is read from the store.
-func (d *Daemon) noteConfirmation(revision store.Revision, at time.Duration) {
+// instance lacks is read from the store, or from the home while the store is away.
+func (d *Daemon) noteConfirmation(from topology.InstanceID, revision store.Revision, at time.Duration) {
 	c := d.engine.Catalog()
 	switch {
 	case c == nil:
 	case c.Revision == revision:
 		d.tenure.ConfirmedElsewhere(at)
+	case c.Revision < revision && d.store.away():
+		d.relay.AskConfiguration(from)
 	case c.Revision < revision:
 		d.wakeConfirm()
 	}
 }
 
+// configuration returns the configuration as the store holds it.
+func (d *Daemon) configuration() store.Entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mirror.Get(d.adapter.ConfigurationKey)
+}
+
+// takeConfiguration takes a configuration that a peer has read from the store. It was
+// the newest at a time, negative when unknown.
+func (d *Daemon) takeConfiguration(from topology.InstanceID, revision store.Revision, value []byte, at time.Duration) {
+	eventConfigTold.Log(d.log, "peer", from, "revision", revision, "confirmed_age_ms", (d.clock() - at).Milliseconds())
+	d.apply([]store.Change{{Entry: store.Entry{Key: d.adapter.ConfigurationKey, Value: value, Revision: revision}}})
+	if c := d.engine.Catalog(); at >= 0 && c != nil && c.Revision == revision {
+		d.tenure.ConfirmedElsewhere(at)
+	}
+}
+
 // confirmInterval returns the pause between confirmations. An instance that runs no
 // statements itself leaves the authorization of its callers' work to the homes.
 func (d *Daemon) confirmInterval() time.Duration {
@@ -60,7 +79,7 @@
 	if age := d.tenure.Age(d.clock()); age >= 0 && age <= d.clock()-asked {
 		return
 	}
-	if d.clock() < d.confirmAgainAt {
+	if d.clock() < d.confirmAgainAt || d.store.away() {
 		return
 	}
 	if !d.confirmOnce(d.ctx) {
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -163,7 +163,8 @@
 	d.mesh = peer.New(peer.Config{Instance: o.Settings.Instance, FailureDomain: o.Settings.FailureDomain,
 		Address: o.Settings.PeerAddress, Dial: o.Adapter.DialPeer}, o.Log)
 	d.relay = relay.New(relay.Dependencies{Self: o.Settings.Instance, Born: d.born, Engine: d.engine, Link: d.mesh,
-		Clock: d.clock, Log: o.Log, Stopping: d.stopping.Load, Fit: d.fit, OnConfirmed: d.noteConfirmation, OnNeeds: d.noteNeeds})
+		Clock: d.clock, Log: o.Log, Stopping: d.stopping.Load, Fit: d.fit, OnConfirmed: d.noteConfirmation,
+		Configuration: d.configuration, OnConfiguration: d.takeConfiguration, OnNeeds: d.noteNeeds})
 	d.mesh.Handle(peer.KindRelay, d.relay.Receive)
 	d.mesh.OnDown(d.relay.Lost)
 	d.metrics.watch(d)
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -20,6 +20,7 @@
 	eventConfigBroken = event.Define(2104, event.Failure, "configuration cannot be read, the last good one stays")
 	eventTargetBroken = event.Define(2105, event.Warning, "target's entry names no target to use")
 	eventTargets      = event.Define(2106, event.Info, "targets changed")
+	eventConfigTold   = event.Define(2107, event.Info, "configuration told by a peer")
 	eventRecord       = event.Define(4100, event.Info, "record of a primary changed")
 )
 
--- a/request/relay/message.go
+++ b/request/relay/message.go
@@ -26,6 +26,26 @@
 	Pong uint64 `cbor:"5,keyasint,omitempty"`
 	// Needs is the sender's demand by customer.
 	Needs share.Needs `cbor:"6,keyasint,omitempty"`
+	// Ask asks for a newer configuration, and Told is one.
+	Ask  *ask  `cbor:"7,keyasint,omitempty"`
+	Told *told `cbor:"8,keyasint,omitempty"`
+}
+
+// ask asks a peer for its configuration if that is newer than a version.
+type ask struct {
+	Version uint64 `cbor:"1,keyasint"`
+	// At is the asker's clock.
+	At time.Duration `cbor:"2,keyasint"`
+}
+
+// told is a configuration as the store holds it.
+type told struct {
+	Revision store.Revision `cbor:"1,keyasint"`
+	Value    []byte         `cbor:"2,keyasint"`
+	// Age is how long ago the store was asked to confirm it, negative when it was
+	// not. At repeats the question's.
+	Age time.Duration `cbor:"3,keyasint"`
+	At  time.Duration `cbor:"4,keyasint"`
 }
 
 // sessionID names a session of a process.
--- a/request/relay/operations.go
+++ b/request/relay/operations.go
@@ -5,7 +5,6 @@
 
 	"samphirehitch.example/samphirehitch/connection/client"
 	"samphirehitch.example/samphirehitch/process/statement"
-	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/request/perform"
 )
@@ -114,7 +113,7 @@
 	r.decidedBy(answer.Version)
 	if answer.Confirmed != 0 {
 		// The home gave its age after the request was sent, so this is not too young.
-		r.OnConfirmed(answer.Confirmed, c.since-answer.ConfirmedAge)
+		r.OnConfirmed(to, answer.Confirmed, c.since-answer.ConfirmedAge)
 	}
 	if answer.Floor.Reaches(s.Floor) {
 		s.Floor, s.FloorAt = answer.Floor, r.Clock()-answer.FloorAge
@@ -122,16 +121,6 @@
 	return answer.Answer, replied
 }
 
-// confirmation returns the revision of the configuration in force here and how long
-// ago the store was asked to confirm it, zero when it was not.
-func (r *Relay) confirmation() (store.Revision, time.Duration) {
-	c, age := r.Engine.Catalog(), r.Engine.Tenure.Age(r.Clock())
-	if c == nil || age < 0 {
-		return 0, 0
-	}
-	return c.Revision, age
-}
-
 // decidedBy notes the version of a configuration that decided for a caller here.
 // Later work must not be decided by an older one.
 func (r *Relay) decidedBy(version uint64) {
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -69,7 +69,12 @@
 	Fit func() bool
 	// OnConfirmed takes a home's word that the configuration of a revision was the
 	// newest at a time.
-	OnConfirmed func(revision store.Revision, at time.Duration)
+	OnConfirmed func(from topology.InstanceID, revision store.Revision, at time.Duration)
+	// Configuration returns the configuration in force as the store holds it.
+	Configuration func() store.Entry
+	// OnConfiguration takes a configuration that a peer told. It was the newest at a
+	// time, negative when unknown.
+	OnConfiguration func(from topology.InstanceID, revision store.Revision, value []byte, at time.Duration)
 	// OnNeeds takes the demand that a peer tells.
 	OnNeeds func(from topology.InstanceID, needs share.Needs)
 }
@@ -86,6 +91,8 @@
 	mu       sync.Mutex
 	pending  map[uint64]*call
 	liveness map[topology.InstanceID]*liveness
+	// askedAt is when a peer was last asked for its configuration.
+	askedAt time.Duration
 }
 
 // places says where work goes.
@@ -167,6 +174,10 @@
 		go r.server.end(remoteSession{instance: from, id: *m.End})
 	case len(m.Needs) > 0:
 		r.OnNeeds(from, m.Needs)
+	case m.Ask != nil:
+		r.tell(from, m.Ask)
+	case m.Told != nil:
+		r.told(from, m.Told)
 	case m.Ping != 0:
 		r.send(from, &message{Pong: m.Ping})
 	}
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -105,6 +105,8 @@
 	cut, down map[topology.InstanceID]bool
 	// reopen lets wanted links open again.
 	reopen bool
+	// mute instances take no configuration from peers.
+	mute bool
 	// unfit instances have no fresh rights.
 	unfit map[topology.InstanceID]bool
 }
@@ -152,6 +154,8 @@
 	told    map[topology.InstanceID]share.Needs
 	// confirmed is what homes said of the configuration.
 	confirmed []confirmation
+	// toldAt is when configurations that peers told were confirmed.
+	toldAt []time.Duration
 }
 
 type confirmation struct {
@@ -191,7 +195,20 @@
 				defer f.network.mu.Unlock()
 				return !f.network.unfit[id]
 			},
-			OnConfirmed: func(revision store.Revision, at time.Duration) {
+			Configuration: func() store.Entry {
+				return store.Entry{Revision: engine.Catalog().Revision, Value: []byte("of " + id)}
+			},
+			OnConfiguration: func(_ topology.InstanceID, revision store.Revision, _ []byte, at time.Duration) {
+				f.network.mu.Lock()
+				defer f.network.mu.Unlock()
+				if !f.network.mute {
+					newer := *engine.Catalog()
+					newer.Version, newer.Revision = 2, revision
+					engine.SetCatalog(&newer)
+					f.toldAt = append(f.toldAt, at)
+				}
+			},
+			OnConfirmed: func(_ topology.InstanceID, revision store.Revision, at time.Duration) {
 				f.confirmed = append(f.confirmed, confirmation{revision, at})
 			},
 			OnNeeds: func(from topology.InstanceID, needs share.Needs) { f.told[from] = needs }})
@@ -340,6 +357,7 @@
 
 func TestHomeWithAnOlderConfigurationDeclines(t *testing.T) {
 	f := newFleet(t)
+	f.network.mute = true
 	first, other := f.homes()
 	for _, id := range []topology.InstanceID{"e", other} {
 		engine := f.network.relays[id].Engine
@@ -353,6 +371,29 @@
 	}
 }
 
+// Both homes are cut off from the store when a key is withdrawn. They read the
+// configuration from the instance that has seen it, rather than leave the service
+// without a home.
+func TestHomeReadsAConfigurationThatItsCallerHasSeen(t *testing.T) {
+	f := newFleet(t)
+	first, _ := f.homes()
+	e := f.network.relays["e"]
+	newer := *e.Engine.Catalog()
+	newer.Version, newer.Revision = 2, 9
+	e.Engine.SetCatalog(&newer)
+	f.targets["e"].age = time.Second
+	f.run(f.converse(), statement.Write, statement.OK)
+	if ran := f.targets[first].texts(); len(ran) != 1 {
+		t.Fatalf("at the home %v", ran)
+	}
+	if c := f.network.relays[first].Engine.Catalog(); c.Version != 2 || c.Revision != 9 {
+		t.Fatalf("version %d, revision %d at the home", c.Version, c.Revision)
+	}
+	if at := f.toldAt[0]; at > e.Clock()-time.Second {
+		t.Fatalf("a confirmation of a second ago counts as of %v ago", e.Clock()-at)
+	}
+}
+
 // An instance that only relays learns from answers that its configuration is the
 // newest, without calls to the store. What it learns is never younger than what the
 // home knows.
--- a/request/relay/server.go
+++ b/request/relay/server.go
@@ -144,8 +144,7 @@
 		}
 		return tx, open
 	}
-	c := s.relay.Engine.Catalog()
-	if c == nil || c.Version < q.Version || s.relay.Stopping() || !s.relay.Fit() {
+	if s.relay.Stopping() || !s.relay.awaitVersion(key.instance, q.Version) || !s.relay.Fit() {
 		return nil, false
 	}
 	session := client.NewSession(s.number(key), q.Database, q.Key)
