Admit operations on other instances' parts of a customer's limit

Load: a small customer whose operations go to one home of each of eight services. Its parts hold five operations of a window each; chance puts more on one of them and little on the others, and what came below the limit was refused.

Change: an instance whose part is used up asks up to three others, the likeliest first, to admit the operation on theirs. They count it in their own window, so the sum holds whatever the views are. After a refusal by all the customer is not asked for during 0.1 s. Parts are rounded to whole operations (eight at most over 16 instances, of 20 tolerated), and a customer may spend its whole burst on one instance within that instance's part of a window.

Ruled out: one keeper for each customer (a round trip for every operation, and two keepers where views differ).

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -136,6 +136,9 @@
 	// sharers divide the customers' rates; needs is the demand at each.
 	sharers []topology.InstanceID
 	needs   map[topology.InstanceID]share.Needs
+	// division is how the customers' rates are divided now.
+	division  rateDivision
+	borrowing share.Borrowing
 	// logged is what logChange logged last by subject.
 	logged map[string]string
 }
@@ -157,7 +160,7 @@
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.suspects = newSuspects(d)
 	d.engine = perform.NewEngine(perform.Dependencies{
-		FailureDomain: o.Settings.FailureDomain, RateWindow: o.Settings.RateWindow, Clock: d.clock, Tenure: d.tenure, Confirm: d.confirmNow, Dialer: o.Dialer,
+		FailureDomain: o.Settings.FailureDomain, RateWindow: o.Settings.RateWindow, Clock: d.clock, Tenure: d.tenure, Borrow: d.borrow, Confirm: d.confirmNow, Dialer: o.Dialer,
 		Reachability: d.suspects, Observer: d.metrics, Log: o.Log,
 	})
 	d.mesh = peer.New(peer.Config{Instance: o.Settings.Instance, FailureDomain: o.Settings.FailureDomain,
--- a/edge/shares.go
+++ b/edge/shares.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -152,29 +153,72 @@
 
 // rateShares returns this instance's part of each customer's rate.
 func (d *Daemon) rateShares(c *catalog.Catalog, homes home.Assignment, sharers []topology.InstanceID) map[topology.CustomerID]float64 {
-	customers := spread(c)
+	fractions := make(map[topology.CustomerID]float64, len(c.Customers))
+	if !slices.Contains(sharers, d.settings.Instance) {
+		return fractions
+	}
+	division := rateDivision{catalog: c, homes: homes, sharers: sharers, spread: spread(c)}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	totals := make(map[topology.CustomerID]float64, len(c.Customers))
-	for _, id := range sharers {
-		for customer, need := range d.needs[id] {
-			totals[customer] += need
-		}
+	d.division = division
+	for id := range c.Customers {
+		fractions[id] = division.claim(id, d.settings.Instance, d.needs).Fraction()
 	}
-	mine := d.needs[d.settings.Instance]
-	sharing := slices.Contains(sharers, d.settings.Instance)
-	fractions := make(map[topology.CustomerID]float64, len(c.Customers))
-	if !sharing {
-		return fractions
+	return fractions
+}
+
+// rateDivision is what the division of customers' rates follows from.
+type rateDivision struct {
+	catalog *catalog.Catalog
+	homes   home.Assignment
+	sharers []topology.InstanceID
+	// spread is the index of each customer's home.
+	spread map[topology.CustomerID]int
+}
+
+// claim returns what an instance's part of a customer's limit follows from.
+func (v rateDivision) claim(id topology.CustomerID, at topology.InstanceID, needs map[topology.InstanceID]share.Needs) share.Claim {
+	claim := share.Claim{Need: needs[at][id], Rate: v.catalog.Customers[id].Rate, Services: len(v.catalog.Services), Instances: len(v.sharers)}
+	for _, sharer := range v.sharers {
+		claim.Total += needs[sharer][id]
 	}
-	for id, customer := range c.Customers {
-		claim := share.Claim{Need: mine[id], Total: totals[id], Rate: customer.Rate, Services: len(c.Services), Instances: len(sharers)}
-		for service := range c.Services {
-			if at := homes.Homes(service); len(at) > 0 && at[customers[id]%len(at)] == d.settings.Instance {
-				claim.Roles++
-			}
+	for service := range v.catalog.Services {
+		if homes := v.homes.Homes(service); len(homes) > 0 && homes[v.spread[id]%len(homes)] == at {
+			claim.Roles++
 		}
-		fractions[id] = claim.Fraction()
 	}
-	return fractions
+	return claim
+}
+
+// lenders returns the other instances with what their parts of a customer's limit
+// leave, as far as is known here.
+func (v rateDivision) lenders(id topology.CustomerID, self topology.InstanceID, needs map[topology.InstanceID]share.Needs) []share.Lender {
+	lenders := make([]share.Lender, 0, len(v.sharers))
+	for _, sharer := range v.sharers {
+		if sharer != self {
+			claim := v.claim(id, sharer, needs)
+			lenders = append(lenders, share.Lender{Instance: sharer, Spare: claim.Fraction()*claim.Rate - claim.Need})
+		}
+	}
+	return lenders
+}
+
+// borrow asks other instances to admit an operation of a customer whose part here is
+// used up.
+func (d *Daemon) borrow(id topology.CustomerID) bool {
+	now := d.clock()
+	d.mu.Lock()
+	if d.division.catalog == nil || !d.borrowing.May(now, id) {
+		d.mu.Unlock()
+		return false
+	}
+	candidates := d.division.lenders(id, d.settings.Instance, d.needs)
+	d.mu.Unlock()
+	if d.relay.Borrow(share.Lenders(candidates, rand.Float64()), id) {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.borrowing.Refused(now, id)
+	return false
 }
--- a/process/share/bucket.go
+++ b/process/share/bucket.go
@@ -36,7 +36,11 @@
 // smooths bursts, and a count of the last window that bounds them. It is not safe
 // for concurrent use.
 type Bucket struct {
-	limit    Limit
+	// limit is this instance's part of the customer's limit, wholeBurst the
+	// customer's burst.
+	limit      Limit
+	wholeBurst float64
+
 	level    float64
 	at       time.Duration
 	demand   float64
@@ -58,13 +62,13 @@
 
 // NewBucket returns a bucket with this instance's fraction of a limit.
 func NewBucket(now time.Duration, limit Limit, fraction float64) *Bucket {
-	return &Bucket{limit: limit.part(fraction), level: startShare * limit.Burst * fraction, at: now, demandAt: now, started: now, slot: int64(now / (limit.Window / windowSlots))}
+	return &Bucket{limit: limit.part(fraction), wholeBurst: limit.Burst, level: startShare * limit.Burst * fraction, at: now, demandAt: now, started: now, slot: int64(now / (limit.Window / windowSlots))}
 }
 
 // Resize changes the part. Tokens above the new burst are lost; none are added.
 func (b *Bucket) Resize(now time.Duration, limit Limit, fraction float64) {
 	b.settle(now)
-	b.limit = limit.part(fraction)
+	b.limit, b.wholeBurst = limit.part(fraction), limit.Burst
 	b.level = min(b.level, b.capacity())
 }
 
@@ -72,8 +76,11 @@
 // count of the window bounds what passes in all.
 const leastCapacity = 3
 
-// capacity is the most that the bucket holds.
-func (b *Bucket) capacity() float64 { return max(b.limit.Burst, leastCapacity) }
+// capacity is the most that the bucket holds. A customer may spend its whole burst
+// on one instance, as far as that instance's part of a window allows.
+func (b *Bucket) capacity() float64 {
+	return max(b.limit.Burst, leastCapacity, min(b.wholeBurst, b.limit.most()))
+}
 
 func (b *Bucket) settle(now time.Duration) {
 	if now > b.at {
@@ -111,7 +118,24 @@
 func (b *Bucket) Take(now, patience time.Duration) (time.Duration, bool) {
 	b.settle(now)
 	b.count(now)
-	if b.inWindow()+1 > max(b.limit.most(), 1) {
+	return b.admit(now, patience)
+}
+
+// Lend admits one operation that another instance runs, at once or not at all. It is
+// no demand of this instance's.
+func (b *Bucket) Lend(now time.Duration) bool {
+	b.settle(now)
+	_, ok := b.admit(now, 0)
+	return ok
+}
+
+// rounding rounds a part of a window to the nearest whole operation: parts of a few
+// operations would lose a tenth by rounding down. Sixteen instances exceed a limit by
+// eight operations at most, of the 20 that are tolerated.
+const rounding = 0.5
+
+func (b *Bucket) admit(now, patience time.Duration) (time.Duration, bool) {
+	if b.inWindow()+1 > max(b.limit.most()+rounding, 1) {
 		return 0, false
 	}
 	wait := time.Duration(0)
--- a/request/perform/engine.go
+++ b/request/perform/engine.go
@@ -40,6 +40,9 @@
 	RateWindow time.Duration
 	Clock      clock.Clock
 	Tenure     Tenure
+	// Borrow asks other instances to admit an operation of a customer on their parts of
+	// its limit; nil when there are none.
+	Borrow func(customer topology.CustomerID) bool
 	// Confirm confirms the configuration with the store, or gives up soon.
 	Confirm      func()
 	Dialer       target.Dialer
@@ -164,6 +167,10 @@
 	}
 }
 
+// Lend admits one operation of a customer that another instance runs on this
+// instance's part of the limit.
+func (e *Engine) Lend(id topology.CustomerID) bool { return e.rates.lend(e.Clock(), id) }
+
 // Needs returns what this instance needs of the customers' rates and whether its
 // present parts press.
 func (e *Engine) Needs() (share.Needs, bool) { return e.rates.needs(e.Clock()) }
@@ -227,6 +234,14 @@
 	return bucket.Take(now, patience)
 }
 
+// lend admits one operation of a customer for another instance.
+func (r *rates) lend(now time.Duration, id topology.CustomerID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	bucket, known := r.buckets[id]
+	return known && bucket.Lend(now)
+}
+
 // describe tells this instance's part of a customer's rate and the demand for it.
 func (r *rates) describe(now time.Duration, id topology.CustomerID) string {
 	r.mu.Lock()
--- a/request/perform/operation.go
+++ b/request/perform/operation.go
@@ -145,6 +145,9 @@
 	if op.customer != "" {
 		patience := time.Duration(float64(op.route.Objective) * ratePatience)
 		wait, ok := e.rates.take(now, patience, op.customer)
+		if !ok && e.Borrow != nil && e.Borrow(op.customer) {
+			wait, ok = 0, true
+		}
 		if !ok {
 			eventRefused.Log(e.Log, "customer", op.customer, "why", "rate", "version", op.version,
 				"wait_ms", wait.Milliseconds(), "part", e.rates.describe(now, op.customer))
--- a/request/relay/message.go
+++ b/request/relay/message.go
@@ -29,6 +29,22 @@
 	// Ask asks for a newer configuration, and Told is one.
 	Ask  *ask  `cbor:"7,keyasint,omitempty"`
 	Told *told `cbor:"8,keyasint,omitempty"`
+	// Borrow asks to admit an operation on the receiver's part of a limit, and Lent
+	// answers.
+	Borrow *borrow `cbor:"9,keyasint,omitempty"`
+	Lent   *lent   `cbor:"10,keyasint,omitempty"`
+}
+
+// borrow names the customer of an operation.
+type borrow struct {
+	ID       uint64              `cbor:"1,keyasint"`
+	Customer topology.CustomerID `cbor:"2,keyasint"`
+}
+
+// lent answers a borrow with the same number.
+type lent struct {
+	ID uint64 `cbor:"1,keyasint"`
+	OK bool   `cbor:"2,keyasint,omitempty"`
 }
 
 // ask asks a peer for its configuration if that is newer than a version.
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -91,6 +91,8 @@
 	mu       sync.Mutex
 	pending  map[uint64]*call
 	liveness map[topology.InstanceID]*liveness
+	// loans are requests to lend that wait for their answers.
+	loans map[uint64]chan bool
 	// askedAt is when a peer was last asked for its configuration.
 	askedAt time.Duration
 }
@@ -132,7 +134,7 @@
 
 // New returns a relay that runs everything here until Place is called.
 func New(d Dependencies) *Relay {
-	r := &Relay{Dependencies: d, pending: make(map[uint64]*call), liveness: make(map[topology.InstanceID]*liveness)}
+	r := &Relay{Dependencies: d, pending: make(map[uint64]*call), loans: make(map[uint64]chan bool), liveness: make(map[topology.InstanceID]*liveness)}
 	r.server = newServer(r)
 	r.places.Store(&places{})
 	return r
@@ -178,6 +180,10 @@
 		r.tell(from, m.Ask)
 	case m.Told != nil:
 		r.told(from, m.Told)
+	case m.Borrow != nil:
+		r.send(from, &message{Lent: &lent{ID: m.Borrow.ID, OK: r.Engine.Lend(m.Borrow.Customer)}})
+	case m.Lent != nil:
+		r.lent(m.Lent)
 	case m.Ping != 0:
 		r.send(from, &message{Pong: m.Ping})
 	}
