Tell demand each 0.9 s at most, and no zeros

Cause: homes told their demand to all others each 0.3 s while any customer pressed on its part, with an entry for every customer. Loans cover what comes in between.

Test: TestEndedDemandDiffers.

--- a/edge/register.go
+++ b/edge/register.go
@@ -26,9 +26,11 @@
 const (
 	// renewInterval leaves three tries before the right ends.
 	renewInterval = 900 * time.Millisecond
-	// needsInterval is the pause between looks at the demand, and between
-	// tellings of it while it presses on this instance's parts.
+	// needsInterval is the pause between looks at the demand.
 	needsInterval = 300 * time.Millisecond
+	// pressedNeedsInterval is the pause between tellings of demand that presses on
+	// this instance's parts: loans cover what comes in between.
+	pressedNeedsInterval = 900 * time.Millisecond
 	// calmNeedsInterval is the pause between tellings of demand that does not.
 	calmNeedsInterval = 1500 * time.Millisecond
 )
@@ -97,7 +99,11 @@
 func (d *Daemon) tellNeeds() {
 	needs, pressed := d.engine.Needs()
 	now := d.clock()
-	if len(needs) == 0 || !pressed && now-d.toldAt < calmNeedsInterval && !differ(needs, d.told) {
+	interval := calmNeedsInterval
+	if pressed {
+		interval = pressedNeedsInterval
+	}
+	if len(needs) == 0 && len(d.told) == 0 || now-d.toldAt < interval && !differ(needs, d.told) {
 		return
 	}
 	d.toldAt, d.told = now, needs
@@ -117,6 +123,11 @@
 
 // differ reports whether demands differ so much that others should know.
 func differ(a, b share.Needs) bool {
+	return exceeds(a, b) || exceeds(b, a)
+}
+
+// exceeds reports whether some need of a is far from that of b.
+func exceeds(a, b share.Needs) bool {
 	for id, need := range a {
 		if change := math.Abs(need - b[id]); change > negligibleNeed && change > needsChange*max(need, b[id]) {
 			return true
--- a/edge/view_test.go
+++ b/edge/view_test.go
@@ -9,6 +9,7 @@
 
 	"samphirehitch.example/samphirehitch/process/entrysettings"
 	"samphirehitch.example/samphirehitch/process/failover"
+	"samphirehitch.example/samphirehitch/process/share"
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
@@ -127,3 +128,14 @@
 		t.Fatalf("confirms every %s", d.confirmInterval())
 	}
 }
+
+// Needs that are zero are not told, so one that ended is missing in the later of two.
+func TestEndedDemandDiffers(t *testing.T) {
+	before := share.Needs{"k": 20, "j": 1}
+	if !differ(share.Needs{"j": 1}, before) || !differ(before, share.Needs{"j": 1}) {
+		t.Fatal("a demand of 20 a second that ended is no change")
+	}
+	if differ(share.Needs{"k": 20}, before) || differ(share.Needs{"k": 22, "j": 1}, before) {
+		t.Fatal("a negligible change is told")
+	}
+}
--- a/request/perform/engine.go
+++ b/request/perform/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -263,7 +264,9 @@
 	pressed := false
 	for id, bucket := range r.buckets {
 		demand := bucket.Demand(now)
-		needs[id] = float64(int(demand*10)) / 10
+		if need := math.Round(demand*10) / 10; need > 0 {
+			needs[id] = need
+		}
 		pressed = pressed || bucket.Pressed(now, pressedShare)
 	}
 	return needs, pressed
