Pass work for primaries on from homes that cannot use them; relaying instances watch instances only

Cause: a home that lacked the right to a primary, or a way to it, kept work for it 0.4 s although the other home could have run it. And each change of a record, a usage, an acknowledgement or a suspicion woke every instance of the fleet.

Change: such a home declines at once; the sender tries the other home and the backups, and asks again each 50 ms for 0.4 s, as long as work waited before. What an instance uses is a key of its own; instances that only relay watch registrations alone, and only a watch of everything vouches for the mirror. An empty usage replaces that of an earlier process.

Tests: TestHomeThatCannotUseThePrimaryPassesWorkOn, TestWorkWaitsALittleForARightToThePrimary, TestPartialWatchDoesNotVouchForUsers.

--- a/edge/confirm.go
+++ b/edge/confirm.go
@@ -110,7 +110,7 @@
 
 // expectations lists the keys to confirm at their mirrored revisions.
 func (d *Daemon) expectations() ([]store.Expectation, bool) {
-	services := d.engine.Services()
+	services, relays := d.engine.Services(), d.relaysOnly()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.listed {
@@ -118,6 +118,9 @@
 	}
 	config := d.mirror.Get(d.adapter.ConfigurationKey)
 	expected := []store.Expectation{{Key: config.Key, Revision: config.Revision}}
+	if relays {
+		return expected, true
+	}
 	for _, service := range services {
 		key := groupKey(service)
 		expected = append(expected, store.Expectation{Key: key, Revision: d.mirror.Get(key).Revision})
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -97,25 +97,39 @@
 		default:
 			retry.reset()
 			after = max(after, asOf)
-			d.apply(changes)
-			d.sawUntil(after)
+			d.watched(prefix, changes, after)
 			d.collect(ctx, d.batchPause(changes))
 		}
 	}
 	return nil
 }
 
+// watched applies what a watch of a prefix has returned, up to a revision. Only a watch
+// of everything vouches for the mirror as a whole.
+func (d *Daemon) watched(prefix string, changes []store.Change, until store.Revision) {
+	d.apply(changes)
+	if prefix == "" {
+		d.sawUntil(until)
+	}
+}
+
 // followed returns the prefix that this instance watches. One that runs no
-// statements needs no targets, and learns of configurations by its confirmations.
+// statements needs to know the instances only, and learns of configurations from
+// answers.
 func (d *Daemon) followed() string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if len(d.uses) == 0 && d.engine.Catalog() != nil {
-		return prefixOwn
+	if d.relaysOnly() {
+		return prefixInstances
 	}
 	return ""
 }
 
+// relaysOnly reports that this instance hands all work to others.
+func (d *Daemon) relaysOnly() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.uses) == 0 && d.engine.Catalog() != nil
+}
+
 // watchUntilRoleChange watches a prefix. It returns no revision when this
 // instance's role changes meanwhile.
 func (d *Daemon) watchUntilRoleChange(ctx context.Context, prefix string, after store.Revision) ([]store.Change, store.Revision, error) {
@@ -159,11 +173,8 @@
 	// settlingPause follows changes of the configuration or of registrations alone,
 	// which come in quick succession and have seconds to take effect.
 	settlingPause = 150 * time.Millisecond
-	// relayingPause follows registrations on instances that only relay, which decide
-	// where these send work.
+	// relayingPause is that of instances that only relay.
 	relayingPause = 300 * time.Millisecond
-	// longPause follows all other changes there: these concern the homes.
-	longPause = time.Second
 )
 
 // batchPause returns the pause before the next watch.
@@ -171,25 +182,15 @@
 	d.mu.Lock()
 	relays := len(d.declared) == 0 && string(d.mirror.Get(keyDuty).Value) != d.incarnation()
 	d.mu.Unlock()
-	registrations, others := false, false
+	if relays {
+		return relayingPause
+	}
 	for _, change := range changes {
-		switch {
-		case strings.HasPrefix(change.Key, prefixInstances):
-			registrations = true
-		case change.Key != d.adapter.ConfigurationKey:
-			others = true
+		if change.Key != d.adapter.ConfigurationKey && !strings.HasPrefix(change.Key, prefixInstances) {
+			return briefPause
 		}
 	}
-	switch {
-	case relays && registrations:
-		return relayingPause
-	case relays:
-		return longPause
-	case others:
-		return briefPause
-	default:
-		return settlingPause
-	}
+	return settlingPause
 }
 
 // listAll reads everything that the daemon follows.
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -13,6 +13,7 @@
 const (
 	prefixOwn       = "samphirehitch/"
 	prefixInstances = prefixOwn + "instance/"
+	prefixUses      = prefixOwn + "use/"
 	prefixGroups    = prefixOwn + "group/"
 	prefixYields    = prefixOwn + "yield/"
 	prefixSuspects  = prefixOwn + "suspect/"
@@ -22,6 +23,8 @@
 
 func instanceKey(id topology.InstanceID) string { return prefixInstances + string(id) }
 
+func useKey(id topology.InstanceID) string { return prefixUses + string(id) }
+
 func groupKey(id topology.ServiceID) string { return prefixGroups + string(id) }
 
 func yieldKey(service topology.ServiceID, id topology.InstanceID) string {
--- a/edge/lead.go
+++ b/edge/lead.go
@@ -170,16 +170,16 @@
 		}
 		v.Record = record
 	}
-	// Instances that registered before the fence are all known only once the
+	// Users that declared themselves before the fence are all known only once the
 	// mirror holds every change up to it.
 	v.Acknowledged = v.Record.Fenced && d.seen >= entry.Revision
-	d.mirror.Each(prefixInstances, func(instance store.Entry) {
-		var r registration
-		if err := json.Unmarshal(instance.Value, &r); err == nil && !slices.Contains(r.Uses, service) {
+	d.mirror.Each(prefixUses, func(entry store.Entry) {
+		var uses usage
+		if err := json.Unmarshal(entry.Value, &uses); err == nil && !slices.Contains(uses, service) {
 			return // it holds no right to the primary
 		}
 		v.Instances++
-		id := topology.InstanceID(strings.TrimPrefix(instance.Key, prefixInstances))
+		id := topology.InstanceID(strings.TrimPrefix(entry.Key, prefixUses))
 		yielded := d.mirror.Get(yieldKey(service, id))
 		if string(yielded.Value) != yieldValue(v.Record.Sequence) {
 			v.Acknowledged = false
--- a/edge/register.go
+++ b/edge/register.go
@@ -46,11 +46,13 @@
 	Processor float64 `json:"processor"`
 	// Leaving instances take no more work of others.
 	Leaving bool `json:"leaving,omitempty"`
-	// Uses lists the services whose primaries the instance may use. It is
-	// written before the first use, so that a fence waits for the instance.
-	Uses []topology.ServiceID `json:"uses,omitempty"`
 }
 
+// usage lists the services whose primaries an instance may use. It is written before
+// the first use, so that a fence waits for the instance, under a key of its own, since
+// it does not concern instances that only relay.
+type usage []topology.ServiceID
+
 // register keeps the registration alive and up to date.
 func (d *Daemon) register(ctx context.Context) error {
 	var renewAt time.Duration
@@ -82,8 +84,8 @@
 	return nil
 }
 
-// declareUses writes the registration anew when the instance is to use the
-// primaries of other services.
+// declareUses writes the usage anew when the instance is to use the primaries of other
+// services.
 func (d *Daemon) declareUses(ctx context.Context) {
 	d.mu.Lock()
 	uses, declared := d.uses, d.declared
@@ -91,7 +93,7 @@
 	if slices.Equal(uses, declared) {
 		return
 	}
-	d.putRegistration(ctx, d.lease, uses)
+	d.putUnderLease(ctx, d.lease, uses, nil)
 }
 
 // tellNeeds tells the demand here to the instances that divide the customers'
@@ -179,14 +181,26 @@
 
 func (d *Daemon) putRegistration(ctx context.Context, lease store.LeaseID, uses []topology.ServiceID) bool {
 	value, err := json.Marshal(registration{FailureDomain: d.settings.FailureDomain, Born: d.born,
-		Address: d.settings.PeerAddress, Processor: d.settings.Processor, Leaving: d.stopping.Load(), Uses: uses})
+		Address: d.settings.PeerAddress, Processor: d.settings.Processor, Leaving: d.stopping.Load()})
 	if err != nil {
 		eventConfigBroken.LogError(d.log, err, "key", instanceKey(d.settings.Instance))
 		return false
 	}
+	return d.putUnderLease(ctx, lease, uses, []store.Put{{Key: instanceKey(d.settings.Instance), Value: value, Lease: lease}})
+}
+
+// putUnderLease writes the usage and other entries. Once they are written the
+// instance counts as a user. An empty usage replaces that of an earlier process.
+func (d *Daemon) putUnderLease(ctx context.Context, lease store.LeaseID, uses []topology.ServiceID, puts []store.Put) bool {
+	value, err := json.Marshal(usage(uses))
+	if err != nil {
+		eventConfigBroken.LogError(d.log, err, "key", useKey(d.settings.Instance))
+		return false
+	}
+	puts = append(puts, store.Put{Key: useKey(d.settings.Instance), Value: value, Lease: lease})
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err = d.store.Transact(callCtx, store.Transaction{Puts: []store.Put{{Key: instanceKey(d.settings.Instance), Value: value, Lease: lease}}})
+	_, err = d.store.Transact(callCtx, store.Transaction{Puts: puts})
 	if errors.Is(err, store.ErrLeaseExpired) {
 		d.lapsed()
 	}
--- a/edge/shares.go
+++ b/edge/shares.go
@@ -112,9 +112,13 @@
 	return d.declared
 }
 
-// cutOff lists the instances that cannot reach the primary of a service.
+// cutOff lists the instances that cannot reach the primary of a service, as far as
+// this instance follows that: to one that only relays, homes say it themselves.
 func (d *Daemon) cutOff() map[relay.Pair]bool {
 	cut := make(map[relay.Pair]bool)
+	if d.relaysOnly() {
+		return cut
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.mirror.Each(prefixSuspects, func(entry store.Entry) {
--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -46,6 +46,13 @@
 	}
 }
 
+// Suspected implements perform.Reachability.
+func (s *suspects) Suspected(service topology.ServiceID, id topology.TargetID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.wanted[service] == id
+}
+
 // Unreachable implements perform.Reachability.
 func (s *suspects) Unreachable(service topology.ServiceID, id topology.TargetID) {
 	s.daemon.mu.Lock()
--- a/edge/view_test.go
+++ b/edge/view_test.go
@@ -27,7 +27,7 @@
 
 func registered(t *testing.T, uses ...topology.ServiceID) []byte {
 	t.Helper()
-	value, err := json.Marshal(registration{Uses: uses})
+	value, err := json.Marshal(usage(uses))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -37,9 +37,9 @@
 func TestFenceWaitsForEveryDeclaredUser(t *testing.T) {
 	d := newMirrored(t)
 	d.leader.fences = make(map[topology.ServiceID]fence)
-	d.put(instanceKey("a"), registered(t, "s"), 1)
-	d.put(instanceKey("b"), registered(t, "s", "other"), 2)
-	d.put(instanceKey("c"), registered(t, "other"), 3)
+	d.put(useKey("a"), registered(t, "s"), 1)
+	d.put(useKey("b"), registered(t, "s", "other"), 2)
+	d.put(useKey("c"), registered(t, "other"), 3)
 	d.put(groupKey("s"), failover.Record{Primary: "x", Term: 1, Fenced: true, Sequence: 4}.Encode(), 10)
 	d.seen = 10
 	acknowledged := func() bool { return d.view(time.Second, "s").Acknowledged }
@@ -62,7 +62,7 @@
 		t.Fatal("acknowledged by a mirror that is behind the fence")
 	}
 	d.seen = 10
-	d.put(instanceKey("d"), registered(t, "s"), 14)
+	d.put(useKey("d"), registered(t, "s"), 14)
 	if acknowledged() {
 		t.Fatal("a user that declared itself later is not waited for")
 	}
@@ -84,8 +84,8 @@
 
 func TestOnlySuspicionsOfThePresentPrimaryCount(t *testing.T) {
 	d := newMirrored(t)
-	d.put(instanceKey("a"), registered(t, "s"), 1)
-	d.put(instanceKey("b"), registered(t, "s"), 2)
+	d.put(useKey("a"), registered(t, "s"), 1)
+	d.put(useKey("b"), registered(t, "s"), 2)
 	d.put(groupKey("s"), failover.Record{Primary: "y", Term: 2}.Encode(), 10)
 	d.put(suspectKey("s", "a"), []byte("x"), 11)
 	d.put(suspectKey("s", "b"), []byte("y"), 12)
@@ -139,3 +139,19 @@
 		t.Fatal("a negligible change is told")
 	}
 }
+
+// A partial watch tells nothing of other instances' usage, so it must not make a fence
+// count as acknowledged by all.
+func TestPartialWatchDoesNotVouchForUsers(t *testing.T) {
+	d := newMirrored(t)
+	d.leader.fences = make(map[topology.ServiceID]fence)
+	d.put(groupKey("s"), failover.Record{Primary: "x", Term: 1, Fenced: true, Sequence: 4}.Encode(), 10)
+	d.watched(prefixInstances, nil, 12)
+	if d.view(time.Second, "s").Acknowledged {
+		t.Fatal("a watch of the instances vouches for the users")
+	}
+	d.watched("", nil, 12)
+	if !d.view(time.Second, "s").Acknowledged {
+		t.Fatal("not acknowledged without users")
+	}
+}
--- a/request/perform/engine.go
+++ b/request/perform/engine.go
@@ -27,6 +27,8 @@
 	Reached(service topology.ServiceID, id topology.TargetID)
 	// Unreachable reports a target that cannot be connected to.
 	Unreachable(service topology.ServiceID, id topology.TargetID)
+	// Suspected reports that the target could not be reached lately.
+	Suspected(service topology.ServiceID, id topology.TargetID) bool
 }
 
 // Observer receives the outcome of each statement, for metrics.
--- a/request/perform/fake_test.go
+++ b/request/perform/fake_test.go
@@ -157,7 +157,9 @@
 
 func (nobody) Reached(topology.ServiceID, topology.TargetID)     {}
 func (nobody) Unreachable(topology.ServiceID, topology.TargetID) {}
-func (nobody) Answered(Outcome)                                  {}
+
+func (nobody) Suspected(topology.ServiceID, topology.TargetID) bool { return false }
+func (nobody) Answered(Outcome)                                     {}
 
 // rig is an engine before fake targets: primary a, replicas b and c.
 type rig struct {
--- a/request/perform/operation.go
+++ b/request/perform/operation.go
@@ -112,6 +112,25 @@
 	return Place{Service: op.service.id, Customer: op.customer, Timeout: op.route.StatementTimeout}, nil
 }
 
+// Able reports whether an operation of a session that changes something, or only
+// reads, can run here as far as the primary is concerned. Without the right to a
+// primary, or a way to it, another instance may have both; while a primary is being
+// replaced, none has.
+func (e *Engine) Able(s *client.Session, changes bool) bool {
+	now := e.Clock()
+	op, refused := e.lookUp(now, s)
+	if refused != nil || !changes && op.route.Consistency != catalog.Primary {
+		return true
+	}
+	op.service.mu.Lock()
+	defer op.service.mu.Unlock()
+	if op.service.revision == 0 || op.service.record.Fenced {
+		return true
+	}
+	primary := op.service.usable(now)
+	return primary != "" && !e.Reachability.Suspected(op.service.id, primary)
+}
+
 // Authorize checks a session at its start.
 func (e *Engine) Authorize(s *client.Session) (code statement.Code, why string) {
 	if _, refused := e.Locate(s); refused != nil {
--- a/request/relay/message.go
+++ b/request/relay/message.go
@@ -129,6 +129,8 @@
 	// Declined says that the home has not begun to run the statement and another
 	// instance should.
 	Declined bool `cbor:"3,keyasint,omitempty"`
+	// Unable says that the home declined only because it cannot use the primary.
+	Unable bool `cbor:"10,keyasint,omitempty"`
 	// Placement is for the log and the metrics of the instance that asked.
 	Placement placement `cbor:"4,keyasint"`
 	// Floor is the session's floor afterwards, FloorAge its age.
--- a/request/relay/operations.go
+++ b/request/relay/operations.go
@@ -13,18 +13,15 @@
 // the way there and back.
 const replySlack = 100 * time.Millisecond
 
-// attempts bounds the instances that are tried for one read.
-const attempts = 3
-
 // Single implements perform.Operations.
 func (r *Relay) Single(s *client.Session, st statement.Statement, o *perform.Outcome) statement.Answer {
 	place, refused := r.Engine.Locate(s)
 	if refused != nil {
 		return refused.Answer(o, statement.Idle)
 	}
-	var excluded []topology.InstanceID
-	for range attempts {
-		to, ok := r.place(place.Service, place.Customer, excluded)
+	search := r.search(place)
+	for {
+		to, ok := search.next(s, s.Writes(st))
 		if !ok {
 			return r.refuse(noInstance, o, statement.Idle)
 		}
@@ -42,9 +39,8 @@
 			return statement.Answer{Code: statement.InDoubt, Detail: "home gave no answer", State: statement.Idle}
 		}
 		eventRelayFailed.Log(r.Log, "request", st.ID, "home", to, "kind", st.Kind.String(), "outcome", outcome.String())
-		excluded = append(excluded, to)
+		search.failed(to, outcome)
 	}
-	return r.refuse(noInstance, o, statement.Idle)
 }
 
 // refuse refuses an operation that cannot run now.
@@ -62,9 +58,13 @@
 	declined
 	// unanswered requests may have run.
 	unanswered
+	// unable requests have not begun to run, for want of a usable primary.
+	unable
 )
 
-func (a asked) String() string { return [...]string{"", "replied", "declined", "unanswered"}[a] }
+func (a asked) String() string {
+	return [...]string{"", "replied", "declined", "unanswered", "unable"}[a]
+}
 
 // request describes a statement to a home.
 func (r *Relay) request(s *client.Session, st statement.Statement) *request {
@@ -102,6 +102,8 @@
 	switch {
 	case answer == nil:
 		return statement.Answer{}, unanswered
+	case answer.Unable:
+		return statement.Answer{}, unable
 	case answer.Declined:
 		if !q.Within {
 			r.declinedBy(to)
@@ -246,11 +248,11 @@
 // when the transaction is to run here.
 func (t *transaction) first(st statement.Statement, o *perform.Outcome) (statement.Answer, bool) {
 	r := t.relay
-	var excluded []topology.InstanceID
-	for range attempts {
-		to, ok := r.place(t.place.Service, t.place.Customer, excluded)
+	search := r.search(t.place)
+	for {
+		to, ok := search.next(t.session, !t.readOnly)
 		if !ok {
-			break
+			return r.refuse(noInstance, o, statement.Failed), true
 		}
 		if to == r.Self {
 			return statement.Answer{}, false
@@ -269,9 +271,8 @@
 			t.end(to)
 			return lost(st), true
 		}
-		excluded = append(excluded, to)
+		search.failed(to, outcome)
 	}
-	return r.refuse(noInstance, o, statement.Failed), true
 }
 
 // lost says what became of a transaction whose home gave no answer: a COMMIT may
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +34,7 @@
 func (allRights) End(topology.ServiceID) time.Duration                           { return time.Hour }
 func (allRights) Reached(topology.ServiceID, topology.TargetID)                  {}
 func (allRights) Unreachable(topology.ServiceID, topology.TargetID)              {}
+func (allRights) Suspected(topology.ServiceID, topology.TargetID) bool           { return false }
 func (allRights) Answered(perform.Outcome)                                       {}
 func (allRights) Dial(context.Context, target.Endpoint) (target.Conn, error) {
 	return nil, errors.New("no target")
@@ -45,6 +47,10 @@
 	ran []string
 	// age is how long ago the configuration was confirmed.
 	age time.Duration
+	// denials is how many checks of the right to the primary fail; suspecting
+	// instances cannot reach it.
+	denials    atomic.Int64
+	suspecting atomic.Bool
 	// hold, when set, keeps statements from being answered until it is closed.
 	hold chan struct{}
 }
@@ -53,6 +59,12 @@
 	return &ranConn{target: r, state: statement.Idle}, nil
 }
 
+func (r *ranTarget) Primary(time.Duration, topology.ServiceID, store.Revision) bool {
+	return r.denials.Add(-1) < 0
+}
+
+func (r *ranTarget) Suspected(topology.ServiceID, topology.TargetID) bool { return r.suspecting.Load() }
+
 func (r *ranTarget) Age(time.Duration) time.Duration { return r.age }
 
 func (r *ranTarget) texts() []string {
@@ -394,6 +406,52 @@
 	}
 }
 
+// A home that cannot use the primary passes work for it on at once; another may have
+// the right and a way to it.
+func TestHomeThatCannotUseThePrimaryPassesWorkOn(t *testing.T) {
+	for name, lame := range map[string]func(*ranTarget){
+		"without the right": func(r *ranTarget) { r.denials.Store(always) },
+		"without a way":     func(r *ranTarget) { r.suspecting.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			first, other := f.homes()
+			lame(f.targets[first])
+			c := f.converse()
+			f.run(c, statement.Write, statement.OK)
+			f.run(c, statement.Begin, statement.OK)
+			f.run(c, statement.Write, statement.OK)
+			f.run(c, statement.Commit, statement.OK)
+			if ran := f.targets[other].texts(); len(ran) != 4 || len(f.targets[first].texts()) != 0 {
+				t.Fatalf("ran %v at the other home", ran)
+			}
+		})
+	}
+}
+
+// always is more checks than any test makes.
+const always = 1 << 30
+
+// Nothing runs where no instance can use the primary; an instance that has its right
+// when it is asked again serves what waited.
+func TestWorkWaitsALittleForARightToThePrimary(t *testing.T) {
+	f := newFleet(t)
+	first, other := f.homes()
+	for _, id := range []topology.InstanceID{first, other, "e"} {
+		f.targets[id].denials.Store(always)
+	}
+	c := f.converse()
+	f.run(c, statement.Write, statement.Busy)
+	if len(f.targets[first].texts())+len(f.targets[other].texts()) != 0 {
+		t.Fatal("work ran without a right")
+	}
+	f.targets[other].denials.Store(1)
+	f.run(c, statement.Write, statement.OK)
+	if ran := f.targets[other].texts(); len(ran) != 1 {
+		t.Fatalf("ran %v", ran)
+	}
+}
+
 // An instance that only relays learns from answers that its configuration is the
 // newest, without calls to the store. What it learns is never younger than what the
 // home knows.
--- a/request/relay/server.go
+++ b/request/relay/server.go
@@ -107,6 +107,9 @@
 
 func (s *server) run(from topology.InstanceID, q *request) *reply {
 	key := remoteSession{instance: from, id: q.Session}
+	if !q.Within && s.unable(q) {
+		return &reply{ID: q.ID, Declined: true, Unable: true}
+	}
 	tx, ok := s.transaction(key, q)
 	if !ok {
 		return &reply{ID: q.ID, Declined: true}
@@ -132,6 +135,15 @@
 	return r
 }
 
+// unable reports that the request needs a primary that this instance cannot use.
+func (s *server) unable(q *request) bool {
+	session := client.NewSession(0, q.Database, q.Key)
+	if q.Prepared != nil {
+		session.Prepare(q.Statement.Name, *q.Prepared)
+	}
+	return !s.relay.Engine.Able(session, q.Open == openReadWrite || session.Writes(q.Statement))
+}
+
 // transaction returns the conversation in which the request runs. It is not ok
 // when this instance cannot run it.
 func (s *server) transaction(key remoteSession, q *request) (*remoteTransaction, bool) {
