Close connections when the registration lapses; use full targets over what is there

Targets had refused 900 connections with connection_limit: homes that the store had turned away kept their 25 idle connections to each target after others had taken over, and a refusal left the target out for 0.1 s although idle connections to it were there.

Change: without a registration an instance holds no connections (its last right ends 0.3 s before others can take over). A target that is full is asked for no more during 0.4 s and used over the connections that are there, in place of idle ones.

Ruled out: idle transactions, rights, failovers (none in those seconds).

Tests: TestFullTargetIsUsedOverWhatIsThere, TestInstanceWithoutAShareHoldsNoConnection, TestLapsedInstanceClosesItsConnections (fail without the change).

--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -103,10 +103,13 @@
 // Primary returns the target that may be used as primary, empty for none.
 func (d *Dispatcher) Primary() topology.TargetID { return d.primary }
 
-// SetConnections sets how many connections this instance may hold to each
-// target.
+// SetConnections sets how many connections this instance may hold to each target;
+// zero closes those that are idle and lets nothing run.
 func (d *Dispatcher) SetConnections(now time.Duration, connections int) {
-	d.connections = max(1, connections)
+	if connections == d.connections {
+		return
+	}
+	d.connections = connections
 	for _, t := range d.targets {
 		for len(t.links)+t.opening > d.connections {
 			coldest := t.coldest()
@@ -305,7 +308,7 @@
 	c.cost = t.expectedLatency(now) * time.Duration(t.Slots+t.running) / time.Duration(max(t.Slots, 1))
 	if c.link == nil {
 		c.cost += handshakeCost
-		if len(t.links)+t.opening >= d.connections {
+		if len(t.links)+t.opening >= d.allowed(now, t) {
 			if c.evict = t.coldest(); c.evict == nil {
 				return candidate{}, false
 			}
@@ -320,6 +323,15 @@
 	return c, true
 }
 
+// allowed is how many connections to a target this instance may hold now: no more than
+// it has while the target is full.
+func (d *Dispatcher) allowed(now time.Duration, t *target) int {
+	if now < t.fullUntil {
+		return min(d.connections, t.fullAt)
+	}
+	return d.connections
+}
+
 // leaving reports whether the target is a primary that drains: until its successor
 // leads, nobody else can run what needs a primary.
 func (d *Dispatcher) leaving(t *target) bool { return t.ID == d.primary && t.Draining && !t.gone }
@@ -357,17 +369,32 @@
 	l.started = now
 }
 
-// OpenFailed reports that the lease's connection could not be opened. Refused
-// tells that the target answered and refused it.
-func (d *Dispatcher) OpenFailed(now time.Duration, l *Lease, refused bool) {
+// OpenFailure says why a connection could not be opened.
+type OpenFailure uint8
+
+// Failures of opening a connection.
+const (
+	// Unreached targets gave no answer.
+	Unreached OpenFailure = iota
+	// Refused targets answered and refused the connection.
+	Refused
+	// Full targets have as many connections as they accept.
+	Full
+)
+
+// OpenFailed reports that the lease's connection could not be opened.
+func (d *Dispatcher) OpenFailed(now time.Duration, l *Lease, failure OpenFailure) {
 	t := l.target
 	t.opening--
 	t.running--
 	l.running = false
-	if refused {
-		t.downUntil = max(t.downUntil, now+firstBackoff)
-	} else {
+	switch {
+	case failure == Unreached:
 		t.failed(now)
+	case failure == Full && len(t.links)+t.opening > 0:
+		t.fullAt, t.fullUntil = len(t.links)+t.opening, now+fullPause
+	default:
+		t.downUntil = max(t.downUntil, now+firstBackoff)
 	}
 	d.forget(t)
 	d.pump(now)
--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -203,12 +203,52 @@
 func TestUnreachableTargetIsLeftOutForAWhile(t *testing.T) {
 	d := newGroup(2, 8)
 	l, _ := d.Submit(start, read(start, "k"))
-	d.OpenFailed(start, l, false)
+	d.OpenFailed(start, l, Unreached)
 	if next := submit(t, start, d, read(start, "k")); next.Target == l.Target {
 		t.Fatal("the target was tried again at once")
 	}
 }
 
+// Homes that were cut off still hold their connections when others take over: a full
+// target is used over the connections that are there, in place of idle ones if need
+// be, and asked for more later.
+func TestFullTargetIsUsedOverWhatIsThere(t *testing.T) {
+	d := newGroup(4, 8)
+	kept := submit(t, start, d, write(start, "k"))
+	d.Release(start, kept)
+	refused, _ := d.Submit(start, write(start, "j"))
+	d.OpenFailed(start, refused, Full)
+	if l := submit(t, start, d, write(start, "k")); l.Conn != kept.Conn {
+		t.Fatal("the connection that is there is not used")
+	} else {
+		d.Release(start, l)
+	}
+	l, verdict := d.Submit(start, write(start, "j"))
+	if verdict != Granted || l.Evict != kept.Conn {
+		t.Fatalf("%s, evicts %v", verdict, l)
+	}
+	if _, verdict := d.Submit(start, write(start, "i")); verdict != Queued {
+		t.Fatalf("%s while the target is full", verdict)
+	}
+	if l, verdict := d.Submit(start+fullPause, write(start+fullPause, "h")); verdict != Granted || l.Evict != nil {
+		t.Fatalf("%s after the pause", verdict)
+	}
+}
+
+func TestInstanceWithoutAShareHoldsNoConnection(t *testing.T) {
+	d := newGroup(2, 8)
+	d.Release(start, submit(t, start, d, read(start, "k")))
+	d.SetConnections(start, 0)
+	if evicted := d.TakeEvicted(); len(evicted) != 1 {
+		t.Fatalf("closes %v", evicted)
+	}
+	if _, verdict := d.Submit(start, read(start, "k")); verdict == Granted {
+		t.Fatal("a connection was granted")
+	}
+	d.SetConnections(start, 8)
+	submit(t, start, d, read(start, "k"))
+}
+
 func TestNothingCanRunWithoutATarget(t *testing.T) {
 	d := newGroup(2, 8)
 	d.SetTargets(start, nil)
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -25,6 +25,9 @@
 	// firstBackoff and longestBackoff bound the pause after a failed connection.
 	firstBackoff   = 100 * time.Millisecond
 	longestBackoff = 800 * time.Millisecond
+	// fullPause is how long a target that is full is asked for no more connections:
+	// others close theirs at the next division, dead ones go after 3 s.
+	fullPause = 400 * time.Millisecond
 	// lagRetry is how long a replica that refused for lag is left out when the
 	// request at hand needs as much.
 	lagRetry = 200 * time.Millisecond
@@ -55,6 +58,10 @@
 	laggingUntil, laggingFor time.Duration
 	failures                 int
 	downUntil                time.Duration
+	// fullUntil is until when the target accepts no more than fullAt connections of
+	// this instance.
+	fullUntil time.Duration
+	fullAt    int
 	// gone targets take no new work and close their connections.
 	gone bool
 }
--- a/request/perform/acquire.go
+++ b/request/perform/acquire.go
@@ -95,9 +95,8 @@
 	now := e.Clock()
 	s := op.service
 	if err != nil {
-		refused := failureOf(err) == target.Refused
 		s.mu.Lock()
-		s.dispatch.OpenFailed(now, h.lease, refused)
+		s.dispatch.OpenFailed(now, h.lease, openFailureOf(err))
 		s.left(h.lease)
 		s.mu.Unlock()
 		if Unreachable(err) {
@@ -204,6 +203,19 @@
 	return target.Broken
 }
 
+// openFailureOf says why a connection could not be opened.
+func openFailureOf(err error) dispatch.OpenFailure {
+	var failed *target.Error
+	switch {
+	case !errors.As(err, &failed) || failed.Failure != target.Refused:
+		return dispatch.Unreached
+	case failed.Code == statement.ConnectionLimit:
+		return dispatch.Full
+	default:
+		return dispatch.Refused
+	}
+}
+
 // sentBefore reports whether the target may have received a statement whose
 // sending or answer failed.
 func sentBefore(err error) bool {
--- a/request/perform/engine.go
+++ b/request/perform/engine.go
@@ -86,7 +86,7 @@
 	e.catalog.Store(c)
 	for id := range c.Services {
 		if _, known := e.services[id]; !known {
-			e.services[id] = &service{id: id, tenure: e.Tenure,
+			e.services[id] = &service{id: id, tenure: e.Tenure, connections: 1,
 				dispatch: dispatch.New(dispatch.Config{Service: id, FailureDomain: e.FailureDomain})}
 		}
 	}
@@ -150,7 +150,8 @@
 	for id, count := range connections {
 		if s := e.service(id); s != nil {
 			s.mu.Lock()
-			s.dispatch.SetConnections(now, count)
+			s.connections = count
+			s.holdShare(now)
 			evicted := s.dispatch.TakeEvicted()
 			s.mu.Unlock()
 			closeLinks(evicted)
--- a/request/perform/fake_test.go
+++ b/request/perform/fake_test.go
@@ -24,6 +24,14 @@
 	mu      sync.Mutex
 	keys    bool
 	primary bool
+	// lapsed instances count as none of the fleet.
+	lapsed bool
+}
+
+func (f *fakeTenure) Registered(time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.lapsed
 }
 
 func (f *fakeTenure) Keys(time.Duration) bool {
@@ -73,6 +81,13 @@
 	return &fakeConn{targets: f, endpoint: endpoint, number: f.conns, state: statement.Idle}, nil
 }
 
+// openConnections counts the connections that were opened and not closed.
+func (f *fakeTargets) openConnections() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.conns - len(f.closed)
+}
+
 // seen returns the statements of some kinds.
 func (f *fakeTargets) seen(kinds ...statement.Kind) []sent {
 	f.mu.Lock()
@@ -155,9 +170,8 @@
 
 type nobody struct{}
 
-func (nobody) Reached(topology.ServiceID, topology.TargetID)     {}
-func (nobody) Unreachable(topology.ServiceID, topology.TargetID) {}
-
+func (nobody) Reached(topology.ServiceID, topology.TargetID)        {}
+func (nobody) Unreachable(topology.ServiceID, topology.TargetID)    {}
 func (nobody) Suspected(topology.ServiceID, topology.TargetID) bool { return false }
 func (nobody) Answered(Outcome)                                     {}
 
--- a/request/perform/perform_test.go
+++ b/request/perform/perform_test.go
@@ -390,3 +390,17 @@
 		t.Fatalf("%v", told.unreachable)
 	}
 }
+
+// An instance whose registration has lapsed closes its connections: the instances that
+// take over may open as many.
+func TestLapsedInstanceClosesItsConnections(t *testing.T) {
+	r := newRig(t)
+	r.run(r.session(1, "strict"), writeA, statement.OK)
+	r.tenure.mu.Lock()
+	r.tenure.lapsed = true
+	r.tenure.mu.Unlock()
+	r.engine.Tick()
+	if open := r.targets.openConnections(); open != 0 {
+		t.Fatalf("%d connections are open", open)
+	}
+}
--- a/request/perform/service.go
+++ b/request/perform/service.go
@@ -18,6 +18,8 @@
 // Tenure tells which rights hold; tenure.Tenure implements it.
 type Tenure interface {
 	Keys(now time.Duration) bool
+	// Registered reports that the instance counts as one of the fleet.
+	Registered(now time.Duration) bool
 	// Age returns the time since the last confirmation, negative without any.
 	Age(now time.Duration) time.Duration
 	Primary(now time.Duration, service topology.ServiceID, revision store.Revision) bool
@@ -34,6 +36,8 @@
 	dispatch *dispatch.Dispatcher
 	record   failover.Record
 	revision store.Revision
+	// connections is this instance's share of each target's.
+	connections int
 	// declared reports that the instance has declared to use the primary.
 	declared bool
 	// yielding is the primary that a fence forbids while statements in flight
@@ -57,12 +61,24 @@
 func (s *service) tick(now time.Duration) {
 	s.mu.Lock()
 	s.dispatch.SetPrimary(now, s.usable(now))
+	s.holdShare(now)
 	s.dispatch.Pump(now)
 	evicted := s.dispatch.TakeEvicted()
 	s.mu.Unlock()
 	closeLinks(evicted)
 }
 
+// holdShare lets the dispatcher hold this instance's share of connections. Without a
+// registration that is nothing: others divide the connections among themselves. The
+// caller holds the lock.
+func (s *service) holdShare(now time.Duration) {
+	if s.tenure.Registered(now) {
+		s.dispatch.SetConnections(now, s.connections)
+	} else {
+		s.dispatch.SetConnections(now, 0)
+	}
+}
+
 // setTargets replaces the targets.
 func (s *service) setTargets(now time.Duration, targets map[topology.TargetID]directory.Target) {
 	s.mu.Lock()
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -31,6 +31,7 @@
 func (allRights) Keys(time.Duration) bool                                        { return true }
 func (allRights) Primary(time.Duration, topology.ServiceID, store.Revision) bool { return true }
 func (allRights) Age(time.Duration) time.Duration                                { return 0 }
+func (allRights) Registered(time.Duration) bool                                  { return true }
 func (allRights) End(topology.ServiceID) time.Duration                           { return time.Hour }
 func (allRights) Reached(topology.ServiceID, topology.TargetID)                  {}
 func (allRights) Unreachable(topology.ServiceID, topology.TargetID)              {}
