Let relaying instances watch rarely while the homes take their work

Change: they pause up to 2 s between watches, and look after 0.3 s when a home declines work, gives no answer or its link ends.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -107,6 +107,8 @@
 	usesWake    chan struct{}
 	// roleWake ends a watch that the instance's role has outgrown.
 	roleWake chan struct{}
+	// homeWake has an instance that only relays look for other homes.
+	homeWake chan struct{}
 	// serving is closed once the daemon can serve.
 	serving chan struct{}
 	// confirming is held while a refusal's confirmation runs; confirmAgainAt is
@@ -152,7 +154,7 @@
 		tenure:      tenure.New(o.Settings.WithdrawalLimit - keyMargin),
 		born:        time.Now().UnixNano(),
 		confirmWake: make(chan struct{}, 1), leadWake: make(chan struct{}, 1),
-		sharesWake: make(chan struct{}, 1), usesWake: make(chan struct{}, 1), serving: make(chan struct{}), roleWake: make(chan struct{}, 1), needs: make(map[topology.InstanceID]share.Needs),
+		sharesWake: make(chan struct{}, 1), usesWake: make(chan struct{}, 1), serving: make(chan struct{}), roleWake: make(chan struct{}, 1), homeWake: make(chan struct{}, 1), needs: make(map[topology.InstanceID]share.Needs),
 		mirror: mirror.New(), records: make(map[topology.ServiceID]groupRecord),
 		targets: make(map[topology.ServiceID]targetMap), brokenTargets: make(map[string]store.Revision),
 		logged: make(map[string]string),
@@ -167,9 +169,12 @@
 		Address: o.Settings.PeerAddress, Dial: o.Adapter.DialPeer}, o.Log)
 	d.relay = relay.New(relay.Dependencies{Self: o.Settings.Instance, Born: d.born, Engine: d.engine, Link: d.mesh,
 		Clock: d.clock, Log: o.Log, Stopping: d.stopping.Load, Fit: d.fit, OnConfirmed: d.noteConfirmation,
-		Configuration: d.configuration, OnConfiguration: d.takeConfiguration, OnNeeds: d.noteNeeds})
+		Configuration: d.configuration, OnConfiguration: d.takeConfiguration, OnNeeds: d.noteNeeds, OnDeclined: func() { notify(d.homeWake) }})
 	d.mesh.Handle(peer.KindRelay, d.relay.Receive)
-	d.mesh.OnDown(d.relay.Lost)
+	d.mesh.OnDown(func(id topology.InstanceID) {
+		notify(d.homeWake)
+		d.relay.Lost(id)
+	})
 	d.metrics.watch(d)
 	if o.CountCalls != nil {
 		o.CountCalls(d.metrics.storeCall)
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -98,7 +98,8 @@
 			retry.reset()
 			after = max(after, asOf)
 			d.watched(prefix, changes, after)
-			d.collect(ctx, d.batchPause(changes))
+			least, most := d.batchPause(changes)
+			d.collect(ctx, least, most)
 		}
 	}
 	return nil
@@ -153,15 +154,24 @@
 	return changes, asOf, err
 }
 
-// collect lets changes collect before the next watch, unless the instance's role
-// changes meanwhile.
-func (d *Daemon) collect(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
+// collect lets changes collect before the next watch: at least for one time, and up to
+// another while the homes take work. A new role of this instance ends it.
+func (d *Daemon) collect(ctx context.Context, least, most time.Duration) {
+	timer := time.NewTimer(least)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+		return
+	case <-d.roleWake:
+		return
 	case <-timer.C:
+	}
+	timer.Reset(most - least)
+	select {
+	case <-ctx.Done():
 	case <-d.roleWake:
+	case <-d.homeWake:
+	case <-timer.C:
 	}
 }
 
@@ -173,24 +183,28 @@
 	// settlingPause follows changes of the configuration or of registrations alone,
 	// which come in quick succession and have seconds to take effect.
 	settlingPause = 150 * time.Millisecond
-	// relayingPause is that of instances that only relay.
-	relayingPause = 300 * time.Millisecond
+	// unsettledPause is that of instances that only relay, once a home has declined
+	// work or gone.
+	unsettledPause = 300 * time.Millisecond
+	// settledPause is theirs otherwise: most registrations that come and go are of
+	// other instances that only relay.
+	settledPause = 2 * time.Second
 )
 
-// batchPause returns the pause before the next watch.
-func (d *Daemon) batchPause(changes []store.Change) time.Duration {
+// batchPause returns the least and the longest pause before the next watch.
+func (d *Daemon) batchPause(changes []store.Change) (least, most time.Duration) {
 	d.mu.Lock()
 	relays := len(d.declared) == 0 && string(d.mirror.Get(keyDuty).Value) != d.incarnation()
 	d.mu.Unlock()
 	if relays {
-		return relayingPause
+		return unsettledPause, settledPause
 	}
 	for _, change := range changes {
 		if change.Key != d.adapter.ConfigurationKey && !strings.HasPrefix(change.Key, prefixInstances) {
-			return briefPause
+			return briefPause, briefPause
 		}
 	}
-	return settlingPause
+	return settlingPause, settlingPause
 }
 
 // listAll reads everything that the daemon follows.
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -75,6 +75,8 @@
 	// OnConfiguration takes a configuration that a peer told. It was the newest at a
 	// time, negative when unknown.
 	OnConfiguration func(from topology.InstanceID, revision store.Revision, value []byte, at time.Duration)
+	// OnDeclined is told when a home declines work or gives no answer.
+	OnDeclined func()
 	// OnNeeds takes the demand that a peer tells.
 	OnNeeds func(from topology.InstanceID, needs share.Needs)
 }
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -167,6 +167,8 @@
 	told    map[topology.InstanceID]share.Needs
 	// confirmed is what homes said of the configuration.
 	confirmed []confirmation
+	// declined counts the homes that declined work or gave no answer.
+	declined atomic.Int64
 	// toldAt is when configurations that peers told were confirmed.
 	toldAt []time.Duration
 }
@@ -208,6 +210,7 @@
 				defer f.network.mu.Unlock()
 				return !f.network.unfit[id]
 			},
+			OnDeclined: func() { f.declined.Add(1) },
 			Configuration: func() store.Entry {
 				return store.Entry{Revision: engine.Catalog().Revision, Value: []byte("of " + id)}
 			},
@@ -382,6 +385,9 @@
 	if len(f.targets[first].texts()) != 0 || len(f.targets[other].texts()) != 1 {
 		t.Fatalf("%v, %v", f.targets[first].texts(), f.targets[other].texts())
 	}
+	if f.declined.Load() != 1 {
+		t.Fatalf("told of %d declines", f.declined.Load())
+	}
 }
 
 // Both homes are cut off from the store when a key is withdrawn. They read the
--- a/request/relay/search.go
+++ b/request/relay/search.go
@@ -61,6 +61,7 @@
 
 // failed notes that an instance did not run the operation.
 func (s *search) failed(at topology.InstanceID, outcome asked) {
+	s.relay.OnDeclined()
 	if outcome == unable {
 		s.unable = append(s.unable, at)
 		return
