--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -187,38 +187,6 @@
 	return false
 }
 
-// tooLong reports whether a request that has to wait could not be answered: within
-// its objective behind the work that is due before it, or before it expires behind
-// all that waits for the same targets. Late answers are worth little to callers,
-// and a queue that grows beyond what its members can wait for only delays their
-// refusal.
-func (d *Dispatcher) tooLong(now time.Duration, r *Request) bool {
-	ahead, all := 0, 0
-	for _, other := range d.queue {
-		if other.NeedsPrimary != r.NeedsPrimary {
-			continue
-		}
-		all++
-		if now < other.Late && before(now, other, r) {
-			ahead++
-		}
-	}
-	lanes := 0
-	var latency time.Duration
-	for id, t := range d.targets {
-		if r.NeedsPrimary && id != d.primary || !t.usable(now) {
-			continue
-		}
-		lanes += d.lanes(t)
-		latency = max(latency, t.expectedLatency(now))
-	}
-	if lanes == 0 {
-		return false
-	}
-	wait := func(count int) time.Duration { return latency * time.Duration(count) / time.Duration(lanes) }
-	return ahead > lanes && now+time.Duration(estimateMargin*float64(wait(ahead)+latency)) > r.Late || wait(all) > r.Expires-now
-}
-
 // lanes is how many statements this instance keeps in flight at a target.
 func (d *Dispatcher) lanes(t *target) int { return min(max(t.Slots, 1), d.connections) }
 
@@ -254,13 +222,20 @@
 		}
 	})
 	kept := d.queue[:0]
+	ahead := d.newLine(now)
 	for _, r := range d.queue {
-		if lease := d.grant(now, r); lease != nil {
-			r.waiting = false
+		lease := d.grant(now, r)
+		switch {
+		case lease != nil:
 			r.granted <- lease
+		case ahead.hopeless(r):
+			close(r.granted)
+		default:
+			kept = append(kept, r)
+			ahead.join(r)
 			continue
 		}
-		kept = append(kept, r)
+		r.waiting = false
 	}
 	clear(d.queue[len(kept):])
 	d.queue = kept
--- a/process/dispatch/request.go
+++ b/process/dispatch/request.go
@@ -35,7 +35,8 @@
 	waiting bool
 }
 
-// Granted returns the channel that receives the lease, once.
+// Granted returns the channel that receives the lease, once. It is closed instead when
+// the request cannot be served before it expires.
 func (r *Request) Granted() <-chan *Lease { return r.granted }
 
 func (r *Request) excludes(id topology.TargetID) bool {
--- a/request/perform/acquire.go
+++ b/request/perform/acquire.go
@@ -71,7 +71,7 @@
 	defer timer.Stop()
 	var lease *dispatch.Lease
 	select {
-	case lease = <-r.Granted():
+	case lease = <-r.Granted(): // nil when the request was given up
 	case <-timer.C:
 	}
 	s.mu.Lock()
