--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -165,9 +165,11 @@
 			}
 			select {
 			case l := <-waiting[i].Granted():
-				active = append(active, running{open(now, d, l), now + work})
-				if now+work <= waiting[i].Late {
-					inTime++
+				if l != nil { // nil when the request was given up
+					active = append(active, running{open(now, d, l), now + work})
+					if now+work <= waiting[i].Late {
+						inTime++
+					}
 				}
 				waiting = append(waiting[:i], waiting[i+1:]...)
 				i--
