Give every decision about a statement its id in the log

Cause: refusals for a rate, connections that failed and homes that declined the first statement of a transaction were logged without the request's id or not at all, so that on-call engineers had to match them by time. Loans (6503) are logged as well.

Ruled out: a line on the home for each relayed statement (the entry's line has target, reason and wait of it already, and it would double the volume).

--- a/request/perform/acquire.go
+++ b/request/perform/acquire.go
@@ -102,7 +102,7 @@
 		if Unreachable(err) {
 			e.Reachability.Unreachable(s.id, h.lease.Target)
 		}
-		e.Log.V(1).Info("connection failed", "target", h.lease.Target, "service", s.id, "error", err.Error())
+		eventUnopened.Log(e.Log, "request", op.statement, "target", h.lease.Target, "service", s.id, "why", h.lease.Why, "error", err.Error())
 		return nil, &refusal{statement.Busy, "connection failed: " + failureOf(err).String()}
 	}
 	h.link = client.NewLink(conn)
--- a/request/perform/conversation.go
+++ b/request/perform/conversation.go
@@ -36,7 +36,7 @@
 type Conversation struct {
 	Session    *client.Session
 	operations Operations
-	report     func(id string, o Outcome)
+	report     func(o Outcome)
 	now        func() time.Duration
 	tx         Transaction
 	// failed transactions only wait for their end; told reports that the caller
@@ -46,15 +46,15 @@
 
 // Converse begins a conversation whose operations the given ones run.
 func (e *Engine) Converse(s *client.Session, operations Operations) *Conversation {
-	return &Conversation{Session: s, operations: operations, now: e.Clock, report: func(id string, o Outcome) {
+	return &Conversation{Session: s, operations: operations, now: e.Clock, report: func(o Outcome) {
 		e.Observer.Answered(o)
-		o.log(e.Log, id)
+		o.log(e.Log)
 	}}
 }
 
 // Report sets who is told of each answer, in place of the engine's log and
 // metrics.
-func (c *Conversation) Report(report func(id string, o Outcome)) { c.report = report }
+func (c *Conversation) Report(report func(o Outcome)) { c.report = report }
 
 // State returns the state of the session.
 func (c *Conversation) State() statement.TransactionState {
@@ -76,7 +76,7 @@
 // Run runs one statement and returns its complete answer.
 func (c *Conversation) Run(st statement.Statement) statement.Answer {
 	began := c.now()
-	outcome := Outcome{Kind: st.Kind, FloorAge: -1}
+	outcome := Outcome{Request: st.ID, Kind: st.Kind, FloorAge: -1}
 	answer := c.run(st, &outcome)
 	if answer.Position == (topology.Point{}) {
 		answer.Position = c.Session.Floor
@@ -85,7 +85,7 @@
 	if answer.Code != statement.OK && answer.Detail != "" {
 		outcome.Why = answer.Detail
 	}
-	c.report(st.ID, outcome)
+	c.report(outcome)
 	return answer
 }
 
--- a/request/perform/operation.go
+++ b/request/perform/operation.go
@@ -28,11 +28,13 @@
 
 // operation is what one statement, or one transaction, runs under.
 type operation struct {
-	route    catalog.Route
-	customer topology.CustomerID
-	priority int
-	service  *service
-	version  uint64
+	// statement is the caller's number of the statement that began the operation.
+	statement string
+	route     catalog.Route
+	customer  topology.CustomerID
+	priority  int
+	service   *service
+	version   uint64
 	// began is when the operation began, late when its objective passes.
 	began, late time.Duration
 	// floor is what replicas must hold; without evidence hasFloor is false.
@@ -155,9 +157,10 @@
 }
 
 // admit begins an operation: authorization, rate and floor.
-func (e *Engine) admit(s *client.Session) (operation, *refusal) {
+func (e *Engine) admit(s *client.Session, o *Outcome) (operation, *refusal) {
 	now := e.Clock()
 	op, refused := e.authorize(now, s)
+	op.statement = o.Request
 	if refused != nil {
 		return op, refused
 	}
@@ -166,9 +169,11 @@
 		wait, ok := e.rates.take(now, patience, op.customer)
 		if !ok && e.Borrow != nil && e.Borrow(op.customer) {
 			wait, ok = 0, true
+			eventBorrowed.Log(e.Log, "request", op.statement, "customer", op.customer, "version", op.version,
+				"part", e.rates.describe(now, op.customer))
 		}
 		if !ok {
-			eventRefused.Log(e.Log, "customer", op.customer, "why", "rate", "version", op.version,
+			eventRefused.Log(e.Log, "request", op.statement, "customer", op.customer, "why", "rate", "version", op.version,
 				"wait_ms", wait.Milliseconds(), "part", e.rates.describe(now, op.customer))
 			return op, &refusal{statement.Busy, "customer's rate is used up"}
 		}
--- a/request/perform/outcome.go
+++ b/request/perform/outcome.go
@@ -14,10 +14,14 @@
 	eventAnswered = event.Define(6500, event.Decision, "statement answered")
 	eventRetried  = event.Define(6501, event.Decision, "statement retried")
 	eventRefused  = event.Define(6502, event.Decision, "operation refused")
+	eventBorrowed = event.Define(6503, event.Decision, "operation admitted on another instance's part of the limit")
+	eventUnopened = event.Define(6504, event.Decision, "connection for a statement could not be opened")
 )
 
 // Outcome describes the answer to one statement.
 type Outcome struct {
+	// Request is the caller's number of the statement.
+	Request  string
 	Kind     statement.Kind
 	Code     statement.Code
 	Service  topology.ServiceID
@@ -37,8 +41,8 @@
 	Via topology.InstanceID
 }
 
-func (o *Outcome) log(logger logr.Logger, id string) {
-	eventAnswered.Log(logger, "request", id, "kind", o.Kind.String(), "code", o.Code.String(),
+func (o *Outcome) log(logger logr.Logger) {
+	eventAnswered.Log(logger, "request", o.Request, "kind", o.Kind.String(), "code", o.Code.String(),
 		"service", o.Service, "customer", o.Customer, "target", o.Target, "primary", o.Primary,
 		"waited_us", o.Waited.Microseconds(), "took_us", o.Took.Microseconds(), "attempts", o.Attempts,
 		"why", o.Why, "floor_age_ms", o.FloorAge.Milliseconds(), "version", o.Version, "via", o.Via)
--- a/request/perform/single.go
+++ b/request/perform/single.go
@@ -12,7 +12,7 @@
 
 // Single implements Operations.
 func (e *Engine) Single(s *client.Session, st statement.Statement, o *Outcome) statement.Answer {
-	op, refused := e.admit(s)
+	op, refused := e.admit(s, o)
 	o.describe(&op)
 	if refused != nil {
 		return refused.answer(o, statement.Idle)
--- a/request/perform/transaction.go
+++ b/request/perform/transaction.go
@@ -30,7 +30,7 @@
 
 // Begin implements Operations.
 func (e *Engine) Begin(s *client.Session, readOnly bool, o *Outcome) (Transaction, statement.Answer) {
-	op, refused := e.admit(s)
+	op, refused := e.admit(s, o)
 	o.describe(&op)
 	if refused != nil {
 		return nil, refused.answer(o, statement.Idle)
--- a/request/relay/operations.go
+++ b/request/relay/operations.go
@@ -19,7 +19,7 @@
 	if refused != nil {
 		return refused.Answer(o, statement.Idle)
 	}
-	search := r.search(place)
+	search := r.search(place, st)
 	for {
 		to, ok := search.next(s, s.Writes(st))
 		if !ok {
@@ -38,7 +38,6 @@
 		case outcome == unanswered && s.Writes(st):
 			return statement.Answer{Code: statement.InDoubt, Detail: "home gave no answer", State: statement.Idle}
 		}
-		eventRelayFailed.Log(r.Log, "request", st.ID, "home", to, "kind", st.Kind.String(), "outcome", outcome.String())
 		search.failed(to, outcome)
 	}
 }
@@ -248,7 +247,7 @@
 // when the transaction is to run here.
 func (t *transaction) first(st statement.Statement, o *perform.Outcome) (statement.Answer, bool) {
 	r := t.relay
-	search := r.search(t.place)
+	search := r.search(t.place, st)
 	for {
 		to, ok := search.next(t.session, !t.readOnly)
 		if !ok {
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -25,7 +25,7 @@
 	eventPeerSilent  = event.Define(1320, event.Warning, "home does not answer, its work goes elsewhere")
 	eventPeerBack    = event.Define(1321, event.Info, "home answers again")
 	eventBadMessage  = event.Define(1322, event.Warning, "message of a peer cannot be read")
-	eventRelayFailed = event.Define(6510, event.Decision, "home gave no answer")
+	eventRelayFailed = event.Define(6510, event.Decision, "home did not run a statement")
 )
 
 // Times of judging a home.
--- a/request/relay/search.go
+++ b/request/relay/search.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"samphirehitch.example/samphirehitch/connection/client"
+	"samphirehitch.example/samphirehitch/process/statement"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/request/perform"
 )
@@ -23,13 +24,15 @@
 type search struct {
 	relay *Relay
 	place perform.Place
+	// statement is the one to run, for the log.
+	statement statement.Statement
 	// excluded have declined or not answered, unable ones cannot use the primary.
 	excluded, unable []topology.InstanceID
 	until            time.Duration
 }
 
-func (r *Relay) search(place perform.Place) *search {
-	return &search{relay: r, place: place, until: r.Clock() + rightPatience}
+func (r *Relay) search(place perform.Place, st statement.Statement) *search {
+	return &search{relay: r, place: place, statement: st, until: r.Clock() + rightPatience}
 }
 
 // next returns the instance to try. Changes reports an operation that is no mere
@@ -62,6 +65,8 @@
 // failed notes that an instance did not run the operation.
 func (s *search) failed(at topology.InstanceID, outcome asked) {
 	s.relay.OnDeclined()
+	eventRelayFailed.Log(s.relay.Log, "request", s.statement.ID, "home", at, "kind", s.statement.Kind.String(),
+		"service", s.place.Service, "customer", s.place.Customer, "outcome", outcome.String())
 	if outcome == unable {
 		s.unable = append(s.unable, at)
 		return
--- a/request/relay/server.go
+++ b/request/relay/server.go
@@ -124,7 +124,7 @@
 	}
 	session.Floor, session.FloorAt = q.Floor, s.relay.Clock()-q.FloorAge
 	var outcome perform.Outcome
-	conversation.Report(func(_ string, o perform.Outcome) { outcome = o })
+	conversation.Report(func(o perform.Outcome) { outcome = o })
 	answer, begun := s.begin(conversation, q)
 	if begun {
 		answer = conversation.Run(q.Statement)
