A fault soak of the entry daemon against stand-ins of the platform

Cause: the wiring of the daemon (signals, outages of the store, lapses, half-cut connections, failovers) was proved by the users' bench only. platform/platformtest stands in for the platform's store, targets, promotion orders and callers; soak/ runs the daemon's processes with faults from outside and judges what callers and targets saw.

--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,76 @@
+package soak
+
+import (
+	"bytes"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"samphirehitch.example/samphirehitch/platform/platformtest"
+)
+
+// build builds the daemon.
+func build(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "samphirehitch-edge")
+	if out, err := exec.Command("go", "build", "-o", program, "../cmd/samphirehitch-edge").CombinedOutput(); err != nil {
+		t.Fatalf("build the daemon: %v\n%s", err, out)
+	}
+	return program
+}
+
+// TestSoak is a short run of a fixed seed, and of every seed that ever failed.
+func TestSoak(t *testing.T) {
+	program := build(t)
+	for _, seed := range []uint64{1} {
+		var out bytes.Buffer
+		broken, err := Run(Options{Program: program, Directory: t.TempDir(), Seed: seed, Length: 8 * time.Second,
+			Daemons: 4, Callers: 12, Lanes: 2, Out: &out})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, b := range broken {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+		if t.Failed() {
+			t.Log(out.String())
+		}
+	}
+}
+
+// The checks find what they are for.
+func TestJudgementFindsBrokenPromises(t *testing.T) {
+	g, err := platformtest.StartGroup("s", 1, 3, 16, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer g.Close()
+	target, answer, err := platformtest.DialCaller(g.Leader().Address(), "s", "miller", answerPatience)
+	if err != nil || answer.Code != "" {
+		t.Fatalf("%v %+v", err, answer)
+	}
+	defer target.Close()
+	for _, text := range []string{"WRITE a d1", "WRITE a d1", "WRITE a d2", "WRITE a d3"} {
+		if _, err := target.Do("id", text, answerPatience); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r := newRecord()
+	r.sending("id", "miller", "WRITE a d1")
+	r.wrote(written{data: "d1"})
+	r.wrote(written{data: "d2", code: "BUSY"})
+	r.wrote(written{data: "d4"})
+	r.read(seen{item: "a", data: "d2", level: strict, before: []written{{data: "d3"}}})
+	want := []string{"TWICE: d1", "REFUSED: d2", "LOST: d4", "STALE: primary read of a gave d2", `UNASKED: id was "WRITE a d1"`}
+	broken := r.judge([]*platformtest.Group{g})
+	for _, begin := range want {
+		found := false
+		for _, b := range broken {
+			found = found || len(b) >= len(begin) && b[:len(begin)] == begin
+		}
+		if !found {
+			t.Errorf("%q is not found in %q", begin, broken)
+		}
+	}
+}
