Take no replaced primary for a successor at its old term

Found by the soak, seed 122 (20 s, 5 daemons, 24 callers, 4 lanes): "STALE: bounded read of item-19 gave d19.277 after d19.279 was acknowledged", ten times.

Cause: three primaries were lost within a second. The coordinator asked the targets that were left; one of them had led term 2, had come back and still called itself primary. It was published as the successor of term 4 at term 2, so that writes got READONLY and reads counted as fresh. A status of role primary was checked for its term while a promotion is confirmed, but not when a successor is chosen; the first record took any target that says it leads.

Change: only a target that leads the record's term or a later one succeeds by itself; others are promoted. The first record names the newest of those that say they lead.

Ruled out: the floors, the stand-in's replication (the target's own STATUS said term 2). Tests, both fail before: TestReplacedPrimaryThatCameBackIsNoSuccessorByItself, TestFirstRecordNamesTheNewestPrimary; the seed is a case of TestSoak.

--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -178,14 +178,18 @@
 	}
 }
 
-// bootstrap publishes the first record once one target says that it leads.
+// bootstrap publishes the first record once a target says that it leads.
 func (c *Coordinator) bootstrap(v View) Action {
+	var leading []directory.Target
 	for _, t := range v.Targets {
 		if t.Role == topology.RolePrimary && !t.Draining {
-			return Action{Kind: AskAll, Targets: []directory.Target{t}, Reason: "first record"}
+			leading = append(leading, t)
 		}
 	}
-	return Action{}
+	if len(leading) == 0 {
+		return Action{}
+	}
+	return Action{Kind: AskAll, Targets: leading, Reason: "first record"}
 }
 
 // watch decides whether the primary is to be replaced.
@@ -344,7 +348,7 @@
 	if !found {
 		return Action{}
 	}
-	if status.Role == topology.RolePrimary && successor != v.Record.Primary {
+	if status.Role == topology.RolePrimary && status.Term >= v.Record.Term {
 		c.successor = successor
 		return c.follow(c.publish(v, status))
 	}
@@ -363,13 +367,16 @@
 	return a
 }
 
+// first publishes the target that leads the newest term: one that was replaced may call
+// itself primary for a while.
 func (c *Coordinator) first(r Result) Action {
+	var newest Action
 	for id, status := range r.Statuses {
-		if status.Role == topology.RolePrimary {
-			return Action{Kind: Publish, Record: Record{Primary: id, Term: status.Term, Start: status.Received}, Reason: "first record"}
+		if status.Role == topology.RolePrimary && status.Term > newest.Record.Term {
+			newest = Action{Kind: Publish, Record: Record{Primary: id, Term: status.Term, Start: status.Received}, Reason: "first record"}
 		}
 	}
-	return Action{}
+	return newest
 }
 
 func (c *Coordinator) publish(v View, status TargetStatus) Action {
--- a/process/failover/coordinator_test.go
+++ b/process/failover/coordinator_test.go
@@ -72,7 +72,7 @@
 			r.Failed, r.Rejected = true, true
 			break
 		}
-		w.statuses[a.Target.ID] = TargetStatus{Role: topology.RolePrimary, Term: 2, Received: at(1, 49)}
+		w.statuses[a.Target.ID] = TargetStatus{Role: topology.RolePrimary, Term: w.view.Record.Term + 1, Received: at(1, 49)}
 	case DemoteOld:
 		w.demoted = append(w.demoted, a.Target.ID)
 	}
@@ -210,3 +210,31 @@
 		}
 	}
 }
+
+// Soak seed 122: a primary that was replaced came back and still called itself primary,
+// at its old term, when the later one was lost. It is no successor until it is promoted.
+func TestReplacedPrimaryThatCameBackIsNoSuccessorByItself(t *testing.T) {
+	w := newWorld(t)
+	w.view.Record = Record{Primary: "a", Term: 4, Sequence: 3}
+	w.view.Suspects, w.view.Acknowledged = 2, true
+	w.statuses = map[topology.TargetID]TargetStatus{"b": {Role: topology.RolePrimary, Term: 2, Received: at(2, 1768)}}
+	w.run(3 * time.Second)
+	if record := w.view.Record; record.Term < 4 || record.Primary == "b" && len(w.orders) == 0 {
+		t.Fatalf("record %+v, orders %v", record, w.orders)
+	}
+	if len(w.orders) != 1 || w.orders[0] != "b" || w.view.Record.Primary != "b" || w.view.Record.Term != 5 {
+		t.Fatalf("record %+v, orders %v", w.view.Record, w.orders)
+	}
+}
+
+// The first record names the newest of several targets that say they lead.
+func TestFirstRecordNamesTheNewestPrimary(t *testing.T) {
+	w := newWorld(t)
+	w.view.Record, w.view.Revision = Record{}, 0
+	w.view.Targets["b"] = directory.Target{ID: "b", Role: topology.RolePrimary}
+	w.statuses["b"] = TargetStatus{Role: topology.RolePrimary, Term: 3, Received: at(3, 60)}
+	w.run(time.Second)
+	if w.view.Record.Primary != "b" || w.view.Record.Term != 3 {
+		t.Fatalf("record %+v", w.view.Record)
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,22 +20,32 @@
 	return program
 }
 
-// TestSoak is a short run of a fixed seed, and of every seed that ever failed.
+// cases are a short run and every run that ever failed, with its cause.
+var cases = map[string]Options{
+	"short": {Seed: 1, Length: 8 * time.Second, Daemons: 4, Callers: 12, Lanes: 2},
+	// A primary that had been replaced came back, still called itself primary and was
+	// taken for the successor of a later one, at its old term: stale reads.
+	"replaced primary came back": {Seed: 122, Length: 20 * time.Second, Daemons: 5, Callers: 24, Lanes: 4},
+}
+
 func TestSoak(t *testing.T) {
 	program := build(t)
-	for _, seed := range []uint64{1} {
-		var out bytes.Buffer
-		broken, err := Run(Options{Program: program, Directory: t.TempDir(), Seed: seed, Length: 8 * time.Second,
-			Daemons: 4, Callers: 12, Lanes: 2, Out: &out})
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, b := range broken {
-			t.Errorf("seed %d: %s", seed, b)
-		}
-		if t.Failed() {
-			t.Log(out.String())
-		}
+	for name, options := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var out bytes.Buffer
+			options.Program, options.Directory, options.Out = program, t.TempDir(), &out
+			broken, err := Run(options)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, b := range broken {
+				t.Error(b)
+			}
+			if t.Failed() {
+				t.Log(out.String())
+			}
+		})
 	}
 }
 
