Probe no suspected primaries while leaving

By the code, an instance that serves until 5.5 s of 6 s, unregisters in 0.25 s and then waits for a probe of 0.4 s passes the grace. Ruled out by reading: calls to the store and links, whose contexts end with the daemon.

--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -166,9 +166,13 @@
 	return "", "", false
 }
 
-// recheck tries to reach suspected primaries again while callers do not.
+// recheck tries to reach suspected primaries again while callers do not. An instance
+// that leaves does not: a probe under way would hold up its end.
 func (s *suspects) recheck(ctx context.Context) error {
 	for pause(ctx, 4*suspectPause) {
+		if s.daemon.stopping.Load() {
+			continue
+		}
 		s.mu.Lock()
 		wanted := make(map[topology.ServiceID]topology.TargetID, len(s.wanted))
 		for service, target := range s.wanted {
