--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -17,7 +17,7 @@
 	"steady":       {worth: 1, primary: 1},
 	"hot customer": {worth: 0.999, primary: 0.999},
 	"slow replica": {worth: 0.999, primary: 0.999},
-	"burst": {worth: 0.5, primary: 0.5, gain: 0.05, refusal: replicaObjective / 4},
+	"burst":        {worth: 0.5, primary: 0.5, gain: 0.05, refusal: replicaObjective / 4},
 	// The baseline answers a fifth more of it late. Callers that are refused at once
 	// come back while the targets are free, which the pattern does not model.
 	"mass return": {worth: 0.55, primary: 0.5, gain: -0.03, refusal: replicaObjective / 4},
