Take answers of homes only from who was asked, and for questions of this process

Found by reading the change for what one pause can break. Requests to homes were numbered from one in each process, and replies were matched by number alone.

Change: numbers start at random; a reply counts only from the instance that was asked; the age of a configuration that a peer tells counts only for the last question of this process, since an earlier one's clock may be another machine's.

--- a/request/relay/configuration.go
+++ b/request/relay/configuration.go
@@ -52,10 +52,13 @@
 }
 
 // told takes a configuration. It was confirmed no earlier than its age before the
-// question.
+// question, unless that was an earlier process's or an older one.
 func (r *Relay) told(from topology.InstanceID, answer *told) {
+	r.mu.Lock()
+	asked := r.askedAt != 0 && answer.At == r.askedAt
+	r.mu.Unlock()
 	at := time.Duration(-1)
-	if answer.Age >= 0 {
+	if asked && answer.Age >= 0 {
 		at = answer.At - answer.Age
 	}
 	r.OnConfiguration(from, answer.Revision, answer.Value, at)
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -86,6 +87,8 @@
 type Relay struct {
 	Dependencies
 	server *server
+	// lastID is the last number of a request, a loan or a ping. It starts at random:
+	// homes may answer an earlier process of this instance late.
 	lastID atomic.Uint64
 	// newest is the newest version of a configuration that decided for a caller.
 	newest   atomic.Uint64
@@ -137,6 +140,7 @@
 // New returns a relay that runs everything here until Place is called.
 func New(d Dependencies) *Relay {
 	r := &Relay{Dependencies: d, pending: make(map[uint64]*call), loans: make(map[uint64]chan bool), liveness: make(map[topology.InstanceID]*liveness)}
+	r.lastID.Store(rand.Uint64())
 	r.server = newServer(r)
 	r.places.Store(&places{})
 	return r
@@ -173,7 +177,7 @@
 	case m.Request != nil:
 		go r.server.handle(from, m.Request)
 	case m.Reply != nil:
-		r.replied(m.Reply)
+		r.replied(from, m.Reply)
 	case m.End != nil:
 		go r.server.end(remoteSession{instance: from, id: *m.End})
 	case len(m.Needs) > 0:
@@ -213,12 +217,17 @@
 	return l
 }
 
-func (r *Relay) replied(answer *reply) {
+// replied hands a reply to the request that waits for it. Only the instance that was
+// asked can answer.
+func (r *Relay) replied(from topology.InstanceID, answer *reply) {
 	r.mu.Lock()
 	c := r.pending[answer.ID]
-	delete(r.pending, answer.ID)
+	expected := c != nil && c.to == from
+	if expected {
+		delete(r.pending, answer.ID)
+	}
 	r.mu.Unlock()
-	if c != nil {
+	if expected {
 		c.done <- answer
 	}
 }
