Send promotion orders only under the duty that decided them; settle lost answers

Found by reading for one pause, one slow connection and one lost answer.

The duty is now asked at the write, for 1.0 s after the last renewal; the kernel gives up what a cut holds up after 0.5 s. A chain of actions that a pause had interrupted went on when the duty had been lost and taken again, with its earlier token. When the answer to the successor's publication was lost, the old primary was never demoted.

Failed try: a guard in the request's body; the transport sends the headers first (seen in the test).

--- a/edge/actions.go
+++ b/edge/actions.go
@@ -26,7 +26,7 @@
 
 func (d *Daemon) act(ctx context.Context, service topology.ServiceID, a failover.Action, token failover.Token) failover.Result {
 	result := failover.Result{Action: a}
-	if !d.dutyHeld() {
+	if !d.holds(token, dutySpan) {
 		result.Failed = true
 		return result
 	}
@@ -41,7 +41,9 @@
 		eventStep.Log(d.log, "step", "order", "service", service, "target", a.Target.ID, "token", token, "why", a.Reason)
 		orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		if err := d.orders.Promote(orderCtx, service, a.Target.ID, token); err != nil {
+		order := failover.PromotionOrder{Service: service, Successor: a.Target.ID, Token: token,
+			Held: func() bool { return d.holds(token, orderSpan) }}
+		if err := d.orders.Promote(orderCtx, order); err != nil {
 			eventStepFailed.LogError(d.log, err, "step", "order", "service", service, "target", a.Target.ID)
 			result.Failed, result.Rejected = true, errors.Is(err, failover.ErrRejected)
 		}
--- a/edge/duty.go
+++ b/edge/duty.go
@@ -17,6 +17,9 @@
 	dutyTerm = 1500 * time.Millisecond
 	// dutySpan is how long the duty counts as held after a renewal was asked.
 	dutySpan = 1200 * time.Millisecond
+	// orderSpan is how long after a renewal was asked an order may be sent: what a
+	// network cut holds up is given up after 0.5 s, before the lease ends.
+	orderSpan = 1000 * time.Millisecond
 	// dutyInterval leaves two tries before the duty counts as lost.
 	dutyInterval = 450 * time.Millisecond
 )
@@ -57,6 +60,15 @@
 	return d.leader.lease != 0 && d.clock()-d.leader.renewed < dutySpan
 }
 
+// holds reports whether the duty is held since it was taken with a token, and its last
+// renewal was asked within a span. Another instance may have held it between two
+// takings by this one, with a token between theirs.
+func (d *Daemon) holds(token failover.Token, span time.Duration) bool {
+	d.leader.mu.Lock()
+	defer d.leader.mu.Unlock()
+	return d.leader.token == token && d.leader.lease != 0 && d.clock()-d.leader.renewed < span
+}
+
 // setDutyLease notes the duty's lease as of a call made at asked.
 func (d *Daemon) setDutyLease(lease store.LeaseID, asked time.Duration) {
 	d.leader.mu.Lock()
--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -149,6 +149,9 @@
 	}
 	if !v.Record.Fenced && c.phase != steady {
 		c.enter(now, steady)
+		if c.successor != "" && v.Record.Primary == c.successor {
+			c.demote = v.Record.Term // the answer to its publication was lost
+		}
 	}
 	switch c.phase {
 	case fenced:
--- a/process/failover/coordinator_test.go
+++ b/process/failover/coordinator_test.go
@@ -19,6 +19,8 @@
 	orders   []topology.TargetID
 	demoted  []topology.TargetID
 	rejects  map[topology.TargetID]bool
+	// lost is how many answers of each kind of action are lost after it took effect.
+	lost map[ActionKind]int
 }
 
 func at(term topology.Term, position topology.Position) topology.Point {
@@ -76,6 +78,10 @@
 	case DemoteOld:
 		w.demoted = append(w.demoted, a.Target.ID)
 	}
+	if w.lost[a.Kind] > 0 {
+		w.lost[a.Kind]--
+		r.Failed = true
+	}
 	return r
 }
 
@@ -238,3 +244,24 @@
 		t.Fatalf("record %+v", w.view.Record)
 	}
 }
+
+// Any answer may be lost after its call took effect: of the fence, of the order, of the
+// record that names the successor. The failover ends the same, with one order more at
+// most, and the old primary is demoted.
+func TestLostAnswersAreSettled(t *testing.T) {
+	for name, lost := range map[string]map[ActionKind]int{
+		"publish, once": {Publish: 1}, "publish, twice": {Publish: 2}, "order": {Order: 1}, "all": {Publish: 2, Order: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.view.Suspects, w.view.Acknowledged, w.lost = 2, true, lost
+			w.run(5 * time.Second)
+			if record := w.view.Record; record.Primary != "c" || record.Term != 2 || record.Fenced || record.Sequence != 1 {
+				t.Fatalf("record %+v", record)
+			}
+			if len(w.orders) > 2 || len(w.demoted) != 1 || w.demoted[0] != "a" {
+				t.Fatalf("orders %v, demoted %v", w.orders, w.demoted)
+			}
+		})
+	}
+}
--- a/process/failover/record.go
+++ b/process/failover/record.go
@@ -22,10 +22,23 @@
 // Token orders the holders of the duty: a later holder has a higher one.
 type Token uint64
 
+// ErrDutyEnded reports an order that was not sent, since the duty had ended before.
+var ErrDutyEnded = errors.New("the promotion duty has ended")
+
+// PromotionOrder names the target that is to lead its service.
+type PromotionOrder struct {
+	Service   topology.ServiceID
+	Successor topology.TargetID
+	Token     Token
+	// Held reports that the duty is held for certain. It is asked right before the
+	// order is sent, which a pause or a slow connection may delay.
+	Held func() bool
+}
+
 // Orders takes promotion orders.
 type Orders interface {
 	// Promote is idempotent: for the present primary it changes nothing.
-	Promote(ctx context.Context, service topology.ServiceID, successor topology.TargetID, token Token) error
+	Promote(ctx context.Context, order PromotionOrder) error
 }
 
 // TargetStatus is what a target says of its log.
