--- a/process/config/world_test.go
+++ b/process/config/world_test.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/platform"
@@ -223,107 +221,6 @@
 	})
 }
 
-func (w *world) swap(swap store.Swap) Event {
-	if current := w.latest[swap.Key]; current != swap.Expect {
-		return Swapped{Err: store.ErrConflict, Conflict: true, Current: current}
-	}
-	w.commit(swap.Key, swap.Value, false)
-	return Swapped{Revision: w.revision()}
-}
-
-func (w *world) revision() store.Revision { return store.Revision(len(w.history)) }
-
-// commit appends to the history and wakes the watches.
-func (w *world) commit(key string, value []byte, deleted bool) store.Revision {
-	entry := store.Entry{Key: key, Value: value, Revision: w.revision() + 1}
-	w.history = append(w.history, change{Change: store.Change{Entry: entry, Deleted: deleted}, at: w.now})
-	w.latest[key] = entry.Revision
-	if deleted {
-		w.latest[key] = 0
-	}
-	w.wake()
-	return entry.Revision
-}
-
-func (w *world) wake() {
-	waiting := w.waiting
-	w.waiting = nil
-	for _, watch := range waiting {
-		w.look(watch, false)
-	}
-}
-
-// readable is the revision that reads see.
-func (w *world) readable() store.Revision { return w.revisionAt(w.now - w.staleBy) }
-
-func (w *world) revisionAt(at time.Duration) store.Revision {
-	if w.now <= at {
-		return w.revision()
-	}
-	n, _ := slices.BinarySearchFunc(w.history, at, func(c change, at time.Duration) int {
-		if c.at <= at {
-			return -1
-		}
-		return 1
-	})
-	return store.Revision(n)
-}
-
-// content returns the entries as of a revision, and those without heartbeats.
-func (w *world) content(at store.Revision) (all, records []store.Entry) {
-	state := map[string]store.Entry{}
-	for _, change := range w.history[:at] {
-		delete(state, change.Key)
-		if !change.Deleted {
-			state[change.Key] = change.Entry
-		}
-	}
-	for _, entry := range state {
-		all = append(all, entry)
-	}
-	slices.SortFunc(all, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
-	records = slices.DeleteFunc(slices.Clone(all), func(entry store.Entry) bool { return isHeartbeat(entry.Key) })
-	return all, records
-}
-
-func (w *world) startWatch(watch *waitingWatch) {
-	w.calls++
-	w.after(w.upTo(w.storeDelay), func() { w.look(watch, false) })
-	w.after(10*time.Second, func() {
-		if i := slices.Index(w.waiting, watch); i >= 0 {
-			w.waiting = slices.Delete(w.waiting, i, i+1)
-			w.look(watch, true)
-		}
-	})
-}
-
-// look answers a watch with the last change of each key, or lets it wait.
-func (w *world) look(watch *waitingWatch, end bool) {
-	d := watch.d
-	answer := func(event Event) {
-		w.after(w.upTo(w.storeDelay), func() {
-			if d.life == watch.life && d.watch == watch.watch {
-				w.feed(d, event)
-			}
-		})
-	}
-	if w.down || d.cut {
-		answer(Watched{Err: errDown})
-		return
-	}
-	upTo := max(watch.after, w.readable())
-	var changes []store.Change
-	for _, change := range w.history[watch.after:upTo] {
-		changes = slices.DeleteFunc(changes, func(c store.Change) bool { return c.Key == change.Key })
-		changes = append(changes, change.Change)
-	}
-	if len(changes) == 0 && !end {
-		w.waiting = append(w.waiting, watch)
-		return
-	}
-	answer(Watched{Changes: changes, Complete: upTo})
-}
-
 func (w *world) send(from *daemon, action Send) {
 	w.sent++
 	copies := 1
@@ -344,71 +241,6 @@
 	}
 }
 
-// fail records the first broken invariant.
-func (w *world) fail(format string, args ...any) {
-	if w.failure == "" {
-		w.failure = fmt.Sprintf("at %v: ", w.now) + fmt.Sprintf(format, args...)
-	}
-}
-
-// checkPublished holds a state against the history: it is what the store held at
-// its revision, and later than the one before.
-func (w *world) checkPublished(d *daemon, state State) {
-	if d.loaded && state.Revision <= d.state.Revision {
-		w.fail("%s went from revision %d to %d", d.self.ID, d.state.Revision, state.Revision)
-	}
-	w.checkContent(d, state.Entries, state.Revision)
-}
-
-func (w *world) checkContent(d *daemon, entries []store.Entry, at store.Revision) {
-	_, want := w.content(at)
-	same := slices.EqualFunc(entries, want, func(a, b store.Entry) bool {
-		return a.Key == b.Key && a.Revision == b.Revision && string(a.Value) == string(b.Value)
-	})
-	if !same {
-		w.fail("%s holds %d records that are not those of revision %d", d.self.ID, len(entries), at)
-	}
-}
-
-// check holds a daemon's claims against the truth.
-func (w *world) check(d *daemon) {
-	s := d.spread
-	if s.replica.loaded {
-		if s.replica.complete > w.revision() {
-			w.fail("%s claims revision %d of %d", d.self.ID, s.replica.complete, w.revision())
-			return
-		}
-		w.checkComplete(d)
-	}
-	switch freshness := s.Verdict().Judge(w.now + d.offset); {
-	case freshness == FreshnessFresh && w.revisionAt(w.now-FreshLimit) > s.replica.complete && w.recordsAfter(s.replica.complete, w.now-FreshLimit):
-		w.fail("%s counts as fresh at revision %d without a change older than the limit", d.self.ID, s.replica.complete)
-	case freshness != FreshnessStale && d.isolated > 0 && w.now-d.isolated >= FreshLimit+AnswerLimit:
-		w.fail("%s is %v after %v in a minority without the store", d.self.ID, freshness, w.now-d.isolated)
-	}
-}
-
-// checkComplete makes sure that no record changed in (content, complete].
-func (w *world) checkComplete(d *daemon) {
-	r := &d.spread.replica
-	for _, change := range w.history[r.content:r.complete] {
-		if !isHeartbeat(change.Key) {
-			w.fail("%s claims completeness to %d and lacks %s@%d", d.self.ID, r.complete, change.Key, change.Revision)
-		}
-	}
-}
-
-// recordsAfter reports whether a record changed after a revision and before a
-// moment.
-func (w *world) recordsAfter(after store.Revision, before time.Duration) bool {
-	for _, change := range w.history[after:] {
-		if change.at < before && !isHeartbeat(change.Key) {
-			return true
-		}
-	}
-	return false
-}
-
 // isolate notes which daemons are, from now on, in an island that is a minority
 // and does not reach the store. An instance that joins such an island brings its
 // evidence along, so that the time counts from the latest cut.
@@ -450,19 +282,3 @@
 		w.feed(d, event)
 	}
 }
-
-// settled reports whether all daemons hold the latest records and are fresh.
-func (w *world) settled() bool {
-	_, want := w.content(w.revision())
-	for _, d := range w.daemons {
-		if !d.loaded || d.spread.Verdict().Judge(w.now+d.offset) != FreshnessFresh || len(d.state.Entries) != len(want) {
-			return false
-		}
-		for i := range want {
-			if d.state.Entries[i].Key != want[i].Key || d.state.Entries[i].Revision != want[i].Revision {
-				return false
-			}
-		}
-	}
-	return true
-}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -65,7 +65,7 @@
 func (c *caller) connect() bool {
 	entry := c.entries[c.random.IntN(len(c.entries))]
 	conn, answer, err := platformtest.DialCaller(entry, c.database.Host, c.customer.Key, answerPatience)
-	if err != nil || answer.Code != "" {
+	if err != nil || !answer.OK() {
 		return false
 	}
 	c.conn, c.operations = conn, 0
@@ -101,12 +101,12 @@
 
 func (c *caller) readItem() bool {
 	s := seen{item: c.item, level: level(c.database.Type), began: time.Now(), connection: c.connection, before: slices.Clone(c.recent())}
-	answer, ok := c.do("READ " + c.item)
-	if ok && answer.Code == "" && len(answer.Rows) == 1 {
+	answer, ok := c.do(platformtest.ReadText(c.item))
+	if ok && answer.OK() && len(answer.Rows) == 1 {
 		s.data = answer.Rows[0]
 		c.record.read(s)
 	}
-	return ok && answer.State == "I"
+	return ok && answer.Idle()
 }
 
 // recent returns the last acknowledged writes: the newest, and enough older ones that
@@ -120,47 +120,47 @@
 
 // note records the outcome of an attempt to write.
 func (c *caller) note(data string, answer platformtest.Answer, ok bool) {
-	w := written{data: data, code: answer.Code, noAnswer: !ok, ackedAt: time.Now(), connection: c.connection}
+	w := written{data: data, acked: ok && answer.OK(), promised: ok && answer.PromisesNothingKept(), at: time.Now(), connection: c.connection}
 	c.record.wrote(w)
-	if ok && answer.Code == "" {
+	if w.acked {
 		c.acked = append(c.acked, w)
 	}
 }
 
 func (c *caller) writeItem() bool {
 	data := c.nextData()
-	answer, ok := c.do("WRITE " + c.item + " " + data)
+	answer, ok := c.do(platformtest.WriteText(c.item, data))
 	c.note(data, answer, ok)
-	return ok && answer.State == "I"
+	return ok && answer.Idle()
 }
 
 func (c *caller) prepareAndWrite() bool {
-	if answer, ok := c.do("PREPARE p WRITE shape"); !ok || answer.Code != "" {
+	if answer, ok := c.do(platformtest.PrepareText); !ok || !answer.OK() {
 		return false
 	}
 	data := c.nextData()
-	answer, ok := c.do("EXECUTE p " + c.item + " " + data)
+	answer, ok := c.do(platformtest.ExecuteText(c.item, data))
 	c.note(data, answer, ok)
-	return ok && answer.State == "I"
+	return ok && answer.Idle()
 }
 
 // transaction writes within a transaction. An attempt that its caller gave up, or whose
 // COMMIT was not sent, is one that keeps nothing.
 func (c *caller) transaction(giveUp bool) bool {
-	if answer, ok := c.do("BEGIN"); !ok || answer.Code != "" {
-		return ok && answer.State == "I"
+	if answer, ok := c.do(platformtest.BeginText); !ok || !answer.OK() {
+		return ok && answer.Idle()
 	}
 	data := c.nextData()
-	answer, ok := c.do("WRITE " + c.item + " " + data)
-	if !ok || answer.Code != "" || giveUp {
-		c.record.wrote(written{data: data, code: "ABORTED", ackedAt: time.Now(), connection: c.connection})
+	answer, ok := c.do(platformtest.WriteText(c.item, data))
+	if !ok || !answer.OK() || giveUp {
+		c.record.wrote(written{data: data, promised: true, at: time.Now(), connection: c.connection})
 		if !ok {
 			return false
 		}
-		answer, ok = c.do("ROLLBACK")
-		return ok && answer.State == "I"
+		answer, ok = c.do(platformtest.RollbackText)
+		return ok && answer.Idle()
 	}
-	answer, ok = c.do("COMMIT")
+	answer, ok = c.do(platformtest.CommitText)
 	c.note(data, answer, ok)
-	return ok && answer.State == "I"
+	return ok && answer.Idle()
 }
--- a/soak/record.go
+++ b/soak/record.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -26,16 +25,13 @@
 // primary is not counted, as the pages state.
 const thaw = 300 * time.Millisecond
 
-// promises are the answers that say that nothing of an attempt is kept.
-var promises = []string{"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "CONNLIMIT"}
-
 // written is an attempt to change an item.
 type written struct {
 	data string
-	// code is empty after success; noAnswer says that none came.
-	code     string
-	noAnswer bool
-	ackedAt  time.Time
+	// acked attempts were answered with success, promised ones with an error that says
+	// that nothing is kept.
+	acked, promised bool
+	at              time.Time
 	// connection tells sessions of one caller apart.
 	connection int
 }
@@ -81,7 +77,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.writes = append(r.writes, w)
-	if w.code == "" && !w.noAnswer {
+	if w.acked {
 		r.succeeded++
 	}
 }
@@ -148,16 +144,15 @@
 func (j *judgement) judgeWrites() {
 	for _, w := range j.writes {
 		times := j.times[w.data]
-		acked := w.code == "" && !w.noAnswer
 		switch {
 		case times > 1:
 			j.breach("TWICE: %s was committed %d times", w.data, times)
-		case acked && times == 0:
+		case w.acked && times == 0:
 			j.breach("LOST: %s was acknowledged and never committed", w.data)
-		case acked && j.superseded[w.data] && !j.disturbedBefore(w.ackedAt):
+		case w.acked && j.superseded[w.data] && !j.disturbedBefore(w.at):
 			j.breach("ONE: %s was committed at a replaced primary and acknowledged", w.data)
-		case times > 0 && slices.Contains(promises, w.code):
-			j.breach("REFUSED: %s was committed and answered %s", w.data, w.code)
+		case times > 0 && w.promised:
+			j.breach("REFUSED: %s was committed and its caller told that nothing is kept", w.data)
 		}
 	}
 }
@@ -183,7 +178,7 @@
 			continue
 		}
 		ownSession := s.level == session && w.connection == s.connection
-		if s.level == strict || ownSession || s.began.Sub(w.ackedAt) > staleness {
+		if s.level == strict || ownSession || s.began.Sub(w.at) > staleness {
 			j.breach("STALE: %s read of %s gave %s after %s was acknowledged", s.level, s.item, s.data, w.data)
 			return
 		}
@@ -199,7 +194,7 @@
 			j.breach("UNASKED: %s ran, which nobody sent", run.ID)
 		case s.customer != run.Customer:
 			j.breach("UNASKED: %s of %s ran for %s", run.ID, s.customer, run.Customer)
-		case !sameText(s.text, run.Text):
+		case !platformtest.SameStatement(s.text, run.Text):
 			j.breach("UNASKED: %s was %q and ran as %q", run.ID, s.text, run.Text)
 		}
 		if at, gone := j.withdrawn[s.customer]; gone && s.at.Sub(at) > revokeTime {
@@ -210,15 +205,3 @@
 
 // revokeTime is how long a withdrawn key may still be accepted.
 const revokeTime = 5 * time.Second
-
-// sameText allows another name of a prepared statement and a position before a read.
-func sameText(asked, ran string) bool {
-	if rest, floored := strings.CutPrefix(ran, "AFTERLSN "); floored {
-		_, ran, _ = strings.Cut(rest, " ")
-	}
-	if strings.HasPrefix(asked, "EXECUTE ") && strings.HasPrefix(ran, "EXECUTE ") {
-		_, asked, _ = strings.Cut(strings.TrimPrefix(asked, "EXECUTE "), " ")
-		_, ran, _ = strings.Cut(strings.TrimPrefix(ran, "EXECUTE "), " ")
-	}
-	return asked == ran
-}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,22 +57,22 @@
 	}
 	defer g.Close()
 	target, answer, err := platformtest.DialCaller(g.Leader().Address(), "s", "miller", answerPatience)
-	if err != nil || answer.Code != "" {
+	if err != nil || !answer.OK() {
 		t.Fatalf("%v %+v", err, answer)
 	}
 	defer target.Close()
-	for _, text := range []string{"WRITE a d1", "WRITE a d1", "WRITE a d2", "WRITE a d3"} {
-		if _, err := target.Do("id", text, answerPatience); err != nil {
+	for _, data := range []string{"d1", "d1", "d2", "d3"} {
+		if _, err := target.Do("id", platformtest.WriteText("a", data), answerPatience); err != nil {
 			t.Fatal(err)
 		}
 	}
 	r := newRecord()
-	r.sending("id", "miller", "WRITE a d1")
-	r.wrote(written{data: "d1"})
-	r.wrote(written{data: "d2", code: "BUSY"})
-	r.wrote(written{data: "d4"})
+	r.sending("id", "miller", platformtest.WriteText("a", "d1"))
+	r.wrote(written{data: "d1", acked: true})
+	r.wrote(written{data: "d2", promised: true})
+	r.wrote(written{data: "d4", acked: true})
 	r.read(seen{item: "a", data: "d2", level: strict, before: []written{{data: "d3"}}})
-	want := []string{"TWICE: d1", "REFUSED: d2", "LOST: d4", "STALE: primary read of a gave d2", `UNASKED: id was "WRITE a d1"`}
+	want := []string{"TWICE: d1", "REFUSED: d2", "LOST: d4", "STALE: primary read of a gave d2", "UNASKED: id was"}
 	broken := r.judge([]*platformtest.Group{g})
 	for _, begin := range want {
 		found := false
