--- a/connection/caller/login_test.go
+++ b/connection/caller/login_test.go
@@ -164,7 +164,7 @@
 		}
 		busy.receive()
 		busy.receive()
-		time.Sleep(4 * time.Second)
+		time.Sleep(4 * time.Second) // virtual time
 		busy.ask()
 		began := time.Now()
 		busy.receive()
@@ -190,7 +190,7 @@
 		}
 		began := time.Now()
 		for c.receive() != nil {
-			time.Sleep(time.Second)
+			time.Sleep(time.Second) // virtual time
 		}
 		if took := time.Since(began); took < 7*time.Second || took > 8*time.Second {
 			t.Errorf("given up after %v, want 7s", took)
--- a/demo/bench_test.go
+++ b/demo/bench_test.go
@@ -47,7 +47,7 @@
 	for range benchConnections {
 		conn, err := open()
 		for err != nil {
-			time.Sleep(10 * time.Millisecond)
+			time.Sleep(10 * time.Millisecond) // until the deployment serves; not measured
 			conn, err = open()
 		}
 		conns = append(conns, conn)
--- a/operator/change/change_test.go
+++ b/operator/change/change_test.go
@@ -95,7 +95,7 @@
 			random := rand.New(rand.NewPCG(seed, uint64(operator)))
 			writer := NewWriter(service, fmt.Sprint("operator", operator))
 			for i := range 6 {
-				time.Sleep(time.Duration(random.IntN(60)) * time.Millisecond)
+				time.Sleep(time.Duration(random.IntN(60)) * time.Millisecond) // virtual time, of the bubble
 				call := now()
 				present, err := Read(t.Context(), service, record.KindCustomer, "c")
 				if err != nil {
--- a/process/config/driver_test.go
+++ b/process/config/driver_test.go
@@ -94,7 +94,7 @@
 		for _, driver := range board.mu.drivers {
 			running.Go(func() { _ = driver.Run(ctx) })
 		}
-		time.Sleep(3 * time.Second)
+		time.Sleep(3 * time.Second) // virtual time, as below
 		revision, err := service.CompareAndSwap(ctx, store.Swap{Key: Prefix + "key/k", Value: []byte("v")})
 		if err != nil {
 			t.Fatal(err)
--- a/process/pool/coordinator_test.go
+++ b/process/pool/coordinator_test.go
@@ -109,7 +109,7 @@
 			},
 			"give up": func(t *rapid.T) {
 				if len(m.waiting) == 0 {
-					t.Skip()
+					t.Skip() // rapid draws another action
 				}
 				i := index(len(m.waiting))
 				if !m.state.cancel(m.waiting[i]) {
@@ -119,7 +119,7 @@
 			},
 			"release": func(t *rapid.T) {
 				if len(m.leases) == 0 {
-					t.Skip()
+					t.Skip() // rapid draws another action
 				}
 				i := index(len(m.leases))
 				lease := m.leases[i]
@@ -128,7 +128,7 @@
 			},
 			"dial ends": func(t *rapid.T) {
 				if m.dials == 0 {
-					t.Skip()
+					t.Skip() // rapid draws another action
 				}
 				m.dials--
 				conn := newFakeConn()
@@ -141,7 +141,7 @@
 			},
 			"close ends": func(t *rapid.T) {
 				if len(m.closing) == 0 {
-					t.Skip()
+					t.Skip() // rapid draws another action
 				}
 				conn := m.closing[0]
 				m.closing = m.closing[1:]
--- a/request/perform/perform_test.go
+++ b/request/perform/perform_test.go
@@ -111,7 +111,7 @@
 		default:
 			r.advance(time.Millisecond)
 			r.engine.Tick()
-			time.Sleep(time.Millisecond)
+			time.Sleep(time.Millisecond) // lets the statement run; the clock is the test's
 		}
 	}
 }
@@ -196,7 +196,7 @@
 			return
 		default:
 			r.advance(10 * time.Millisecond)
-			time.Sleep(time.Millisecond)
+			time.Sleep(time.Millisecond) // lets the statement run; the clock is the test's
 		}
 	}
 }
--- a/request/relay/fleet_test.go
+++ b/request/relay/fleet_test.go
@@ -163,6 +163,7 @@
 type fleet struct {
 	t       *testing.T
 	timeout time.Duration
+	clock   clock.Clock
 	network *network
 	targets map[topology.InstanceID]*ranTarget
 	told    map[topology.InstanceID]share.Needs
@@ -182,10 +183,10 @@
 // generous is a statement timeout that no busy machine reaches.
 const generous = 20 * time.Second
 
-func newFleet(t *testing.T) *fleet { return newFleetWith(t, generous) }
+func newFleet(t *testing.T) *fleet { return newFleetWith(t, generous, clock.System()) }
 
-func newFleetWith(t *testing.T, timeout time.Duration) *fleet {
-	f := &fleet{t: t, timeout: timeout, targets: make(map[topology.InstanceID]*ranTarget), told: make(map[topology.InstanceID]share.Needs),
+func newFleetWith(t *testing.T, timeout time.Duration, now clock.Clock) *fleet {
+	f := &fleet{t: t, timeout: timeout, clock: now, targets: make(map[topology.InstanceID]*ranTarget), told: make(map[topology.InstanceID]share.Needs),
 		network: &network{relays: make(map[topology.InstanceID]*Relay), cut: make(map[topology.InstanceID]bool), down: make(map[topology.InstanceID]bool), unfit: make(map[topology.InstanceID]bool)}}
 	for _, id := range []topology.InstanceID{"h1", "h2", "e"} {
 		f.targets[id] = &ranTarget{}
@@ -223,7 +224,7 @@
 }
 
 func (f *fleet) newEngine(ran *ranTarget) *perform.Engine {
-	engine := perform.NewEngine(perform.Dependencies{FailureDomain: "x", RateWindow: time.Second, Clock: clock.System(),
+	engine := perform.NewEngine(perform.Dependencies{FailureDomain: "x", RateWindow: time.Second, Clock: f.clock,
 		Tenure: ran, Dialer: ran, Reachability: ran, Observer: ran, Log: logr.Discard()})
 	engine.SetCatalog(&catalog.Catalog{Version: 1, Revision: 7,
 		Routes: map[string]catalog.Route{"d": {Service: "s", Consistency: catalog.Primary,
@@ -251,6 +252,13 @@
 	f.toldAt = append(f.toldAt, at)
 }
 
+// ticking returns a clock that goes a millisecond on each time it is read, so that
+// patience ends after as many looks, however fast the machine is.
+func ticking() clock.Clock {
+	var looks atomic.Int64
+	return func() time.Duration { return time.Minute + time.Duration(looks.Add(1))*time.Millisecond }
+}
+
 // homes returns the customer's home and the other one.
 func (f *fleet) homes() (first, other topology.InstanceID) {
 	homes := f.network.relays["e"].places.Load().homes.Homes("s")
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"samphirehitch.example/samphirehitch/connection/client"
+	"samphirehitch.example/samphirehitch/process/clock"
 	"samphirehitch.example/samphirehitch/process/share"
 	"samphirehitch.example/samphirehitch/process/statement"
 	"samphirehitch.example/samphirehitch/process/topology"
@@ -53,7 +54,7 @@
 }
 
 func TestWriteToASilentHomeIsInDoubtAndNotRepeated(t *testing.T) {
-	f := newFleetWith(t, 100*time.Millisecond)
+	f := newFleetWith(t, 100*time.Millisecond, clock.System())
 	first, other := f.homes()
 	f.lose(first, f.network.cut)
 	f.run(f.converse(), statement.Write, statement.InDoubt)
@@ -78,7 +79,7 @@
 			waiting = false
 		default:
 			f.network.relays["e"].Tick()
-			time.Sleep(time.Millisecond)
+			time.Sleep(time.Millisecond) // between two looks of the driver, until it is answered
 		}
 	}
 	if len(f.targets[other].texts()) != 1 {
@@ -112,7 +113,7 @@
 		done := make(chan statement.Answer)
 		go func() { done <- c.Run(statement.Statement{Kind: test.kind, ID: "2", Text: "t"}) }()
 		for len(f.targets[first].texts()) == before {
-			time.Sleep(time.Millisecond)
+			time.Sleep(time.Millisecond) // until the statement has reached its target
 		}
 		f.lose(first, f.network.down)
 		f.network.relays["e"].Lost(first)
@@ -152,7 +153,7 @@
 // Nothing runs where no instance can use the primary; an instance that has its right
 // when it is asked again serves what waited.
 func TestWorkWaitsALittleForARightToThePrimary(t *testing.T) {
-	f := newFleet(t)
+	f := newFleetWith(t, generous, ticking())
 	first, other := f.homes()
 	for _, id := range []topology.InstanceID{first, other, "e"} {
 		f.targets[id].denials.Store(always)
@@ -210,7 +211,7 @@
 	}
 	home.server.sweep(home.Clock() + 5*time.Second)
 	for home.Busy() {
-		time.Sleep(time.Millisecond)
+		time.Sleep(time.Millisecond) // until the rollback, which runs beside, is done
 	}
 	f.run(c, statement.Write, statement.Aborted)
 }
