Declare the use of primaries only over the usage that is known

Found by reading for one lost answer. The usage was written without a condition. A call whose answer was lost may take effect seconds later: an empty usage of a first, lost registration replaced a later one that named a service. The same held for the registration of the session before.

Change: the usage is replaced only at the revision that this instance knows; a conflict tells the present one.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -135,6 +135,8 @@
 	// uses are the services whose primaries this instance is to use, declared
 	// those that its registration names.
 	uses, declared []topology.ServiceID
+	// usageRevision is that of this instance's usage in the store, as far as known.
+	usageRevision store.Revision
 	// sharers divide the customers' rates; needs is the demand at each.
 	sharers []topology.InstanceID
 	needs   map[topology.InstanceID]share.Needs
--- a/edge/register.go
+++ b/edge/register.go
@@ -198,9 +198,11 @@
 		return false
 	}
 	puts = append(puts, store.Put{Key: useKey(d.settings.Instance), Value: value, Lease: lease})
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	_, err = d.store.Transact(callCtx, store.Transaction{Puts: puts})
+	for range usageAttempts {
+		if err = d.replaceUsage(ctx, puts); !errors.Is(err, store.ErrConflict) {
+			break
+		}
+	}
 	if errors.Is(err, store.ErrLeaseExpired) {
 		d.lapsed()
 	}
@@ -212,6 +214,39 @@
 	return true
 }
 
+// usageAttempts bounds the tries at replacing the usage: one may find that of an
+// earlier process, and one a write of that process or of this one that was late.
+const usageAttempts = 3
+
+// replaceUsage writes entries if the usage is the one that this instance knows. A write
+// whose answer was lost may take effect seconds later; it must not replace a later one,
+// or the instance would use a primary without being known as its user.
+func (d *Daemon) replaceUsage(ctx context.Context, puts []store.Put) error {
+	key := useKey(d.settings.Instance)
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	d.mu.Lock()
+	known := d.usageRevision
+	d.mu.Unlock()
+	revision, err := d.store.Transact(callCtx, store.Transaction{Expect: []store.Expectation{{Key: key, Revision: known}}, Puts: puts})
+	var conflict *store.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		revision = 0
+		for _, current := range conflict.Current {
+			if current.Key == key {
+				revision = current.Revision
+			}
+		}
+	case err != nil:
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.usageRevision = revision
+	return err
+}
+
 // renew keeps the lease.
 func (d *Daemon) renew(ctx context.Context) {
 	asked := d.clock()
