Publish suspicions over what is known, and anew after a lapse

A suspicion whose answer was lost could take effect after it had been withdrawn and stay for as long as the instance lived: with one more from another home a primary that works is replaced. After a lapse of the registration a suspicion was gone from the store and never published again.

Change: suspicions are replaced at the known revision and emptied, not deleted (a deleted key is at revision 0 again, which a late first call expects: seen in the test); a lost answer leaves them unsettled, and the next call settles them. Tests: TestLateSuspicionDoesNotComeBack, TestLostSuspicionIsSettled, TestSuspicionIsPublishedAnewAfterALapse.

--- a/edge/register.go
+++ b/edge/register.go
@@ -267,6 +267,7 @@
 func (d *Daemon) lapsed() {
 	d.setLease(0)
 	d.tenure.Lapsed()
+	d.suspects.lapsed()
 	eventLapsed.Log(d.log)
 }
 
--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -20,15 +21,25 @@
 	mu     sync.Mutex
 	// wanted is what should be published for each service, empty for nothing.
 	wanted map[topology.ServiceID]topology.TargetID
-	held   map[topology.ServiceID]topology.TargetID
+	held   map[topology.ServiceID]heldSuspicion
 	// verifying marks services whose primary is being tried.
 	verifying map[topology.ServiceID]bool
 	wake      chan struct{}
 }
 
+// heldSuspicion is what the store holds of this instance, as far as it knows: a target,
+// empty for none, and the revision of the entry, zero without one.
+type heldSuspicion struct {
+	target   topology.TargetID
+	revision store.Revision
+	// unsettled says that the answer to a call was lost, so that the store may hold
+	// something else, or will.
+	unsettled bool
+}
+
 func newSuspects(d *Daemon) *suspects {
 	return &suspects{daemon: d, wake: make(chan struct{}, 1),
-		wanted: make(map[topology.ServiceID]topology.TargetID), held: make(map[topology.ServiceID]topology.TargetID),
+		wanted: make(map[topology.ServiceID]topology.TargetID), held: make(map[topology.ServiceID]heldSuspicion),
 		verifying: make(map[topology.ServiceID]bool)}
 }
 
@@ -119,7 +130,7 @@
 // publishNext makes one difference between what is wanted and held good. It
 // reports whether there may be more.
 func (s *suspects) publishNext(ctx context.Context) bool {
-	service, target, differs := s.difference()
+	service, target, known, differs := s.difference()
 	if !differs {
 		return false
 	}
@@ -131,39 +142,80 @@
 		return pause(ctx, suspectPause)
 	}
 	key := suspectKey(service, d.settings.Instance)
-	change := store.Transaction{Puts: []store.Put{{Key: key, Value: []byte(target), Lease: lease}}}
-	if target == "" {
-		change = store.Transaction{Deletes: []string{key}}
+	// A call whose answer was lost may take effect late. It must not bring back a
+	// suspicion that was withdrawn meanwhile, so an entry is emptied rather than deleted:
+	// its revision never returns to one that such a call expects.
+	change := store.Transaction{
+		Expect: []store.Expectation{{Key: key, Revision: known}},
+		Puts:   []store.Put{{Key: key, Value: []byte(target), Lease: lease}},
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	revision, err := d.store.Transact(callCtx, change)
-	if err != nil {
+	var conflict *store.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		s.note(service, suspicionIn(conflict.Current, key))
+		return true
+	case err != nil:
+		s.unsettle(service)
 		d.storeFailed("publish suspicion", err)
 		return pause(ctx, suspectPause)
 	}
-	d.apply([]store.Change{{Entry: store.Entry{Key: key, Value: []byte(target), Revision: revision, Lease: lease}, Deleted: target == ""}})
+	d.apply([]store.Change{{Entry: store.Entry{Key: key, Value: []byte(target), Revision: revision, Lease: lease}}})
+	s.note(service, heldSuspicion{target: target, revision: revision})
+	return true
+}
+
+// suspicionIn finds what the store holds under a key.
+func suspicionIn(current []store.Entry, key string) heldSuspicion {
+	for _, entry := range current {
+		if entry.Key == key {
+			return heldSuspicion{target: topology.TargetID(entry.Value), revision: entry.Revision}
+		}
+	}
+	return heldSuspicion{}
+}
+
+func (s *suspects) note(service topology.ServiceID, held heldSuspicion) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.held[service] = target
-	return true
+	s.held[service] = held
+}
+
+func (s *suspects) unsettle(service topology.ServiceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.held[service]
+	held.unsettled = true
+	s.held[service] = held
+}
+
+// lapsed notes that the registration has ended, and all that was published under it. It
+// is published anew.
+func (s *suspects) lapsed() {
+	s.mu.Lock()
+	clear(s.held)
+	s.mu.Unlock()
+	notify(s.wake)
 }
 
-// difference returns a service whose suspicion is to be published anew.
-func (s *suspects) difference() (topology.ServiceID, topology.TargetID, bool) {
+// difference returns a service whose suspicion is to be published anew, with the
+// revision of the present one.
+func (s *suspects) difference() (service topology.ServiceID, target topology.TargetID, known store.Revision, differs bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for service, target := range s.wanted {
-		if s.held[service] != target {
-			return service, target, true
+		if held := s.held[service]; held.target != target || held.unsettled {
+			return service, target, held.revision, true
 		}
 	}
-	for service, target := range s.held {
-		if target != "" && s.wanted[service] == "" {
-			return service, "", true
+	for service, held := range s.held {
+		if (held.target != "" || held.unsettled) && s.wanted[service] == "" {
+			return service, "", held.revision, true
 		}
 	}
-	return "", "", false
+	return "", "", 0, false
 }
 
 // recheck tries to reach suspected primaries again while callers do not. An instance
