--- a/edge/confirm.go
+++ b/edge/confirm.go
@@ -139,7 +139,7 @@
 	requestedAt := d.clock()
 	callCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	_, err := d.store.Transact(callCtx, store.Transaction{Expect: expected})
+	_, err := d.store.Transact(store.WithPurpose(callCtx, purposeConfirm), store.Transaction{Expect: expected})
 	var conflict *store.ConflictError
 	switch {
 	case errors.As(err, &conflict):
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -75,7 +75,7 @@
 	Dropped func() uint64
 	// CountCalls, if not nil, is called with the function that counts calls to the store
 	// in the daemon's metrics.
-	CountCalls func(count func(call string, status int))
+	CountCalls func(count func(purpose store.Purpose, call string, status int))
 }
 
 // Daemon is the entry daemon of one instance.
@@ -94,6 +94,7 @@
 	mesh       *peer.Mesh
 	suspicions *suspicions
 	metrics    *metrics
+	calls      callCounts
 	callers    callerConns
 	leadership leadership
 	// incarnation distinguishes this process from earlier ones of the instance.
@@ -195,7 +196,7 @@
 	})
 	d.metrics.registerGauges(d)
 	if o.CountCalls != nil {
-		o.CountCalls(d.metrics.countStoreCall)
+		o.CountCalls(d.countStoreCall)
 	}
 	return d
 }
@@ -214,7 +215,7 @@
 	}
 	var group run.Group
 	for _, loop := range []func(context.Context) error{
-		d.watchLoop, d.relistTargets, d.confirmLoop, d.registerLoop, d.failoverLoop, d.tickLoop, d.mesh.Run, d.shareLoop, d.suspicions.publishLoop, d.suspicions.recheckLoop,
+		d.watchLoop, d.relistTargets, d.confirmLoop, d.registerLoop, d.failoverLoop, d.tickLoop, d.mesh.Run, d.shareLoop, d.suspicions.publishLoop, d.suspicions.recheckLoop, d.summarizeCalls,
 	} {
 		group.Add(func() error { return loop(d.ctx) }, func(error) { d.cancel() })
 	}
--- a/edge/failover.go
+++ b/edge/failover.go
@@ -129,7 +129,7 @@
 func (d *Daemon) relistInstanceKeys(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	listing, err := d.store.List(callCtx, prefixProject)
+	listing, err := d.store.List(store.WithPurpose(callCtx, purposeFailover), prefixProject)
 	if err != nil {
 		d.storeFailed("list instances", err)
 		return
--- a/edge/failover_actions.go
+++ b/edge/failover_actions.go
@@ -70,7 +70,7 @@
 	d.mu.Lock()
 	leadershipEntry := d.mirror.Get(keyLeadership)
 	d.mu.Unlock()
-	revision, err := d.store.Transact(callCtx, store.Transaction{
+	revision, err := d.store.Transact(store.WithPurpose(callCtx, purposeFailover), store.Transaction{
 		Expect: []store.Expectation{{Key: key, Revision: action.Revision}, {Key: keyLeadership, Revision: leadershipEntry.Revision}},
 		Puts:   []store.Put{{Key: key, Value: action.Record.Encode()}},
 	})
--- a/edge/fence_ack.go
+++ b/edge/fence_ack.go
@@ -32,7 +32,7 @@
 		}
 		if lease != 0 {
 			callCtx, cancel := context.WithTimeout(d.ctx, callTimeout)
-			_, err := d.store.Transact(callCtx, store.Transaction{Puts: []store.Put{{
+			_, err := d.store.Transact(store.WithPurpose(callCtx, purposeFenceAck), store.Transaction{Puts: []store.Put{{
 				Key: fenceAckKey(service, d.settings.Instance), Value: []byte(fenceAckValue(record.FenceSequence)), Lease: lease,
 			}}})
 			cancel()
--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -86,7 +86,7 @@
 // acquireLeadership tries to acquire the leadership while no instance holds it. It
 // always returns false: the leadership counts once the mirror holds its key.
 func (d *Daemon) acquireLeadership(ctx context.Context) bool {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(store.WithPurpose(ctx, purposeLeadership), callTimeout)
 	defer cancel()
 	requestedAt := d.clock()
 	lease, err := d.store.Grant(callCtx, max(leadershipTTL, d.settings.MinLeaseTTL))
@@ -118,7 +118,7 @@
 	if lease == 0 || requestedAt-renewedAt < leadershipRenewInterval {
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, leadershipRenewInterval)
+	callCtx, cancel := context.WithTimeout(store.WithPurpose(ctx, purposeLeadership), leadershipRenewInterval)
 	defer cancel()
 	err := d.store.KeepAlive(callCtx, lease)
 	switch {
--- a/edge/listeners.go
+++ b/edge/listeners.go
@@ -13,6 +13,8 @@
 	"github.com/oklog/run"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
+
+	"samphirehitch.example/samphirehitch/process/store"
 )
 
 // Parts of the grace period of a shutdown.
@@ -147,7 +149,7 @@
 	if string(entry.Value) != d.leadershipValue() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(d.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(store.WithPurpose(d.ctx, purposeLeadership), callTimeout)
 	defer cancel()
 	if err := d.deleteUnchanged(ctx, entry); err != nil {
 		d.storeFailed("resign duty", err)
@@ -164,7 +166,7 @@
 	if lease == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(d.ctx, exitMargin/2)
+	ctx, cancel := context.WithTimeout(store.WithPurpose(d.ctx, purposeRegister), exitMargin/2)
 	defer cancel()
 	if err := d.store.Revoke(ctx, lease); err != nil {
 		d.storeFailed("unregister", err)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/request/engine"
 )
 
@@ -36,7 +37,7 @@
 			Help: "Failed calls to the platform's store."}, []string{"step"}),
 	}
 	m.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "store_calls_total",
-		Help: "Calls to the platform's store by kind and outcome; status 0 means no response."}, []string{"call", "status"})
+		Help: "Calls to the platform's store by purpose, kind and outcome; status 0 means no response."}, []string{"purpose", "call", "status"})
 	m.registry.MustRegister(m.statements, m.latency, m.connectionWait, m.storeFailures, m.storeCalls, collectors.NewGoCollector())
 	return m
 }
@@ -63,8 +64,8 @@
 }
 
 // countStoreCall counts a call to the store.
-func (m *metrics) countStoreCall(call string, status int) {
-	m.storeCalls.WithLabelValues(call, strconv.Itoa(status)).Inc()
+func (m *metrics) countStoreCall(purpose store.Purpose, call string, status int) {
+	m.storeCalls.WithLabelValues(string(purpose), call, strconv.Itoa(status)).Inc()
 }
 
 // StatementCompleted implements engine.Observer.
--- a/edge/register.go
+++ b/edge/register.go
@@ -165,7 +165,7 @@
 	requestedAt := d.clock()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	lease, err := d.store.Grant(callCtx, max(authority.RegistrationTTL, d.settings.MinLeaseTTL))
+	lease, err := d.store.Grant(store.WithPurpose(callCtx, purposeRegister), max(authority.RegistrationTTL, d.settings.MinLeaseTTL))
 	if err != nil {
 		d.storeFailed("grant lease", err)
 		return
@@ -233,7 +233,11 @@
 // not wait for this instance while it uses the primary.
 func (d *Daemon) replaceUsage(ctx context.Context, puts []store.Put) error {
 	key := usageKey(d.settings.Instance)
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	purpose := purposeUsage
+	if len(puts) > 1 {
+		purpose = purposeRegister
+	}
+	callCtx, cancel := context.WithTimeout(store.WithPurpose(ctx, purpose), callTimeout)
 	defer cancel()
 	d.mu.Lock()
 	knownRevision := d.usageRevision
@@ -262,7 +266,7 @@
 	requestedAt := d.clock()
 	callCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	err := d.store.KeepAlive(callCtx, d.lease)
+	err := d.store.KeepAlive(store.WithPurpose(callCtx, purposeRegister), d.lease)
 	switch {
 	case err == nil:
 		d.authority.ObserveRenewal(requestedAt)
--- a/edge/register_test.go
+++ b/edge/register_test.go
@@ -52,7 +52,7 @@
 }
 
 // newRegisteringDaemon returns a daemon that is not registered yet.
-func newRegisteringDaemon(s *oneKeyStore) *Daemon {
+func newRegisteringDaemon(s store.Transactor) *Daemon {
 	return New(Options{Settings: entrysettings.Settings{Instance: "self"}, Store: s, Log: logr.Discard(),
 		Adapter: Adapter{ConfigurationKey: "configuration", TargetPrefix: "target/"}})
 }
--- a/edge/suspicions.go
+++ b/edge/suspicions.go
@@ -157,7 +157,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	revision, err := d.store.Transact(callCtx, change)
+	revision, err := d.store.Transact(store.WithPurpose(callCtx, purposeSuspicion), change)
 	var conflict *store.ConflictError
 	switch {
 	case errors.As(err, &conflict):
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -149,7 +149,7 @@
 			changed <- false
 		}
 	}()
-	changes, asOf, err := d.store.WatchFor(watchCtx, prefix, after, maxWatchWait)
+	changes, asOf, err := d.store.WatchFor(store.WithPurpose(watchCtx, purposeWatch), prefix, after, maxWatchWait)
 	cancel()
 	if <-changed && err != nil {
 		return nil, 0, nil
@@ -217,7 +217,7 @@
 func (d *Daemon) loadMirror(ctx context.Context) (store.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
 	defer cancel()
-	listing, err := d.store.List(ctx, "")
+	listing, err := d.store.List(store.WithPurpose(ctx, purposeLoad), "")
 	if err != nil {
 		return 0, err
 	}
@@ -238,7 +238,7 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		listing, err := d.store.List(callCtx, d.adapter.TargetPrefix)
+		listing, err := d.store.List(store.WithPurpose(callCtx, purposeRelist), d.adapter.TargetPrefix)
 		cancel()
 		if err != nil {
 			d.storeFailed("list targets", err)
