Let forwarding daemons learn the store's state from owners and register rarely

Change: process/upkeep schedules the calls by role. A forwarding daemon registers for 20 s and renews every 6 s, writes no usage, goes on renewing the lease of its earlier process after a restart, and neither watches nor confirms: process/following has it follow one owner, of its own failure domain if possible, whose answers carry the changes of registrations, the revision of the configuration and the age of the owner's confirmation. After 4 s without a current answer it reads the store. The initial listing counts as a confirmation. An owner collects changes that follow closely in longer batches (10 to 80 ms) and confirms at once only for records that it uses. A daemon that no longer owns a service says so in its responses. The authority to use a primary still needs renewals at most 3.3 s old, whatever the lease.

TestPartialWatchDoesNotAcknowledgeFences is replaced by TestFollowedPeerDoesNotAcknowledgeFences: there is no partial watch any more, and the answers of a peer must not count as one. The one-key stand-in of the registration tests becomes one with several keys.

--- a/edge/confirm.go
+++ b/edge/confirm.go
@@ -8,39 +8,76 @@
 
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/process/upkeep"
 )
 
 // confirmLoop confirms periodically that the mirrored configuration and records are the
 // latest in the store.
 func (d *Daemon) confirmLoop(ctx context.Context) error {
 	var retry backoff
-	for ctx.Err() == nil {
-		started := d.clock()
+	for d.awaitConfirmationDue(ctx) {
+		requestedAt := d.clock()
 		if !d.confirmOnce(ctx) {
 			retry.wait(ctx)
+			d.wakeConfirm()
 			continue
 		}
 		retry.reset()
-		wait := max(minRetryInterval/10, d.confirmInterval()-(d.clock()-started))
+		d.mu.Lock()
+		d.confirmedAt = requestedAt
+		d.mu.Unlock()
+	}
+	return nil
+}
+
+// awaitConfirmationDue waits until a confirmation is due or was requested by wakeConfirm. It
+// returns false if the context is done first.
+func (d *Daemon) awaitConfirmationDue(ctx context.Context) bool {
+	for {
+		wait := d.confirmInterval() - d.sinceConfirmation()
+		if wait <= 0 {
+			return ctx.Err() == nil
+		}
+		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait):
+			timer.Stop()
+			return false
 		case <-d.confirmWake:
+			timer.Stop()
+			return true
+		case <-timer.C:
 		}
 	}
-	return nil
+}
+
+// sinceConfirmation returns the time since the last confirmation by which the next one is
+// scheduled. On an instance that uses no primaries, a listing and the confirmations of peers
+// count as well.
+func (d *Daemon) sinceConfirmation() time.Duration {
+	role, now := d.role(), d.clock()
+	d.mu.Lock()
+	since := now - d.confirmedAt
+	d.mu.Unlock()
+	if age := d.authority.ConfirmationAge(now); role != upkeep.Using && age >= 0 {
+		since = min(since, age)
+	}
+	return since
 }
 
 // observePeerConfirmation records that a peer found the configuration's latest revision
-// in the store at confirmedAt. If this instance has an earlier configuration, it reads
-// the latest from the store, or from the peer while the store is unavailable.
+// in the store at confirmedAt. If this instance has an earlier configuration and does not
+// watch the store, it requests the latest from the peer that it follows, which is in the
+// same failure domain if possible: configurations may be large.
 func (d *Daemon) observePeerConfirmation(from topology.InstanceID, revision store.Revision, confirmedAt time.Duration) {
 	config := d.engine.Catalog()
 	switch {
 	case config == nil:
 	case config.Revision == revision:
 		d.authority.ObservePeerConfirmation(confirmedAt)
-	case config.Revision < revision && d.store.unavailable():
+	case config.Revision < revision && d.forwardsOnly() && !d.isFollowed(from):
+		notify(d.ownerWake)
+	case config.Revision < revision && (d.store.unavailable() || d.forwardsOnly()):
 		d.relay.RequestConfiguration(from)
 	case config.Revision < revision:
 		d.wakeConfirm()
@@ -64,14 +101,8 @@
 	}
 }
 
-// confirmInterval returns the interval between confirmations. An instance that runs no
-// statements itself confirms rarely: the owners authorize its callers' requests.
-func (d *Daemon) confirmInterval() time.Duration {
-	if len(d.declaredUsage()) > 0 {
-		return primaryUserConfirmInterval
-	}
-	return forwardingConfirmInterval
-}
+// confirmInterval returns the interval between confirmations.
+func (d *Daemon) confirmInterval() time.Duration { return upkeep.For(d.role()).ConfirmInterval }
 
 // confirmNow confirms the configuration immediately, so that a request is not refused on
 // a stale one. Concurrent calls share one confirmation.
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -19,6 +19,7 @@
 	"samphirehitch.example/samphirehitch/process/entrysettings"
 	"samphirehitch.example/samphirehitch/process/event"
 	"samphirehitch.example/samphirehitch/process/failover"
+	"samphirehitch.example/samphirehitch/process/following"
 	"samphirehitch.example/samphirehitch/process/mirror"
 	"samphirehitch.example/samphirehitch/process/peer"
 	"samphirehitch.example/samphirehitch/process/share"
@@ -26,6 +27,7 @@
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/target"
 	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/process/upkeep"
 	"samphirehitch.example/samphirehitch/request/engine"
 	"samphirehitch.example/samphirehitch/request/relay"
 	"samphirehitch.example/samphirehitch/version/catalog"
@@ -115,8 +117,10 @@
 	// roleWake interrupts a watch when the instance has begun to use primaries and has
 	// to watch other keys.
 	roleWake chan struct{}
-	// ownerWake has a forwarding instance read changes of the owners immediately.
+	// ownerWake has a forwarding instance request changes of the owners immediately.
 	ownerWake chan struct{}
+	// followWake tells a forwarding instance that the followed peer has answered.
+	followWake chan struct{}
 	// serving is closed once the daemon can serve requests.
 	serving chan struct{}
 	// confirming is held during the confirmation that precedes a refusal, and guards
@@ -136,8 +140,8 @@
 	mirrorLoaded bool
 	// mirroredUntil is the revision up to which the mirror holds every change.
 	mirroredUntil store.Revision
-	// lease is that of the registration, zero while the instance is not registered.
-	lease   store.LeaseID
+	// lease is that of the registration.
+	lease   leaseGrant
 	targets map[topology.ServiceID]targetMap
 	records map[topology.ServiceID]storedRecord
 	// unreadableTargets are the revisions of targets' entries that could not be decoded,
@@ -148,8 +152,18 @@
 	// usedServices are the services whose primaries this instance is to use, and
 	// declaredServices those that it has declared in the store to use.
 	usedServices, declaredServices []topology.ServiceID
-	// usageRevision is the last known revision of this instance's usage in the store.
-	usageRevision store.Revision
+	// ownRevisions holds the last known revisions of this instance's registration and
+	// usage in the store.
+	ownRevisions map[string]store.Revision
+	// follower chooses the peer that a forwarding instance learns the store's state from.
+	// The peer's answers have returned all changes of registrations up to followedUntil.
+	follower      *following.Follower
+	followedUntil store.Revision
+	// confirmedAt is when the confirmation loop last confirmed all keys.
+	confirmedAt time.Duration
+	// forwardsAlways reports that the instance cannot own services while the other
+	// registered instances remain.
+	forwardsAlways bool
 	// rateSharers are the instances that share the customers' rates, and demands the
 	// last known demand at each.
 	rateSharers []topology.InstanceID
@@ -171,11 +185,13 @@
 		incarnation: time.Now().UnixNano(),
 		confirmWake: make(chan struct{}, 1), failoverWake: make(chan struct{}, 1),
 		sharesWake: make(chan struct{}, 1), usageWake: make(chan struct{}, 1), serving: make(chan struct{}),
-		roleWake: make(chan struct{}, 1), ownerWake: make(chan struct{}, 1), demands: make(map[topology.InstanceID]share.Demands),
+		roleWake: make(chan struct{}, 1), ownerWake: make(chan struct{}, 1), followWake: make(chan struct{}, 1), demands: make(map[topology.InstanceID]share.Demands),
 		mirror: mirror.New(), records: make(map[topology.ServiceID]storedRecord),
 		targets: make(map[topology.ServiceID]targetMap), unreadableTargets: make(map[string]store.Revision),
-		lastLogged: make(map[string]string),
+		lastLogged: make(map[string]string), ownRevisions: make(map[string]store.Revision),
 	}
+	d.store.probeInterval = func() time.Duration { return upkeep.For(d.role()).ProbeInterval }
+	d.follower = following.New(o.Settings.Instance, d.clock())
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.suspicions = newSuspicions(d)
 	d.engine = engine.NewEngine(engine.Dependencies{
@@ -188,7 +204,8 @@
 	d.relay = relay.New(relay.Dependencies{Self: o.Settings.Instance, Incarnation: d.incarnation, Engine: d.engine, Link: d.mesh,
 		Clock: d.clock, Log: o.Log, Stopping: d.stopping.Load, Ready: d.canRunRequests, OnConfigurationConfirmed: d.observePeerConfirmation,
 		Configuration: d.storedConfiguration, OnConfiguration: d.applyPeerConfiguration, OnDemand: d.observeDemand,
-		OnForwardFailed: func() { notify(d.ownerWake) }})
+		Registrations: d.registrationChanges, OnFollowed: d.observeFollowed,
+		OnRoutingOutdated: func() { notify(d.ownerWake) }})
 	d.mesh.Handle(peer.KindRelay, d.relay.Receive)
 	d.mesh.OnLinkDown(func(id topology.InstanceID) {
 		notify(d.ownerWake)
--- a/edge/daemon_test.go
+++ b/edge/daemon_test.go
@@ -7,11 +7,13 @@
 
 	"github.com/go-logr/logr"
 
+	"samphirehitch.example/samphirehitch/process/authority"
 	"samphirehitch.example/samphirehitch/process/entrysettings"
 	"samphirehitch.example/samphirehitch/process/failover"
 	"samphirehitch.example/samphirehitch/process/share"
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/process/upkeep"
 )
 
 // newTestDaemon returns a daemon without a store, whose mirror the test fills.
@@ -104,7 +106,7 @@
 // failover leader.
 func TestForwardingInstanceMayNotLead(t *testing.T) {
 	d := newTestDaemon(t)
-	d.authority.ObserveRenewal(d.clock())
+	d.authority.ObserveRenewal(d.clock(), authority.MinRegistrationTTL)
 	if d.mayLead() {
 		t.Fatal("an instance without declared services may lead")
 	}
@@ -124,7 +126,8 @@
 	default:
 		t.Fatal("the confirmation loop was not woken")
 	}
-	if d.confirmInterval() != primaryUserConfirmInterval {
+	d.usedServices = []topology.ServiceID{"s"}
+	if d.confirmInterval() != upkeep.For(upkeep.Using).ConfirmInterval {
 		t.Fatalf("confirms every %s", d.confirmInterval())
 	}
 }
@@ -141,17 +144,17 @@
 	}
 }
 
-// A watch of the registrations does not return other instances' usages, so that the
-// mirror may lack some. It must not make a fence count as acknowledged.
-func TestPartialWatchDoesNotAcknowledgeFences(t *testing.T) {
+// A followed peer does not send other instances' usages, so that the mirror may lack some.
+// Its answers must not make a fence count as acknowledged.
+func TestFollowedPeerDoesNotAcknowledgeFences(t *testing.T) {
 	d := newTestDaemon(t)
 	d.leadership.fences = make(map[topology.ServiceID]fence)
 	d.put(recordKey("s"), failover.Record{Primary: "x", Term: 1, Fenced: true, FenceSequence: 4}.Encode(), 10)
-	d.applyWatch(prefixInstances, nil, 12)
+	d.observeFollowed("peer", nil, 12, 0)
 	if d.failoverView(time.Second, "s").FenceAcknowledged {
-		t.Fatal("acknowledged after a watch of the registrations only")
+		t.Fatal("acknowledged after an answer with registrations only")
 	}
-	d.applyWatch("", nil, 12)
+	d.advanceMirror(12)
 	if !d.failoverView(time.Second, "s").FenceAcknowledged {
 		t.Fatal("not acknowledged although no instance uses the primary")
 	}
--- a/edge/fence_ack.go
+++ b/edge/fence_ack.go
@@ -25,7 +25,7 @@
 	d.engine.ReleasePrimary(service, true)
 	for d.ctx.Err() == nil {
 		d.mu.Lock()
-		current, lease := d.records[service], d.lease
+		current, lease := d.records[service], d.lease.id
 		d.mu.Unlock()
 		if !current.Fenced || current.FenceSequence != record.FenceSequence {
 			return
--- a/edge/listeners.go
+++ b/edge/listeners.go
@@ -160,7 +160,7 @@
 // expires.
 func (d *Daemon) unregister() {
 	d.mu.Lock()
-	lease := d.lease
+	lease := d.lease.id
 	d.mu.Unlock()
 	d.authority.ObserveExpiry()
 	if lease == 0 {
--- a/edge/shares.go
+++ b/edge/shares.go
@@ -13,6 +13,7 @@
 	"samphirehitch.example/samphirehitch/process/share"
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/process/upkeep"
 	"samphirehitch.example/samphirehitch/request/relay"
 	"samphirehitch.example/samphirehitch/version/catalog"
 )
@@ -46,16 +47,16 @@
 	}
 	registered := d.registrations()
 	peers := make([]platform.Instance, 0, len(registered))
-	candidates := make([]owner.Instance, 0, len(registered))
 	for id, r := range registered {
 		peers = append(peers, platform.Instance{ID: id, Peer: r.Address, FailureDomain: r.FailureDomain, State: platform.InstanceLive})
-		if !r.Leaving {
-			candidates = append(candidates, owner.Instance{ID: id, CPUShare: r.CPUShare})
-		}
 	}
+	candidates := ownerCandidates(registered)
 	services := d.engine.Services()
 	owners := owner.Assign(services, candidates)
+	d.recordEligibility(candidates)
+	defer notify(d.followWake)
 	used, sharers := d.updateRoles(services, owners)
+	d.setFollowCandidates(sharers, registered)
 	d.mesh.SetPeers(peers)
 	d.relay.SetRouting(owners, spreadCustomers(config), d.unreachablePrimaries())
 	connections := make(map[topology.ServiceID]int, len(config.Services))
@@ -72,6 +73,17 @@
 	d.logIfChanged(eventSharesChanged, "shares", "instances", len(registered), "connections", connections, "home_of", owners.OwnedServiceCount(d.settings.Instance))
 }
 
+// ownerCandidates returns the registered instances that are not leaving.
+func ownerCandidates(registered map[topology.InstanceID]registration) []owner.Instance {
+	candidates := make([]owner.Instance, 0, len(registered))
+	for id, r := range registered {
+		if !r.Leaving {
+			candidates = append(candidates, owner.Instance{ID: id, CPUShare: r.CPUShare})
+		}
+	}
+	return candidates
+}
+
 // updateRoles records the services whose primaries this instance is to use, and the
 // instances that share the customers' rates: all owners of any service.
 func (d *Daemon) updateRoles(services []topology.ServiceID, owners owner.Assignment) (used []topology.ServiceID, sharers []topology.InstanceID) {
@@ -106,6 +118,21 @@
 	return used, sharers
 }
 
+// recordEligibility records whether this instance may own services, given the candidates.
+func (d *Daemon) recordEligibility(candidates []owner.Instance) {
+	self := owner.Instance{ID: d.settings.Instance, CPUShare: d.settings.CPUShare}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.forwardsAlways = !owner.Eligible(self, candidates)
+}
+
+// role returns the role by which this instance schedules its calls to the store.
+func (d *Daemon) role() upkeep.Role {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return upkeep.RoleOf(len(d.usedServices) > 0, !d.forwardsAlways)
+}
+
 // declaredUsage returns the services of this instance's usage as written to the store.
 func (d *Daemon) declaredUsage() []topology.ServiceID {
 	d.mu.Lock()
--- a/edge/store_changes.go
+++ b/edge/store_changes.go
@@ -74,6 +74,9 @@
 		eventConfigApplied.Log(d.log, "version", config.Version, "revision", config.Revision,
 			"routes", len(config.Routes), "customers", len(config.Customers), "keys", len(config.Keys))
 	}
+	if d.authority.ConfirmationAge(d.clock()) < 0 {
+		d.wakeConfirm() // the instance cannot serve before the first confirmation
+	}
 }
 
 // applyTargets passes to each service its targets. Entries that cannot be decoded are
@@ -132,7 +135,9 @@
 			go d.acknowledgeFence(service, record.Record)
 		}
 	}
-	if len(records) > 0 && len(d.declaredUsage()) > 0 {
-		d.wakeConfirm()
+	for _, service := range d.declaredUsage() {
+		if _, changed := records[service]; changed {
+			d.wakeConfirm() // the primary may be used once the new record is confirmed
+		}
 	}
 }
--- a/edge/store_purposes_test.go
+++ b/edge/store_purposes_test.go
@@ -34,10 +34,10 @@
 func TestRegistrationAndUsageHavePurposesOfTheirOwn(t *testing.T) {
 	s := &purposeStore{}
 	d := newRegisteringDaemon(s)
-	if d.putRegistration(t.Context(), 1, nil); s.purpose != purposeRegister {
+	if d.putRegistration(t.Context(), leaseGrant{id: 1}, nil); s.purpose != purposeRegister {
 		t.Errorf("a registration is counted as %q", s.purpose)
 	}
-	if d.putWithUsage(t.Context(), 1, nil, nil); s.purpose != purposeUsage {
+	if d.putUsage(t.Context(), leaseGrant{id: 1}, nil); s.purpose != purposeUsage {
 		t.Errorf("a usage is counted as %q", s.purpose)
 	}
 }
--- a/edge/suspicions.go
+++ b/edge/suspicions.go
@@ -141,7 +141,7 @@
 	}
 	d := s.daemon
 	d.mu.Lock()
-	lease := d.lease
+	lease := d.lease.id
 	d.mu.Unlock()
 	if lease == 0 {
 		return sleep(ctx, suspicionInterval)
--- a/edge/suspicions_test.go
+++ b/edge/suspicions_test.go
@@ -11,9 +11,9 @@
 
 // newSuspectingDaemon returns a registered daemon that cannot reach the primary a of
 // service s.
-func newSuspectingDaemon(s *oneKeyStore) *Daemon {
+func newSuspectingDaemon(s *leaseStore) *Daemon {
 	d := newRegisteringDaemon(s)
-	d.setLease(1)
+	d.setLease(leaseGrant{id: 1})
 	d.records["s"] = storedRecord{Record: failover.Record{Primary: "a"}}
 	d.suspicions.ReportUnreachable("s", "a")
 	return d
@@ -28,31 +28,31 @@
 // The response to a suspicion is lost, the suspicion is published again and withdrawn,
 // and the first write takes effect seconds later. The primary must not stay suspected.
 func TestLateSuspicionIsRejected(t *testing.T) {
-	s := &oneKeyStore{loseNextResponse: true}
+	s := &leaseStore{loseNextResponse: true}
 	d := newSuspectingDaemon(s)
 	d.publishSuspicions()
-	if s.value != "a" {
-		t.Fatalf("published %q", s.value)
+	if s.suspicion() != "a" {
+		t.Fatalf("published %q", s.suspicion())
 	}
 	d.suspicions.ReportReachable("s", "a")
 	d.publishSuspicions()
-	if _, err := s.execute(s.delayed[0]); !errors.Is(err, store.ErrConflict) || s.value != "" {
-		t.Fatalf("after the late write: %q, %v", s.value, err)
+	if _, err := s.execute(s.delayed[0]); !errors.Is(err, store.ErrConflict) || s.suspicion() != "" {
+		t.Fatalf("after the late write: %q, %v", s.suspicion(), err)
 	}
 }
 
 // A published suspicion expires with the registration and must be published again under
 // the next one.
 func TestSuspicionIsPublishedAgainAfterExpiry(t *testing.T) {
-	s := &oneKeyStore{}
+	s := &leaseStore{}
 	d := newSuspectingDaemon(s)
 	d.publishSuspicions()
 	d.registrationExpired()
-	s.revision, s.value = 0, "" // the entry expired with the lease
-	d.setLease(2)
+	clear(s.entries) // the entry expired with the lease
+	d.setLease(leaseGrant{id: 2})
 	d.publishSuspicions()
-	if s.value != "a" {
-		t.Fatalf("published %q", s.value)
+	if s.suspicion() != "a" {
+		t.Fatalf("published %q", s.suspicion())
 	}
 }
 
@@ -61,7 +61,7 @@
 // primary must not stay suspected.
 func TestLostSuspicionResponseIsResolved(t *testing.T) {
 	for _, delayedFirst := range []bool{true, false} {
-		s := &oneKeyStore{loseNextResponse: true}
+		s := &leaseStore{loseNextResponse: true}
 		d := newSuspectingDaemon(s)
 		d.suspicions.publishNext(context.Background())
 		d.suspicions.ReportReachable("s", "a")
@@ -76,8 +76,13 @@
 				t.Fatalf("the late write took effect: %v", err)
 			}
 		}
-		if s.value != "" {
-			t.Fatalf("delayed write first %v: the store holds %q", delayedFirst, s.value)
+		if s.suspicion() != "" {
+			t.Fatalf("delayed write first %v: the store holds %q", delayedFirst, s.suspicion())
 		}
 	}
 }
+
+// suspicion returns the stored suspicion of the instance for service s, empty for none.
+func (s *leaseStore) suspicion() string {
+	return string(s.entries[suspicionKey("s", "self")].Value)
+}
--- a/edge/throttled_store.go
+++ b/edge/throttled_store.go
@@ -11,6 +11,7 @@
 	"samphirehitch.example/samphirehitch/process/clock"
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/store/outage"
+	"samphirehitch.example/samphirehitch/process/upkeep"
 )
 
 // errThrottled reports a call that was not made because the store is unavailable.
@@ -22,6 +23,9 @@
 type throttledStore struct {
 	store store.Transactor
 	clock clock.Clock
+	// probeInterval returns the interval between calls, other than renewals, while the
+	// store is unavailable.
+	probeInterval func() time.Duration
 	// mu guards the fields below.
 	mu      sync.Mutex
 	breaker outage.Breaker
@@ -30,7 +34,8 @@
 }
 
 func newThrottledStore(t store.Transactor, c clock.Clock) *throttledStore {
-	return &throttledStore{store: t, clock: c, recovered: make(chan struct{})}
+	return &throttledStore{store: t, clock: c, recovered: make(chan struct{}),
+		probeInterval: func() time.Duration { return upkeep.For(upkeep.Using).ProbeInterval }}
 }
 
 // unavailable reports whether the store counts as unavailable.
@@ -43,8 +48,9 @@
 // admit waits until a call may be made. Renewals of leases need not wait.
 func (t *throttledStore) admit(ctx context.Context, renewal bool) error {
 	for {
+		probeInterval := t.probeInterval()
 		t.mu.Lock()
-		ok, wait := t.breaker.Allow(t.clock(), renewal)
+		ok, wait := t.breaker.Allow(t.clock(), probeInterval, renewal)
 		recovered := t.recovered
 		t.mu.Unlock()
 		if ok {
@@ -65,6 +71,7 @@
 // observe records the outcome of a call. A call that its caller canceled is no evidence
 // of a failure of the store.
 func (t *throttledStore) observe(ctx context.Context, err error) {
+	probeInterval := t.probeInterval()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
@@ -74,7 +81,7 @@
 			t.recovered = make(chan struct{})
 		}
 	case !errors.Is(ctx.Err(), context.Canceled):
-		t.breaker.RecordFailure(t.clock())
+		t.breaker.RecordFailure(t.clock(), probeInterval)
 	}
 }
 
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -8,6 +8,8 @@
 
 	"samphirehitch.example/samphirehitch/process/event"
 	"samphirehitch.example/samphirehitch/process/store"
+	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/process/upkeep"
 )
 
 var (
@@ -24,23 +26,15 @@
 
 // Intervals and timeouts of calls to the store.
 const (
-	// primaryUserConfirmInterval is the interval between confirmations of an instance
-	// that uses primaries. Several fit into the duration of its authority, so that a
-	// single lost confirmation has no effect.
-	primaryUserConfirmInterval = 1400 * time.Millisecond
 	// confirmTimeout bounds a confirmation or a renewal. A store slowed down by a factor
 	// of 60 responds in 240 ms, and two more attempts fit into the duration of the
 	// authority.
 	confirmTimeout = 500 * time.Millisecond
-	// forwardingConfirmInterval is the interval between confirmations of an instance that
-	// forwards all requests. Responses announce new configurations, and it confirms the
-	// configuration before it refuses a request itself.
-	forwardingConfirmInterval = 10 * time.Second
+	// watchWait is how long a watch waits for changes.
+	watchWait = 10 * time.Second
 	// callTimeout bounds any other call. The store responds within 4 ms, and within 60
 	// times that when it is slow.
 	callTimeout = 900 * time.Millisecond
-	// maxWatchWait is how long a watch waits for changes.
-	maxWatchWait = 10 * time.Second
 	// relistInterval is the interval between listings of the targets. They find changes
 	// that a watch has missed well within the time that a target takes to drain.
 	relistInterval = 4 * time.Second
@@ -64,13 +58,22 @@
 
 func (b *backoff) reset() { b.failures = 0 }
 
-// watchLoop keeps the mirror up to date until the context is done: it lists the store
-// once, and again when the watch has to start over, and then watches for changes.
+// watchLoop keeps the mirror up to date until the context is done. It lists the store once,
+// and again when the watch has to start over, and then watches for changes. A forwarding
+// instance follows a peer instead, and lists the store only when no peer answers.
 func (d *Daemon) watchLoop(ctx context.Context) error {
 	var after store.Revision
 	var retry backoff
-	loaded, partial := false, false
+	loaded := false
+	var batches batching
 	for ctx.Err() == nil {
+		if d.isMirrorLoaded() && d.forwardsOnly() {
+			loaded = false
+			if d.followPeers(ctx); ctx.Err() == nil && d.forwardsOnly() {
+				d.readForFollower(ctx)
+			}
+			continue
+		}
 		if !loaded {
 			revision, err := d.loadMirror(ctx)
 			if err != nil {
@@ -79,14 +82,9 @@
 				continue
 			}
 			after, loaded = revision, true
-		}
-		prefix := d.watchedPrefix()
-		if prefix == "" && partial {
-			partial, loaded = false, false
 			continue
 		}
-		partial = prefix != ""
-		changes, asOf, err := d.watchUntilRoleChange(ctx, prefix, after)
+		changes, asOf, err := d.watchUntilRoleChange(ctx, after)
 		switch {
 		case err == nil && asOf == 0: // the instance's role has changed
 		case errors.Is(err, store.ErrHistoryDiscarded):
@@ -98,32 +96,24 @@
 		default:
 			retry.reset()
 			after = max(after, asOf)
-			d.applyWatch(prefix, changes, after)
-			minWait, maxWait := d.batchInterval(changes)
-			d.waitForBatch(ctx, minWait, maxWait)
+			d.applyChanges(changes)
+			d.advanceMirror(after)
+			d.waitForBatch(ctx, batches.interval(d.clock(), d.batchInterval(changes)))
 		}
 	}
 	return nil
 }
 
-// applyWatch applies the changes that a watch of a prefix has returned, up to a
-// revision. Only a watch of all keys proves that the whole mirror is complete up to the
-// revision.
-func (d *Daemon) applyWatch(prefix string, changes []store.Change, revision store.Revision) {
-	d.applyChanges(changes)
-	if prefix == "" {
-		d.advanceMirror(revision)
-	}
-}
-
-// watchedPrefix returns the prefix that this instance watches, empty for all keys. An
-// instance that runs no statements only needs the registrations; it learns of new
-// configurations from responses.
-func (d *Daemon) watchedPrefix() string {
-	if d.forwardsOnly() {
-		return prefixInstances
+// readForFollower lists the store for a forwarding instance that no peer answers.
+func (d *Daemon) readForFollower(ctx context.Context) {
+	_, err := d.loadMirror(ctx)
+	if err == nil {
+		return
 	}
-	return ""
+	d.storeFailed("list", err)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.follower.ReadFailed(d.clock())
 }
 
 // forwardsOnly reports whether this instance forwards all requests to others. It does
@@ -134,9 +124,9 @@
 	return len(d.usedServices) == 0 && d.engine.Catalog() != nil
 }
 
-// watchUntilRoleChange watches a prefix. If the watch is interrupted because the
+// watchUntilRoleChange watches all keys. If the watch is interrupted because the
 // instance's role has changed, it returns revision zero without an error.
-func (d *Daemon) watchUntilRoleChange(ctx context.Context, prefix string, after store.Revision) ([]store.Change, store.Revision, error) {
+func (d *Daemon) watchUntilRoleChange(ctx context.Context, after store.Revision) ([]store.Change, store.Revision, error) {
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	changed := make(chan bool, 1)
@@ -149,7 +139,7 @@
 			changed <- false
 		}
 	}()
-	changes, asOf, err := d.store.WatchFor(store.WithPurpose(watchCtx, purposeWatch), prefix, after, maxWatchWait)
+	changes, asOf, err := d.store.WatchFor(store.WithPurpose(watchCtx, purposeWatch), "", after, watchWait)
 	cancel()
 	if <-changed && err != nil {
 		return nil, 0, nil
@@ -157,64 +147,68 @@
 	return changes, asOf, err
 }
 
-// waitForBatch waits before the next watch, so that changes are received in batches. It
-// waits for at least minWait, and up to maxWait unless the owners may have changed. A
+// waitForBatch waits before the next watch, so that changes are received in batches. A
 // change of the instance's role interrupts the wait.
-func (d *Daemon) waitForBatch(ctx context.Context, minWait, maxWait time.Duration) {
-	timer := time.NewTimer(minWait)
+func (d *Daemon) waitForBatch(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
-	case <-ctx.Done():
-		return
-	case <-d.roleWake:
-		return
-	case <-timer.C:
-	}
-	timer.Reset(maxWait - minWait)
-	select {
 	case <-ctx.Done():
 	case <-d.roleWake:
-	case <-d.ownerWake:
 	case <-timer.C:
 	}
 }
 
-// Waits between watches, in which changes are collected into batches. An instance that
-// neither leads nor uses primaries need not receive every change immediately; in a large
-// fleet, each change would otherwise cost a call by every instance.
+// Waits between watches, in which changes are collected into batches.
 const (
-	// shortBatchInterval applies after any other changes.
-	shortBatchInterval = 10 * time.Millisecond
+	// shortBatchInterval applies after any other changes. It doubles with each batch that
+	// follows closely, up to maxShortBatchInterval: when many primaries are replaced at
+	// once, or a fleet starts, there are hundreds of changes in a second.
+	shortBatchInterval    = 10 * time.Millisecond
+	maxShortBatchInterval = 80 * time.Millisecond
 	// configBatchInterval applies after changes of only the configuration or
 	// registrations, which come in quick succession and have seconds to take effect.
 	configBatchInterval = 150 * time.Millisecond
-	// minForwardingBatchInterval applies to a forwarding instance when an owner has
-	// declined a request or disconnected.
-	minForwardingBatchInterval = 300 * time.Millisecond
-	// maxForwardingBatchInterval applies to a forwarding instance otherwise: most
-	// registrations that change are those of other forwarding instances.
-	maxForwardingBatchInterval = 2 * time.Second
+	// startBatchInterval applies to an instance without a configuration, which is not
+	// needed yet: the whole fleet is starting.
+	startBatchInterval = 500 * time.Millisecond
 )
 
-// batchInterval returns the minimum and maximum wait before the next watch, after the
-// changes that the last one returned.
-func (d *Daemon) batchInterval(changes []store.Change) (minWait, maxWait time.Duration) {
-	d.mu.Lock()
-	forwards := len(d.declaredServices) == 0 && string(d.mirror.Get(keyLeadership).Value) != d.leadershipValue()
-	d.mu.Unlock()
-	if forwards {
-		return minForwardingBatchInterval, maxForwardingBatchInterval
+// batching lengthens the waits after batches of changes that follow each other closely.
+type batching struct {
+	// wait is the last wait, which began at since.
+	wait, since time.Duration
+}
+
+// interval returns the wait after a batch that arrived at now, given the shortest one.
+func (b *batching) interval(now, shortest time.Duration) time.Duration {
+	closely := now-b.since < 2*b.wait+maxShortBatchInterval
+	wait := shortest
+	if closely && shortest < maxShortBatchInterval {
+		wait = min(max(2*b.wait, shortest), maxShortBatchInterval)
+	}
+	b.wait, b.since = wait, now
+	return wait
+}
+
+// batchInterval returns the shortest wait before the next watch, after the changes that the last
+// one returned.
+func (d *Daemon) batchInterval(changes []store.Change) time.Duration {
+	if d.engine.Catalog() == nil {
+		return startBatchInterval
 	}
 	for _, change := range changes {
 		if change.Key != d.adapter.ConfigurationKey && !strings.HasPrefix(change.Key, prefixInstances) {
-			return shortBatchInterval, shortBatchInterval
+			return shortBatchInterval
 		}
 	}
-	return configBatchInterval, configBatchInterval
+	return configBatchInterval
 }
 
-// loadMirror lists all keys into the mirror and returns the listing's revision.
+// loadMirror lists all keys into the mirror and returns the listing's revision. The listing
+// also confirms the configuration and the records that it contains.
 func (d *Daemon) loadMirror(ctx context.Context) (store.Revision, error) {
+	requestedAt := d.clock()
 	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
 	defer cancel()
 	listing, err := d.store.List(store.WithPurpose(ctx, purposeLoad), "")
@@ -223,13 +217,47 @@
 	}
 	d.mu.Lock()
 	changed := d.mirror.Replace("", listing)
+	if !d.mirrorLoaded {
+		for _, key := range []string{instanceKey(d.settings.Instance), usageKey(d.settings.Instance)} {
+			d.ownRevisions[key] = d.mirror.Get(key).Revision
+		}
+	}
 	d.mirrorLoaded, d.mirroredUntil = true, max(d.mirroredUntil, listing.Revision)
+	d.followedUntil = max(d.followedUntil, listing.Revision)
+	d.follower.ReadStore(d.clock())
 	d.mu.Unlock()
+	d.recordEligibility(ownerCandidates(d.registrations()))
 	d.handleChangedKeys(changed)
-	d.wakeConfirm()
+	d.observeListing(requestedAt, listing)
+	if d.role() == upkeep.Using {
+		d.wakeConfirm()
+	}
 	return listing.Revision, nil
 }
 
+// observeListing records the confirmations by a listing of all keys that was requested at
+// requestedAt. The listing reads each key at some later time, so a configuration in force
+// that is at least as recent as the listed one was the latest then.
+func (d *Daemon) observeListing(requestedAt time.Duration, listing store.Listing) {
+	config := d.engine.Catalog()
+	if config == nil {
+		return
+	}
+	confirmed := false
+	records := make(map[topology.ServiceID]store.Revision)
+	for _, entry := range listing.Entries {
+		if entry.Key == d.adapter.ConfigurationKey {
+			confirmed = config.Revision >= entry.Revision
+		}
+		if service, isRecord := strings.CutPrefix(entry.Key, prefixRecords); isRecord {
+			records[topology.ServiceID(service)] = entry.Revision
+		}
+	}
+	if confirmed {
+		d.authority.ObserveConfirmation(requestedAt, records)
+	}
+}
+
 // relistTargets lists the targets periodically, to find changes that the watch has
 // missed.
 func (d *Daemon) relistTargets(ctx context.Context) error {
--- a/process/authority/authority.go
+++ b/process/authority/authority.go
@@ -19,16 +19,19 @@
 // Durations of authority. They are counted from when the confirming call was sent,
 // since its response tells the state of the store at some time after that.
 const (
-	// RegistrationTTL is the TTL of the lease of an instance's registration.
-	RegistrationTTL = 3600 * time.Millisecond
+	// MinRegistrationTTL is the shortest TTL of the lease of an instance's registration.
+	MinRegistrationTTL = 3600 * time.Millisecond
 	// PrimaryDuration is how long a confirmation of the service's record and a renewal
 	// of the registration each allow the use of the primary. It is below
-	// RegistrationTTL, so that the authority expires before the registration; the
+	// MinRegistrationTTL, so that the authority expires before the registration; the
 	// difference covers clocks that run at different speeds and late timers.
 	PrimaryDuration = 3300 * time.Millisecond
 	// fenceMargin is added to PrimaryDuration by the failover leader before it regards
 	// a fenced primary as out of use. It covers the same differences.
 	fenceMargin = 300 * time.Millisecond
+	// registrationMargin is the time by which a registration counts as expired before its
+	// lease ends. It covers the same differences.
+	registrationMargin = MinRegistrationTTL - PrimaryDuration
 )
 
 // FenceWait is how long the failover leader waits after a fence was written until
@@ -44,9 +47,10 @@
 
 	// mu guards the fields below.
 	mu sync.Mutex
-	// renewedAt is when the last successful renewal of the registration was sent.
-	renewedAt  time.Duration
-	registered bool
+	// renewedAt is when the last successful renewal of the registration was sent, and
+	// registeredUntil when its lease may end.
+	renewedAt, registeredUntil time.Duration
+	registered                 bool
 	// confirmedAt is when the last confirmation of the configuration was sent, by this
 	// instance or a peer, while hasConfirmation is set.
 	confirmedAt         time.Duration
@@ -68,12 +72,15 @@
 	return &Tracker{keyDuration: keyDuration, recordConfirmations: make(map[topology.ServiceID]confirmation)}
 }
 
-// ObserveRenewal records that the registration was renewed by a call that was sent at
-// requestedAt.
-func (t *Tracker) ObserveRenewal(requestedAt time.Duration) {
+// ObserveRenewal records that the registration was renewed for ttl by a call that was
+// sent at requestedAt.
+func (t *Tracker) ObserveRenewal(requestedAt, ttl time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.registered, t.renewedAt = true, max(t.renewedAt, requestedAt)
+	t.registered = true
+	if requestedAt >= t.renewedAt {
+		t.renewedAt, t.registeredUntil = requestedAt, requestedAt+ttl-registrationMargin
+	}
 }
 
 // ObserveExpiry records that the registration expired or was removed.
@@ -116,7 +123,7 @@
 // registrationValid reports whether the registration is certain to be valid at now.
 // The caller holds mu.
 func (t *Tracker) registrationValid(now time.Duration) bool {
-	return t.registered && now-t.renewedAt < PrimaryDuration
+	return t.registered && now < t.registeredUntil
 }
 
 // MayAcceptKeys reports whether the instance has the authority to accept customers' keys
@@ -133,7 +140,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c, known := t.recordConfirmations[service]
-	return known && t.registrationValid(now) && c.revision == revision && now-c.at < PrimaryDuration
+	return known && t.registrationValid(now) && now-t.renewedAt < PrimaryDuration && c.revision == revision && now-c.at < PrimaryDuration
 }
 
 // ConfirmationAge returns the time since the configuration was last confirmed, negative
--- a/process/authority/authority_test.go
+++ b/process/authority/authority_test.go
@@ -15,14 +15,14 @@
 	if tracker.MayUsePrimary(time.Second, "s", 5) {
 		t.Fatal("authority without a registration")
 	}
-	tracker.ObserveRenewal(0)
+	tracker.ObserveRenewal(0, MinRegistrationTTL)
 	if !tracker.MayUsePrimary(PrimaryDuration-1, "s", 5) || tracker.MayUsePrimary(PrimaryDuration, "s", 5) {
 		t.Fatal("the authority does not expire with the renewal")
 	}
 	if tracker.PrimaryExpiry("s") != PrimaryDuration {
 		t.Fatalf("the authority expires at %s", tracker.PrimaryExpiry("s"))
 	}
-	tracker.ObserveRenewal(10 * time.Second)
+	tracker.ObserveRenewal(10*time.Second, MinRegistrationTTL)
 	if tracker.MayUsePrimary(time.Second+PrimaryDuration, "s", 5) {
 		t.Fatal("the authority does not expire with the confirmation")
 	}
@@ -30,10 +30,10 @@
 
 func TestOutOfOrderResponsesDoNotShortenAuthority(t *testing.T) {
 	tracker := New(4 * time.Second)
-	tracker.ObserveRenewal(2 * time.Second)
+	tracker.ObserveRenewal(2*time.Second, MinRegistrationTTL)
 	tracker.ObserveConfirmation(2*time.Second, map[topology.ServiceID]store.Revision{"s": 7})
 	tracker.ObserveConfirmation(time.Second, map[topology.ServiceID]store.Revision{"s": 5})
-	tracker.ObserveRenewal(time.Second)
+	tracker.ObserveRenewal(time.Second, MinRegistrationTTL)
 	if !tracker.MayUsePrimary(2*time.Second+PrimaryDuration-1, "s", 7) || tracker.MayUsePrimary(2*time.Second, "s", 5) {
 		t.Fatal("the response to an earlier call replaced that to a later one")
 	}
@@ -43,7 +43,7 @@
 // when it resumes.
 func TestSuspensionExpiresAuthority(t *testing.T) {
 	tracker := New(4 * time.Second)
-	tracker.ObserveRenewal(0)
+	tracker.ObserveRenewal(0, MinRegistrationTTL)
 	tracker.ObserveConfirmation(0, map[topology.ServiceID]store.Revision{"s": 1})
 	if now := 6 * time.Second; tracker.MayUsePrimary(now, "s", 1) || tracker.MayAcceptKeys(now) || tracker.RegistrationValid(now) {
 		t.Fatal("authority outlived the suspension")
@@ -62,8 +62,22 @@
 }
 
 func TestRegistrationOutlivesAuthority(t *testing.T) {
-	if PrimaryDuration >= RegistrationTTL || FenceWait <= PrimaryDuration {
-		t.Fatalf("authority %s, registration %s, fence %s", PrimaryDuration, RegistrationTTL, FenceWait)
+	if PrimaryDuration >= MinRegistrationTTL || FenceWait <= PrimaryDuration {
+		t.Fatalf("authority %s, registration %s, fence %s", PrimaryDuration, MinRegistrationTTL, FenceWait)
+	}
+}
+
+// A lease of 20 s keeps the registration, but does not extend the authority to use a
+// primary, which depends on recent renewals.
+func TestLongRegistrationDoesNotExtendPrimaryAuthority(t *testing.T) {
+	tracker := New(4 * time.Second)
+	tracker.ObserveRenewal(0, 20*time.Second)
+	tracker.ObserveConfirmation(PrimaryDuration, map[topology.ServiceID]store.Revision{"s": 1})
+	if !tracker.RegistrationValid(19*time.Second) || tracker.RegistrationValid(20*time.Second) {
+		t.Fatal("the registration is not valid until shortly before its lease ends")
+	}
+	if tracker.MayUsePrimary(PrimaryDuration, "s", 1) {
+		t.Fatal("the primary may be used although the last renewal is too old")
 	}
 }
 
@@ -71,9 +85,9 @@
 // the authority to use a primary.
 func TestPeerConfirmationCoversKeysOnly(t *testing.T) {
 	tracker := New(4 * time.Second)
-	tracker.ObserveRenewal(0)
+	tracker.ObserveRenewal(0, MinRegistrationTTL)
 	tracker.ObserveConfirmation(0, map[topology.ServiceID]store.Revision{"s": 1})
-	tracker.ObserveRenewal(PrimaryDuration)
+	tracker.ObserveRenewal(PrimaryDuration, MinRegistrationTTL)
 	tracker.ObservePeerConfirmation(PrimaryDuration)
 	if !tracker.MayAcceptKeys(PrimaryDuration + time.Second) {
 		t.Fatal("keys are not accepted on another instance's confirmation")
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -47,6 +47,25 @@
 	}
 }
 
+// ChangesSince returns the current state of the keys with a prefix that have changed after a
+// revision, deletions included. It returns false if deletions since then may be forgotten,
+// given the revision until which the mirror is complete.
+func (m *Mirror) ChangesSince(prefix string, since, until store.Revision) ([]store.Change, bool) {
+	if since+tombstoneRevisions < until {
+		return nil, false
+	}
+	var changes []store.Change
+	for key, state := range m.keys {
+		if state.asOf <= since || !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		entry := state.entry
+		entry.Key, entry.Revision = key, state.asOf
+		changes = append(changes, store.Change{Entry: entry, Deleted: state.deleted})
+	}
+	return changes, true
+}
+
 // Apply applies a change, unless the key's state is at least as recent, and reports
 // whether the key's entry changed.
 func (m *Mirror) Apply(change store.Change) bool {
--- a/process/mirror/mirror_test.go
+++ b/process/mirror/mirror_test.go
@@ -43,3 +43,34 @@
 		t.Fatal("a change after the listing was ignored")
 	}
 }
+
+// A follower that applies the changes since its own revision has the same keys, whatever
+// the order in which the followed mirror learned of them.
+func TestChangesSinceARevisionBringAFollowerUpToDate(t *testing.T) {
+	followed, follower := New(), New()
+	for _, m := range []*Mirror{followed, follower} {
+		m.Apply(put("p/a", 5))
+		m.Apply(put("p/b", 6))
+	}
+	followed.Apply(put("p/c", 9))
+	followed.Apply(put("other", 9))
+	followed.Replace("p/", store.Listing{Revision: 12, Entries: []store.Entry{{Key: "p/b", Revision: 11, Value: []byte{11}}, {Key: "p/c", Revision: 9, Value: []byte{9}}}})
+	changes, complete := followed.ChangesSince("p/", 6, 12)
+	if !complete || len(changes) != 3 {
+		t.Fatalf("%v, complete: %v", changes, complete)
+	}
+	for _, change := range changes {
+		follower.Apply(change)
+	}
+	for _, key := range []string{"p/a", "p/b", "p/c", "other"} {
+		if key != "other" && follower.Get(key).Revision != followed.Get(key).Revision {
+			t.Errorf("%s is at revision %d, want %d", key, follower.Get(key).Revision, followed.Get(key).Revision)
+		}
+	}
+	if follower.Get("other").Revision != 0 {
+		t.Error("a key without the prefix was sent")
+	}
+	if _, complete := followed.ChangesSince("p/", 6, 7+tombstoneRevisions); complete {
+		t.Error("changes count as complete although deletions may be forgotten")
+	}
+}
--- a/process/owner/owner.go
+++ b/process/owner/owner.go
@@ -89,6 +89,13 @@
 	return a
 }
 
+// Eligible reports whether an instance may own services besides the given ones, which may
+// include it: as far as its CPU share is concerned, it can be an owner.
+func Eligible(instance Instance, others []Instance) bool {
+	all := append(slices.DeleteFunc(slices.Clone(others), func(i Instance) bool { return i.ID == instance.ID }), instance)
+	return slices.ContainsFunc(eligibleOwners(all, min(PerService, len(all))), func(i Instance) bool { return i.ID == instance.ID })
+}
+
 // eligibleOwners leaves out the instances with a low CPU share, provided that at least
 // minCount others remain.
 func eligibleOwners(instances []Instance, minCount int) []Instance {
--- a/process/store/outage/outage.go
+++ b/process/store/outage/outage.go
@@ -5,15 +5,9 @@
 
 import "time"
 
-const (
-	// failureThreshold is the number of consecutive failed calls after which the store
-	// counts as unavailable. One failure may be a single lost response.
-	failureThreshold = 2
-	// probeInterval is the time between calls that are admitted to find out whether
-	// the store is available again. Every call has a price, and an instance's authority
-	// lasts for 3.3 s without the store.
-	probeInterval = 500 * time.Millisecond
-)
+// failureThreshold is the number of consecutive failed calls after which the store
+// counts as unavailable. One failure may be a single lost response.
+const failureThreshold = 2
 
 // Breaker suppresses calls while the store is unavailable. Without it, several loops
 // of every instance would each retry throughout an outage. It is not safe for
@@ -29,9 +23,10 @@
 func (b *Breaker) Unavailable() bool { return b.failures >= failureThreshold }
 
 // Allow reports whether a call may be made now; if not, wait is the time until the
-// next probe. Lease renewals are always admitted: they cost a tenth of another call
+// next probe. While the store is unavailable, a probe is admitted in each
+// probeInterval. Lease renewals are always admitted: they cost a tenth of another call
 // and also detect that the store is available again.
-func (b *Breaker) Allow(now time.Duration, renewal bool) (ok bool, wait time.Duration) {
+func (b *Breaker) Allow(now, probeInterval time.Duration, renewal bool) (ok bool, wait time.Duration) {
 	if !b.Unavailable() || renewal {
 		return true, 0
 	}
@@ -52,7 +47,7 @@
 
 // RecordFailure records a call without a usable response. It reports whether this
 // failure made the store count as unavailable.
-func (b *Breaker) RecordFailure(now time.Duration) (becameUnavailable bool) {
+func (b *Breaker) RecordFailure(now, probeInterval time.Duration) (becameUnavailable bool) {
 	b.failures++
 	if b.failures != failureThreshold {
 		return false
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -116,6 +116,9 @@
 		}
 		return statement.Response{}, outcomeDeclined
 	}
+	if resp.NotOwner {
+		r.OnRoutingOutdated()
+	}
 	resp.Placement.copyTo(o)
 	o.ForwardedTo, o.ConfigVersion = to, resp.ConfigVersion
 	r.recordConfigVersion(resp.ConfigVersion)
--- a/request/relay/harness_test.go
+++ b/request/relay/harness_test.go
@@ -218,7 +218,7 @@
 			defer f.network.mu.Unlock()
 			return !f.network.notReady[id]
 		},
-		OnForwardFailed: func() { f.forwardFailures.Add(1) },
+		OnRoutingOutdated: func() { f.forwardFailures.Add(1) },
 		Configuration: func() store.Entry {
 			return store.Entry{Revision: eng.Catalog().Revision, Value: []byte("of " + id)}
 		},
--- a/request/relay/message.go
+++ b/request/relay/message.go
@@ -35,6 +35,32 @@
 	// limit.
 	LoanRequest  *loanRequest  `cbor:"9,keyasint,omitempty"`
 	LoanResponse *loanResponse `cbor:"10,keyasint,omitempty"`
+	// FollowRequest requests what the receiver knows of the store's state.
+	FollowRequest  *followRequest  `cbor:"11,keyasint,omitempty"`
+	FollowResponse *followResponse `cbor:"12,keyasint,omitempty"`
+}
+
+// followRequest requests the changes of registrations after a revision, and the revision
+// of the configuration.
+type followRequest struct {
+	Since store.Revision `cbor:"1,keyasint"`
+	// SentAt is a time on the sender's clock.
+	SentAt time.Duration `cbor:"2,keyasint"`
+}
+
+// followResponse is the response to a followRequest.
+type followResponse struct {
+	// Changes are the changes of registrations after the requested revision, up to Until.
+	// Until is zero when the sender does not watch the store.
+	Changes []store.Change `cbor:"1,keyasint,omitempty"`
+	Until   store.Revision `cbor:"2,keyasint,omitempty"`
+	// ConfirmedRevision is the revision of the sender's configuration, ConfirmationAge the
+	// time since the sender requested the store's confirmation of it. Both are zero
+	// without a confirmation.
+	ConfirmedRevision store.Revision `cbor:"3,keyasint,omitempty"`
+	ConfirmationAge   time.Duration  `cbor:"4,keyasint,omitempty"`
+	// RequestSentAt is the SentAt of the request.
+	RequestSentAt time.Duration `cbor:"5,keyasint"`
 }
 
 // loanRequest requests a token for one operation of a customer.
@@ -138,6 +164,9 @@
 	// NoPrimary says that the instance declined only because it cannot use the
 	// primary.
 	NoPrimary bool `cbor:"10,keyasint,omitempty"`
+	// NotOwner says that, by the registrations that the responding instance knows, it
+	// neither owns the service nor is a backup owner.
+	NotOwner bool `cbor:"11,keyasint,omitempty"`
 	// Placement is for the log and the metrics of the requesting instance.
 	Placement placement `cbor:"4,keyasint"`
 	// Floor is the session's floor after the statement, FloorAge the time since it was
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -83,9 +83,17 @@
 	// OnConfiguration is called with a configuration that a peer sent. It was the
 	// latest at confirmedAt, which is negative when unknown.
 	OnConfiguration func(from topology.InstanceID, revision store.Revision, value []byte, confirmedAt time.Duration)
-	// OnForwardFailed is called when an instance declines a forwarded operation or does
-	// not respond to it.
-	OnForwardFailed func()
+	// OnRoutingOutdated is called when the owners that this instance knows may have
+	// changed: an instance declined a forwarded operation, did not respond to it, or
+	// reported that it does not own the service.
+	OnRoutingOutdated func()
+	// Registrations returns the changes of registrations after a revision, and the revision
+	// until which they are complete, zero when this instance does not watch the store.
+	Registrations func(since store.Revision) (changes []store.Change, until store.Revision)
+	// OnFollowed is called with the answer of the followed peer: the changes of
+	// registrations until a revision, and the age of its confirmation by the store,
+	// negative without one.
+	OnFollowed func(from topology.InstanceID, changes []store.Change, until store.Revision, confirmationAge time.Duration)
 	// OnDemand is called with a peer's demand for the customers' rates.
 	OnDemand func(from topology.InstanceID, demand share.Demands)
 }
@@ -113,6 +121,9 @@
 	pendingLoans map[uint64]chan bool
 	// configurationRequestedAt is when a configuration was last requested from a peer.
 	configurationRequestedAt time.Duration
+	// followed is the peer to which the last follow request was sent, at followedAt.
+	followed   topology.InstanceID
+	followedAt time.Duration
 }
 
 // routingTable determines to which instances operations are forwarded. It is
@@ -211,6 +222,10 @@
 		r.handleConfigurationRequest(from, m.ConfigurationRequest)
 	case m.ConfigurationResponse != nil:
 		r.handleConfigurationResponse(from, m.ConfigurationResponse)
+	case m.FollowRequest != nil:
+		r.handleFollowRequest(from, m.FollowRequest)
+	case m.FollowResponse != nil:
+		r.handleFollowResponse(from, m.FollowResponse)
 	case m.LoanRequest != nil:
 		r.send(from, &message{LoanResponse: &loanResponse{ID: m.LoanRequest.ID, Granted: r.Engine.LendToken(m.LoanRequest.Customer)}})
 	case m.LoanResponse != nil:
@@ -367,6 +382,9 @@
 // a link takes to open, and a margin.
 const linkWaitTimeout = 300 * time.Millisecond
 
+// linkPollInterval is the interval between checks whether a link has opened.
+const linkPollInterval = 10 * time.Millisecond
+
 // awaitInstance chooses an instance, and waits for a link when none is available yet.
 // While this instance is not ready to run operations or its configuration is outdated,
 // it is chosen only when no other instance is available.
@@ -384,7 +402,7 @@
 			return to, ok
 		}
 		r.openOwnerLinks(service)
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(linkPollInterval)
 	}
 }
 
--- a/request/relay/selector.go
+++ b/request/relay/selector.go
@@ -68,7 +68,7 @@
 
 // recordFailure records and logs that an instance did not run the operation.
 func (s *instanceSelector) recordFailure(instance topology.InstanceID, outcome forwardOutcome) {
-	s.relay.OnForwardFailed()
+	s.relay.OnRoutingOutdated()
 	eventForwardFailed.Log(s.relay.Log, "request", s.statement.ID, "home", instance, "kind", s.statement.Kind.String(),
 		"service", s.route.Service, "customer", s.route.Customer, "outcome", outcome.String())
 	if outcome == outcomeNoPrimary {
