Stop accepting callers before the shutdown looks for open sessions

The drain saw that all sessions had ended and unregistered; meanwhile the listener was still open, and the balancer sends callers to daemons that are not ready when too few others are. The process exited in the middle of the new session's request.

Change: the listener is closed, and the accept loop has ended, before the drain waits for the last sessions. A session counts from its acceptance on, not from the start of its goroutine. Ruled out: the closing of idle sessions (a session is closed only between requests), the end of the grace period (2 s away).

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -118,13 +118,12 @@
 	return idle && c.closing
 }
 
-// serveCaller serves an accepted connection until it is closed.
-func (d *Daemon) serveCaller(netConn net.Conn) {
-	codec := d.adapter.Accept(netConn)
-	defer codec.Close()
-	conn := &callerConn{codec: codec}
-	id := d.callers.add(conn)
+// serveCaller serves an accepted connection, whose session has the given ID, until it is
+// closed.
+func (d *Daemon) serveCaller(conn *callerConn, id uint64) {
+	codec := conn.codec
 	defer d.callers.remove(conn)
+	defer codec.Close()
 	database, key, err := codec.ReadStartup(startupTimeout)
 	if err != nil {
 		return // port probes connect without sending anything; there is nobody to respond to
--- a/edge/listeners.go
+++ b/edge/listeners.go
@@ -60,7 +60,8 @@
 
 // add adds the servers of all listeners and the signal handler to the run group.
 func (l listeners) add(group *run.Group, d *Daemon) {
-	group.Add(func() error { return d.accept(l.callers) }, func(error) { _ = l.callers.Close() })
+	acceptor := newAcceptor(l.callers)
+	group.Add(func() error { return d.accept(acceptor) }, func(error) { _ = l.callers.Close() })
 	addHTTP(group, l.peers, d.mesh)
 	addHTTP(group, l.readiness, d.adapter.Readiness(d.acceptsCallers))
 	if l.metrics != nil {
@@ -68,7 +69,7 @@
 		mux.Handle("/metrics", promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{}))
 		addHTTP(group, l.metrics, mux)
 	}
-	group.Add(d.waitForSignal, func(error) { d.cancel() })
+	group.Add(func() error { return d.waitForSignal(acceptor) }, func(error) { d.cancel() })
 }
 
 // addHTTP adds an HTTP server to the run group.
@@ -82,10 +83,29 @@
 	}, func(error) { _ = server.Close() })
 }
 
-// accept accepts callers' connections until the listener is closed.
-func (d *Daemon) accept(listener net.Listener) error {
+// acceptor accepts callers' connections.
+type acceptor struct {
+	listener net.Listener
+	// stopped is closed when the last connection has been accepted.
+	stopped chan struct{}
+}
+
+func newAcceptor(listener net.Listener) *acceptor {
+	return &acceptor{listener: listener, stopped: make(chan struct{})}
+}
+
+// stop closes the listener and waits until the last connection has been accepted.
+func (a *acceptor) stop() {
+	_ = a.listener.Close() // fails only if it is closed already
+	<-a.stopped
+}
+
+// accept accepts callers' connections until the listener is closed. Each connection is
+// counted before the next one is accepted, so that a shutdown waits for all of them.
+func (d *Daemon) accept(a *acceptor) error {
+	defer close(a.stopped)
 	for {
-		conn, err := listener.Accept()
+		conn, err := a.listener.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return nil
@@ -94,12 +114,13 @@
 			sleep(d.ctx, 10*time.Millisecond)
 			continue
 		}
-		go d.serveCaller(conn)
+		caller := &callerConn{codec: d.adapter.Accept(conn)}
+		go d.serveCaller(caller, d.callers.add(caller))
 	}
 }
 
 // waitForSignal shuts the daemon down gracefully on SIGTERM or SIGINT.
-func (d *Daemon) waitForSignal() error {
+func (d *Daemon) waitForSignal(a *acceptor) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
@@ -109,7 +130,7 @@
 	case received := <-signals:
 		eventStopping.Log(d.log, "signal", received.String(), "sessions", d.callers.count())
 	}
-	d.drain()
+	d.drain(a)
 	return errStopped
 }
 
@@ -117,7 +138,7 @@
 // the readiness probe as not ready, so that no more requests are sent here, resigns the
 // leadership, closes callers' connections as they become idle, waits for requests
 // forwarded from other instances, and unregisters.
-func (d *Daemon) drain() {
+func (d *Daemon) drain(a *acceptor) {
 	started := time.Now()
 	deadline := started.Add(d.settings.TerminationGrace - exitMargin)
 	d.stopping.Store(true)
@@ -131,13 +152,21 @@
 			sleep(d.ctx, wait)
 		}
 	}
+	d.finishCallers(a, deadline)
+	d.unregister()
+}
+
+// finishCallers accepts no more connections and waits, until the deadline, until the
+// sessions of callers and the operations of other instances have ended. The load balancer
+// may send callers here even while this instance is not ready, when too few others are.
+func (d *Daemon) finishCallers(a *acceptor, deadline time.Time) {
+	a.stop()
 	for (d.callers.count() > 0 || d.relay.HasRemoteOperations()) && time.Now().Before(deadline) {
 		for _, conn := range d.callers.snapshot() {
 			conn.closeWhenIdle()
 		}
 		sleep(d.ctx, 20*time.Millisecond)
 	}
-	d.unregister()
 }
 
 // resignLeadership gives up the leadership if this instance holds it, so that another
