Let small shares of a rate admit operations right after a whole fleet restarts

The 18 owners' new buckets held a quarter of the burst together, some 0.2 tokens each for a small customer; all reached their first whole token at the same time, seconds later, and lenders had none either.

Change: the new buckets of a fleet hold at least 8 tokens of a customer together, as far as its burst allows, and each begins with a random part of a token, so that whole tokens appear evenly. The tolerated excess of 20 operations covers both, with the rounding of windows.

--- a/process/share/borrow_test.go
+++ b/process/share/borrow_test.go
@@ -39,17 +39,28 @@
 
 func newBucketFleet(count int, limit Limit, lending bool) *bucketFleet {
 	f := &bucketFleet{limit: limit, lending: lending, random: rand.New(rand.NewPCG(1, 2))}
+	f.restart(0, count)
+	return f
+}
+
+// restart replaces the buckets by those of new processes.
+func (f *bucketFleet) restart(now time.Duration, count int) {
+	f.buckets = nil
 	for range count {
-		f.buckets = append(f.buckets, NewBucket(0, limit, 1/float64(count)))
+		f.buckets = append(f.buckets, NewBucket(now, f.limit, 1/float64(count), f.random.Float64()))
 	}
-	return f
 }
 
 // run sends operations to random instances as a Poisson process, from 20 s on.
 // It returns the times of the operations admitted immediately and the number
 // refused.
 func (f *bucketFleet) run(perSecond float64, until time.Duration) (times admissionTimes, refused int) {
-	for now := 20 * time.Second; now < until; now += time.Duration(f.random.ExpFloat64() / perSecond * float64(time.Second)) {
+	return f.runFrom(20*time.Second, perSecond, until)
+}
+
+// runFrom is like run, with another start.
+func (f *bucketFleet) runFrom(start time.Duration, perSecond float64, until time.Duration) (times admissionTimes, refused int) {
+	for now := start; now < until; now += time.Duration(f.random.ExpFloat64() / perSecond * float64(time.Second)) {
 		receiver := f.random.IntN(len(f.buckets))
 		wait, ok := f.buckets[receiver].Admit(now, 0)
 		if !ok && f.lending {
@@ -99,6 +110,46 @@
 	}
 }
 
+// After a loss of power, all instances start at the same time, and a small customer's
+// callers return with the operations of the last two seconds. Its limit admits them. With
+// fractions of tokens, 18 instances refused nearly all operations of the first second.
+func TestSmallCustomerIsServedAfterTheRestartOfAFleet(t *testing.T) {
+	const instances = 18
+	limit := Limit{Rate: 13, Burst: 13, Window: window}
+	admitted := 0
+	for seed := range uint64(20) {
+		f := newBucketFleet(instances, limit, true)
+		f.random = rand.New(rand.NewPCG(seed, 3))
+		f.restart(40*time.Second, instances)
+		for i := range 16 {
+			now := 40*time.Second + time.Duration(i)*time.Second/16
+			receiver := f.random.IntN(instances)
+			if _, ok := f.buckets[receiver].Admit(now, 0); ok || f.borrow(now, receiver) {
+				admitted++
+			}
+		}
+	}
+	t.Logf("%d of %d operations admitted in the first second", admitted, 20*16)
+	if admitted < 20*16/2 {
+		t.Fatalf("%d of %d operations admitted in the first second", admitted, 20*16)
+	}
+}
+
+// The restart of a fleet whose earlier processes admitted up to the limit keeps every
+// window within the tolerance of a tenth and 20 operations.
+func TestRestartOfAFleetKeepsWindowsWithinTolerance(t *testing.T) {
+	for _, limit := range []Limit{{Rate: 5, Burst: 5, Window: window}, {Rate: 13, Burst: 13, Window: window}, {Rate: 119, Burst: 119, Window: window}} {
+		f := newBucketFleet(18, limit, true)
+		before, _ := f.run(4*limit.Rate, 30*time.Second)
+		f.restart(31*time.Second, 18)
+		after, _ := f.runFrom(31*time.Second, 4*limit.Rate, 40*time.Second)
+		times := append(before, after...)
+		if maximum, bound := times.maxInWindow(window), limit.maxPerWindow()*1.1+20; float64(maximum) > bound {
+			t.Errorf("%+v: %d operations in a window, bound %.0f", limit, maximum, bound)
+		}
+	}
+}
+
 func TestBackoffAfterARefusal(t *testing.T) {
 	var b BorrowBackoff
 	if !b.Allowed(time.Second, "k") {
--- a/process/share/bucket.go
+++ b/process/share/bucket.go
@@ -63,19 +63,31 @@
 // Limits of a new bucket. Together with a full window admitted by an earlier
 // process, they keep the admitted operations within a tenth above the limit.
 const (
-	// initialLevelFraction is the fraction of the burst that a new bucket holds.
+	// initialLevelFraction is the fraction of the burst that the new buckets of all
+	// instances hold together, and minInitialTokens the least number of tokens, as far as
+	// the burst allows: a small customer's burst is within the tolerated excess of 20
+	// operations, together with the rounding of windows.
 	initialLevelFraction = 0.25
+	minInitialTokens     = 8
+	// maxRoundedShares is the number of equal shares up to which each share's level begins
+	// with a random part of a token. Together they exceed the limit by half as many
+	// operations.
+	maxRoundedShares = 16
 	// firstWindowBurstFraction is the fraction of the burst that adds to the
 	// refill rate during the first window.
 	firstWindowBurstFraction = 0.5
 )
 
-// NewBucket returns a bucket for this instance's fraction of a customer's limit.
-func NewBucket(now time.Duration, limit Limit, fraction float64) *Bucket {
+// NewBucket returns a bucket for this instance's fraction of a customer's limit. Draw is a
+// random number in [0, 1), the part of a token that the bucket begins with. When a whole
+// fleet restarts, the shares of a small customer hold less than a token each. Without the
+// draw, they would all reach their first whole token at the same time, seconds later, and
+// until then admit nothing.
+func NewBucket(now time.Duration, limit Limit, fraction, draw float64) *Bucket {
 	return &Bucket{
 		limit:           limit.scaled(fraction),
 		customerBurst:   limit.Burst,
-		level:           initialLevelFraction * limit.Burst * fraction,
+		level:           initialTokens(limit)*fraction + draw*min(1, maxRoundedShares*fraction),
 		refilledAt:      now,
 		demandUpdatedAt: now,
 		createdAt:       now,
@@ -83,6 +95,11 @@
 	}
 }
 
+// initialTokens is the number of tokens of the new buckets of all instances together.
+func initialTokens(limit Limit) float64 {
+	return max(initialLevelFraction*limit.Burst, min(limit.Burst, minInitialTokens))
+}
+
 // Resize changes the limit and this instance's fraction. Tokens above the new
 // capacity are lost; none are added.
 func (b *Bucket) Resize(now time.Duration, limit Limit, fraction float64) {
--- a/process/share/share_test.go
+++ b/process/share/share_test.go
@@ -70,7 +70,7 @@
 			Burst:  float64(rapid.IntRange(0, 100).Draw(t, "burst")),
 			Window: window,
 		}
-		b := NewBucket(0, limit, 1)
+		b := NewBucket(0, limit, 1, 0.5)
 		var times admissionTimes
 		now := time.Duration(0)
 		for range rapid.IntRange(10, 600).Draw(t, "operations") {
@@ -92,10 +92,10 @@
 func TestRestartKeepsWindowsWithinTolerance(t *testing.T) {
 	for _, limit := range []Limit{{Rate: 119, Burst: 119, Window: window}, {Rate: 24, Burst: 24, Window: window}, {Rate: 177, Burst: 177, Window: window}} {
 		var times admissionTimes
-		b := NewBucket(0, limit, 1)
+		b := NewBucket(0, limit, 1, 0.5)
 		for now := 20 * time.Second; now < 30*time.Second; now += time.Millisecond {
 			if now == 25*time.Second {
-				b = NewBucket(now, limit, 1)
+				b = NewBucket(now, limit, 1, 0.5)
 			}
 			if wait, ok := b.Admit(now, 0); ok && wait == 0 {
 				times = append(times, now)
@@ -111,7 +111,7 @@
 // limit with evenly spaced operations is not refused.
 func TestEvenDemandBelowTheLimitIsServed(t *testing.T) {
 	limit := Limit{Rate: 24, Burst: 24, Window: window}
-	b := NewBucket(0, limit, 1)
+	b := NewBucket(0, limit, 1, 0.5)
 	refused := 0
 	for now := 10 * time.Second; now < 40*time.Second; now += time.Second / 27 {
 		if _, ok := b.Admit(now, 50*time.Millisecond); !ok {
@@ -125,7 +125,7 @@
 
 func TestLargerShareAddsNoTokens(t *testing.T) {
 	limit := Limit{Rate: 100, Burst: 100, Window: window}
-	b := NewBucket(0, limit, 0.1)
+	b := NewBucket(0, limit, 0.1, 0.5)
 	now := 20 * time.Second
 	for {
 		if _, ok := b.Admit(now, 0); !ok {
--- a/request/engine/engine.go
+++ b/request/engine/engine.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -233,7 +234,7 @@
 		case known:
 			bucket.Resize(now, r.limit(customer), fraction)
 		case fraction > 0:
-			r.buckets[id] = share.NewBucket(now, r.limit(customer), fraction)
+			r.buckets[id] = share.NewBucket(now, r.limit(customer), fraction, rand.Float64())
 		}
 	}
 }
