Stop counting statements whose responses are lost as in flight

Two reads had timed out; their leases, kept five more seconds for late responses, still counted as the two statements that an owner may have in flight at a target. Ruled out: lag of replicas (the other owner had the same), shares of connections (45).

Change: a statement that has timed out no longer counts. One that is overdue (100 ms, or six times the expected latency) is replaced in the count as well: up to four for each slot while the target responds to later statements, one for each slot otherwise, since the target may be unreachable and each write sent to it becomes in doubt.

--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -251,9 +251,14 @@
 	d.queue = kept
 }
 
-// DispatchQueue processes the queue again. It is called periodically, since backoffs
-// expire and replicas catch up without any other event.
-func (d *Dispatcher) DispatchQueue(now time.Duration) { d.dispatchQueue(now) }
+// DispatchQueue processes the queue again. It is called periodically, since statements
+// become overdue, backoffs expire and replicas catch up without any other event.
+func (d *Dispatcher) DispatchQueue(now time.Duration) {
+	for _, t := range d.targets {
+		t.releaseOverdue(now)
+	}
+	d.dispatchQueue(now)
+}
 
 // QueueLength returns the number of queued requests.
 func (d *Dispatcher) QueueLength() int { return len(d.queue) }
--- a/process/dispatch/lease.go
+++ b/process/dispatch/lease.go
@@ -36,8 +36,7 @@
 func (d *Dispatcher) OpenFailed(now time.Duration, l *Lease, failure OpenFailure) {
 	t := l.target
 	t.opening--
-	t.inFlight--
-	l.statementRunning = false
+	t.endStatement(l)
 	switch {
 	case failure == OpenUnreachable:
 		t.observeFailure(now)
@@ -54,8 +53,7 @@
 // transaction.
 func (d *Dispatcher) BeginStatement(now time.Duration, l *Lease) {
 	if !l.statementRunning {
-		l.statementRunning, l.statementStart = true, now
-		l.target.inFlight++
+		l.target.startStatement(now, l)
 	}
 }
 
@@ -64,8 +62,7 @@
 	if !l.statementRunning {
 		return
 	}
-	l.statementRunning = false
-	l.target.inFlight--
+	l.target.endStatement(l)
 	l.target.observeLatency(now, now-l.statementStart)
 	d.dispatchQueue(now)
 }
@@ -73,7 +70,7 @@
 // Release returns the lease's connection to the pool. It is evicted instead if its
 // target is removed or draining or the limit is exceeded.
 func (d *Dispatcher) Release(now time.Duration, l *Lease) {
-	d.finishStatement(l)
+	l.target.endStatement(l)
 	t := l.target
 	l.pooled.idle, l.pooled.lastUsed = true, now
 	if t.removed || t.Draining || len(t.pool)+t.opening > d.connectionLimit {
@@ -87,7 +84,7 @@
 // Drop records that the lease's connection was closed. If it is broken, the target or
 // the path to it failed, and the target is avoided for a backoff.
 func (d *Dispatcher) Drop(now time.Duration, l *Lease, broken bool) {
-	d.finishStatement(l)
+	l.target.endStatement(l)
 	t := l.target
 	t.remove(l.pooled)
 	if broken {
@@ -97,14 +94,6 @@
 	d.dispatchQueue(now)
 }
 
-// finishStatement stops counting the lease's statement as in flight.
-func (d *Dispatcher) finishStatement(l *Lease) {
-	if l.statementRunning {
-		l.statementRunning = false
-		l.target.inFlight--
-	}
-}
-
 // removeUnused deletes a removed target once it has no connections left.
 func (d *Dispatcher) removeUnused(t *target) {
 	if t.removed && len(t.pool) == 0 && t.opening == 0 {
--- a/process/dispatch/placement.go
+++ b/process/dispatch/placement.go
@@ -85,8 +85,8 @@
 // the holder of the lease is to open.
 func (d *Dispatcher) leaseFrom(now time.Duration, r *Request, c candidate) *Lease {
 	t := c.target
-	lease := &Lease{Target: t.ID, Address: t.Address, Primary: t.ID == d.primary, target: t, statementRunning: true, statementStart: now}
-	t.inFlight++
+	lease := &Lease{Target: t.ID, Address: t.Address, Primary: t.ID == d.primary, target: t}
+	t.startStatement(now, lease)
 	if c.pooled != nil {
 		c.pooled.idle, c.pooled.session = false, r.Session
 		lease.pooled, lease.Conn = c.pooled, c.pooled.driverConn
--- a/process/dispatch/request.go
+++ b/process/dispatch/request.go
@@ -89,9 +89,10 @@
 
 	target *target
 	pooled *pooledConn
-	// statementRunning is set while a statement counts as in flight; it started at
-	// statementStart.
+	// statementRunning is set while a statement runs; it started at statementStart.
+	// overdue is set when it has stopped counting as in flight.
 	statementRunning bool
+	overdue          bool
 	statementStart   time.Duration
 }
 
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -50,8 +50,10 @@
 	pool []*pooledConn
 	// opening is the number of connections that are being opened.
 	opening int
-	// inFlight is the number of this instance's statements in flight.
-	inFlight int
+	// running holds the leases whose statements are running. inFlight is the number of
+	// them that count against the target's slots, overdue that of the others.
+	running           []*Lease
+	inFlight, overdue int
 	// latency is the moving average of the response times, zero before the first
 	// response; it was last updated at latencyAt.
 	latency   time.Duration
--- a/replay/pattern.go
+++ b/replay/pattern.go
@@ -53,6 +53,10 @@
 	// SlowFactor, unless 0, multiplies service times from SlowFrom until SlowUntil.
 	SlowFactor          float64
 	SlowFrom, SlowUntil time.Duration
+	// LoseEvery, unless 0, loses the responses to one in so many statements that start
+	// from LoseFrom until LoseUntil. The statements run.
+	LoseEvery           int
+	LoseFrom, LoseUntil time.Duration
 }
 
 // Pattern is a sequence of arrivals and the targets that serve them. The first target is
@@ -68,6 +72,11 @@
 	Arrivals             []Arrival
 }
 
+// losesResponses reports whether responses to statements that start now may be lost.
+func (t Target) losesResponses(now time.Duration) bool {
+	return t.LoseEvery > 0 && now >= t.LoseFrom && now < t.LoseUntil
+}
+
 // serviceTime returns how long the target takes for a statement that starts now.
 func (t Target) serviceTime(now time.Duration, serviceTime time.Duration) time.Duration {
 	if t.SlowFactor > 0 && now >= t.SlowFrom && now < t.SlowUntil {
--- a/replay/patterns.go
+++ b/replay/patterns.go
@@ -55,6 +55,8 @@
 		{Name: "primary saturated", Description: "the primary at one and a half times its capacity, replicas half idle", Targets: targetGroup(3), ConnectionsPerTarget: 12,
 			Arrivals: poissonArrivals(5, 4*time.Second, func(time.Duration) (float64, float64) { return 1000, 200 }, 8)},
 		{Name: "mass return", Description: "two seconds of work at once after a loss of power, then the usual", Targets: targetGroup(3), ConnectionsPerTarget: 12, Arrivals: massReturnArrivals()},
+		{Name: "lost responses", Description: "the primary loses one response in five for two seconds", Targets: lossyPrimaryTargets(), ConnectionsPerTarget: 45,
+			Arrivals: poissonArrivals(7, 4*time.Second, func(time.Duration) (float64, float64) { return 60, 40 }, 8)},
 		{Name: "lagging replicas", Description: "recorded on grown kuttanad, trouble-1, seconds 10 to 16: both replicas trail by seconds",
 			Targets: []Target{{ID: "a", Slots: 3}, {ID: "b", Slots: 3, ReplicationLag: 5 * time.Second}, {ID: "c", Slots: 3, ReplicationLag: 5 * time.Second}}, ConnectionsPerTarget: 25, Arrivals: recorded},
 	}, nil
@@ -66,6 +68,12 @@
 	return []Target{{ID: "a", Slots: slots}, {ID: "b", Slots: slots, ReplicationLag: 60 * time.Millisecond}, {ID: "c", Slots: slots, ReplicationLag: 60 * time.Millisecond}}
 }
 
+func lossyPrimaryTargets() []Target {
+	targets := targetGroup(2)
+	targets[0].LoseEvery, targets[0].LoseFrom, targets[0].LoseUntil = 5, time.Second, 3*time.Second
+	return targets
+}
+
 func slowReplicaTargets() []Target {
 	targets := targetGroup(3)
 	targets[1].SlowFactor, targets[1].SlowFrom, targets[1].SlowUntil = 5, time.Second, 3*time.Second
--- a/replay/policy.go
+++ b/replay/policy.go
@@ -51,6 +51,13 @@
 // Name implements Policy.
 func (*dispatchPolicy) Name() string { return "dispatch" }
 
+// lateResponseWait is how long the request engine keeps a connection whose statement has
+// timed out, and tickInterval the interval at which it has the queue processed again.
+const (
+	lateResponseWait = 5 * time.Second
+	tickInterval     = 50 * time.Millisecond
+)
+
 // clockOffset is the dispatcher's time at the start of a simulation. It keeps the times of
 // floors that are older than the simulation positive.
 const clockOffset = time.Minute
@@ -67,6 +74,18 @@
 	p.dispatcher.SetTargets(p.now(), targets)
 	p.dispatcher.SetPrimary(p.now(), pattern.Targets[0].ID)
 	p.dispatcher.SetConnectionLimit(p.now(), pattern.ConnectionsPerTarget)
+	if len(pattern.Arrivals) > 0 {
+		p.tick(pattern.Arrivals[len(pattern.Arrivals)-1].At + requestDeadline)
+	}
+}
+
+// tick has the dispatcher process its queue periodically until a time.
+func (p *dispatchPolicy) tick(until time.Duration) {
+	p.dispatcher.DispatchQueue(p.now())
+	p.startGranted()
+	if p.sim.now < until {
+		p.sim.schedule(p.sim.now+tickInterval, func() { p.tick(until) })
+	}
 }
 
 func (p *dispatchPolicy) submit(a Arrival) {
@@ -96,6 +115,13 @@
 		p.dispatcher.Opened(p.now(), lease, new(int))
 	}
 	p.sim.execute(lease.Target, a, newConn, lease.Primary, func(result targetResult) {
+		if result == timedOut {
+			p.dispatcher.AbandonStatement(p.now(), lease)
+			p.sim.schedule(p.sim.now+lateResponseWait, func() { p.dispatcher.Drop(p.now(), lease, false) })
+			p.outcome(a, Outcome{At: p.sim.now})
+			p.startGranted()
+			return
+		}
 		p.dispatcher.EndStatement(p.now(), lease)
 		if result == floorMissing {
 			p.dispatcher.ObserveLagRefusal(p.now(), lease, r)
@@ -216,6 +242,8 @@
 			switch result {
 			case completed:
 				p.outcome(request.Arrival, Outcome{Served: true, At: p.sim.now, Primary: primary})
+			case timedOut:
+				p.outcome(request.Arrival, Outcome{At: p.sim.now})
 			default:
 				request.primaryOnly = true
 				p.queue = append([]fifoRequest{request}, p.queue...)
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -24,6 +24,9 @@
 	"mass return": {minWorth: 0.55, minPrimaryShare: 0.5, minGain: -0.03, maxRefusalTime: replicaObjective / 4},
 	// Replicas serve their requests in time although the primary is saturated.
 	"primary saturated": {minWorth: 0.45, minPrimaryShare: 0.35, minGain: 0.2, maxRefusalTime: primaryObjective / 2},
+	// One in five of the requests of half the time is lost, a tenth of PrimaryOnly ones;
+	// the others must be served in time. The baseline counts lost statements as running.
+	"lost responses": {minWorth: 0.9, minPrimaryShare: 0.85, minGain: 0.1, maxRefusalTime: requestDeadline},
 	// The primary runs PrimaryOnly requests before reads whose floor the replicas lack.
 	"lagging replicas": {minWorth: 0.35, minPrimaryShare: 0.8, minGain: 0.15, maxRefusalTime: replicaObjective},
 }
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -14,6 +14,8 @@
 	handshakeTime = 12 * time.Millisecond
 	// refusalTime is how long a target takes to refuse a statement.
 	refusalTime = time.Millisecond
+	// statementTimeout is how long a response is awaited.
+	statementTimeout = 800 * time.Millisecond
 	// maxTargetQueue is the number of statements queued at a target at which it refuses
 	// further ones.
 	maxTargetQueue = 40
@@ -57,6 +59,8 @@
 type simulatedTarget struct {
 	Target
 	running int
+	// started is the number of statements that have started while responses may be lost.
+	started int
 	queue   []func()
 }
 
@@ -92,6 +96,8 @@
 	floorMissing
 	// queueFull means that maxTargetQueue statements are queued.
 	queueFull
+	// timedOut means that no response arrived within statementTimeout.
+	timedOut
 )
 
 // execute sends a statement to a target and calls onResult with the target's response. A
@@ -102,8 +108,14 @@
 		s.schedule(s.now+refusalTime, func() { onResult(floorMissing) })
 		return
 	}
+	sentAt := s.now
 	start := func() {
 		t.running++
+		lost := false
+		if t.losesResponses(s.now) {
+			t.started++
+			lost = t.started%t.LoseEvery == 0
+		}
 		busy := t.serviceTime(s.now, a.ServiceTime)
 		if newConn {
 			busy += handshakeTime
@@ -115,6 +127,10 @@
 				t.queue = t.queue[1:]
 				startNext()
 			}
+			if lost {
+				s.schedule(sentAt+statementTimeout, func() { onResult(timedOut) })
+				return
+			}
 			onResult(completed)
 		})
 	}
