--- a/operator/command/command.go
+++ b/operator/command/command.go
@@ -104,8 +104,12 @@
 	inv := &invocation{Environment: env}
 	app := inv.application(ctx)
 	defer func() {
-		if termination, ok := recover().(parserTermination); ok {
-			code = termination.code
+		switch p := recover().(type) {
+		case nil:
+		case parserTermination:
+			code = p.code
+		default:
+			panic(p)
 		}
 	}()
 	if _, err := app.Parse(args); err != nil {
--- a/operator/command/command_test.go
+++ b/operator/command/command_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"regexp"
@@ -80,3 +81,16 @@
 	}
 	return list
 }
+
+// A fault of a command must not look like success to a script.
+func TestPanicOfACommandIsNotSwallowed(t *testing.T) {
+	env := &Environment{Stdin: strings.NewReader(""), Stdout: io.Discard, Stderr: io.Discard,
+		Dial: func(string) (store.Store, platform.Instances) { panic("fault of the command") }}
+	var code int
+	defer func() {
+		if p := recover(); p != "fault of the command" {
+			t.Fatalf("recovered %v, exit code %d", p, code)
+		}
+	}()
+	code = Run(t.Context(), env, []string{"--store", "store:1", "key", "list", "--customer", "c"})
+}
