--- /dev/null
+++ b/edge/demand.go
@@ -0,0 +1,73 @@
+package edge
+
+import (
+	"math"
+	"time"
+
+	"samphirehitch.example/samphirehitch/process/share"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+// Intervals of reports of demand.
+const (
+	// demandInterval is the interval between checks of the demand.
+	demandInterval = 300 * time.Millisecond
+	// constrainedDemandInterval is the interval between reports of demand that comes
+	// close to this instance's shares of the rates. Loans cover changes in between.
+	constrainedDemandInterval = 900 * time.Millisecond
+	// relaxedDemandInterval is the interval between reports of other demand.
+	relaxedDemandInterval = 1500 * time.Millisecond
+)
+
+// sendDemand sends this instance's demand to the other rate sharers if it is due or has
+// changed significantly.
+func (d *Daemon) sendDemand() {
+	demand, constrained := d.engine.Demand()
+	now := d.clock()
+	interval := relaxedDemandInterval
+	if constrained {
+		interval = constrainedDemandInterval
+	}
+	if len(demand) == 0 && len(d.sentDemand) == 0 || now-d.demandSentAt < interval && !demandDiffers(demand, d.sentDemand) {
+		return
+	}
+	d.demandSentAt, d.sentDemand = now, demand
+	d.observeDemand(d.settings.Instance, demand)
+	d.mu.Lock()
+	receivers := d.rateSharers
+	d.mu.Unlock()
+	d.relay.SendDemand(receivers, demand)
+}
+
+// A change of a customer's demand is sent immediately if it exceeds
+// significantDemandChange, relative to the larger demand, and negligibleDemand, in
+// operations per second.
+const (
+	significantDemandChange = 0.4
+	negligibleDemand        = 3
+)
+
+// demandDiffers reports whether two demands differ significantly for any customer. A
+// customer that is missing from one has no demand there.
+func demandDiffers(a, b share.Demands) bool {
+	return anyDemandDiffers(a, b) || anyDemandDiffers(b, a)
+}
+
+// anyDemandDiffers reports whether the demand of a customer in a differs significantly
+// from that in b.
+func anyDemandDiffers(a, b share.Demands) bool {
+	for id, customerDemand := range a {
+		if change := math.Abs(customerDemand - b[id]); change > negligibleDemand && change > significantDemandChange*max(customerDemand, b[id]) {
+			return true
+		}
+	}
+	return false
+}
+
+// observeDemand records the demand at an instance, this one or a peer.
+func (d *Daemon) observeDemand(from topology.InstanceID, demand share.Demands) {
+	d.mu.Lock()
+	d.demands[from] = demand
+	d.mu.Unlock()
+	notify(d.sharesWake)
+}
--- /dev/null
+++ b/edge/own_keys.go
@@ -0,0 +1,105 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+
+	"samphirehitch.example/samphirehitch/process/store"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+// putRegistration writes the registration under a lease, together with the usage. An
+// empty usage is written only to replace one that is stored, such as that of an earlier
+// process: forwarding instances need no key for it.
+func (d *Daemon) putRegistration(ctx context.Context, lease leaseGrant, services []topology.ServiceID) bool {
+	value, err := json.Marshal(d.registration(lease.ttl))
+	if err != nil {
+		eventConfigUnreadable.LogError(d.log, err, "key", instanceKey(d.settings.Instance))
+		return false
+	}
+	return d.putOwnKeys(ctx, purposeRegister, lease, services, map[string][]byte{instanceKey(d.settings.Instance): value})
+}
+
+// putUsage writes the usage under the registration's lease.
+func (d *Daemon) putUsage(ctx context.Context, lease leaseGrant, services []topology.ServiceID) bool {
+	return d.putOwnKeys(ctx, purposeUsage, lease, services, nil)
+}
+
+// putOwnKeys writes the usage and other keys of this instance under a lease. Once the
+// usage is written, it counts as declared.
+func (d *Daemon) putOwnKeys(ctx context.Context, purpose store.Purpose, lease leaseGrant, services []topology.ServiceID, values map[string][]byte) bool {
+	encodedUsage, err := json.Marshal(usage(services))
+	if err != nil {
+		eventConfigUnreadable.LogError(d.log, err, "key", usageKey(d.settings.Instance))
+		return false
+	}
+	var puts []store.Put
+	for key, value := range values {
+		puts = append(puts, store.Put{Key: key, Value: value, Lease: lease.id})
+	}
+	usagePut := store.Put{Key: usageKey(d.settings.Instance), Value: encodedUsage, Lease: lease.id}
+	ctx = store.WithPurpose(ctx, purpose)
+	for range maxOwnKeyAttempts {
+		if err = d.replaceOwnKeys(ctx, puts, usagePut, len(services) > 0); !errors.Is(err, store.ErrConflict) {
+			break
+		}
+	}
+	if errors.Is(err, store.ErrLeaseExpired) {
+		d.registrationExpired()
+	}
+	if err != nil {
+		d.storeFailed("put registration", err)
+		return false
+	}
+	d.setDeclaredServices(services)
+	return true
+}
+
+// maxOwnKeyAttempts bounds the attempts to replace this instance's keys. One attempt may
+// conflict with the keys of an earlier process, and another with a delayed write of that
+// process or of this one.
+const maxOwnKeyAttempts = 3
+
+// replaceOwnKeys writes keys of this instance and its usage, provided that each is still
+// at the last known revision. A usage that is neither stored nor needed is left out of the
+// write, not out of the condition. A write whose response was lost may take effect seconds
+// later. Without the condition it could replace a later usage, and a fence would not wait
+// for this instance while it uses the primary; or attach the registration to a lease that
+// is not renewed.
+func (d *Daemon) replaceOwnKeys(ctx context.Context, puts []store.Put, usagePut store.Put, usageNeeded bool) error {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	transaction := store.Transaction{Puts: slices.Clone(puts)}
+	d.mu.Lock()
+	if usageNeeded || len(puts) == 0 || d.ownRevisions[usagePut.Key] != 0 {
+		transaction.Puts = append(transaction.Puts, usagePut)
+	}
+	for _, put := range append(slices.Clone(puts), usagePut) {
+		transaction.Expect = append(transaction.Expect, store.Expectation{Key: put.Key, Revision: d.ownRevisions[put.Key]})
+	}
+	d.mu.Unlock()
+	revision, err := d.store.Transact(callCtx, transaction)
+	var conflict *store.ConflictError
+	if err != nil && !errors.As(err, &conflict) {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if conflict == nil {
+		for _, put := range transaction.Puts {
+			d.ownRevisions[put.Key] = revision
+		}
+		return nil
+	}
+	for _, expectation := range transaction.Expect {
+		d.ownRevisions[expectation.Key] = 0
+	}
+	for _, current := range conflict.Current {
+		if _, own := d.ownRevisions[current.Key]; own {
+			d.ownRevisions[current.Key] = current.Revision
+		}
+	}
+	return err
+}
--- a/edge/register.go
+++ b/edge/register.go
@@ -4,13 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math"
 	"slices"
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/event"
 	"samphirehitch.example/samphirehitch/process/failover"
-	"samphirehitch.example/samphirehitch/process/share"
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/process/upkeep"
@@ -22,17 +20,6 @@
 	eventSharesChanged       = event.Define(3100, event.Info, "connection limits or owned services of this instance changed")
 )
 
-// Intervals of the registration and of reports of demand.
-const (
-	// demandInterval is the interval between checks of the demand.
-	demandInterval = 300 * time.Millisecond
-	// constrainedDemandInterval is the interval between reports of demand that comes
-	// close to this instance's shares of the rates. Loans cover changes in between.
-	constrainedDemandInterval = 900 * time.Millisecond
-	// relaxedDemandInterval is the interval between reports of other demand.
-	relaxedDemandInterval = 1500 * time.Millisecond
-)
-
 // registration is the stored description of an instance. It exists as long as its lease.
 type registration struct {
 	FailureDomain topology.FailureDomain `json:"failure_domain"`
@@ -43,8 +30,8 @@
 	// CPUShare is the CPU share that the instance has, in cores.
 	CPUShare float64 `json:"processor"`
 	// LeaseTTL is the TTL of the registration's lease, by which a later process of the
-	// instance may go on renewing it.
-	LeaseTTL time.Duration `json:"lease_ttl,omitempty"`
+	// instance may go on renewing it. It is in nanoseconds.
+	LeaseTTL time.Duration `json:"lease_ttl_ns,omitempty"`
 	// Leaving reports that the instance is shutting down and accepts no more requests
 	// from others.
 	Leaving bool `json:"leaving,omitempty"`
@@ -52,7 +39,7 @@
 
 // usage lists the services whose primaries an instance may use. It is written before
 // their first use, so that the failover leader waits for the instance's acknowledgement
-// of a fence. It has a key of its own because forwarding instances, which watch the
+// of a fence. It has a key of its own because forwarding instances, which follow the
 // registrations, need not know it.
 type usage []topology.ServiceID
 
@@ -104,59 +91,6 @@
 	d.putUsage(ctx, d.registrationLease(), services)
 }
 
-// sendDemand sends this instance's demand to the other rate sharers if it is due or has
-// changed significantly.
-func (d *Daemon) sendDemand() {
-	demand, constrained := d.engine.Demand()
-	now := d.clock()
-	interval := relaxedDemandInterval
-	if constrained {
-		interval = constrainedDemandInterval
-	}
-	if len(demand) == 0 && len(d.sentDemand) == 0 || now-d.demandSentAt < interval && !demandDiffers(demand, d.sentDemand) {
-		return
-	}
-	d.demandSentAt, d.sentDemand = now, demand
-	d.observeDemand(d.settings.Instance, demand)
-	d.mu.Lock()
-	receivers := d.rateSharers
-	d.mu.Unlock()
-	d.relay.SendDemand(receivers, demand)
-}
-
-// A change of a customer's demand is sent immediately if it exceeds
-// significantDemandChange, relative to the larger demand, and negligibleDemand, in
-// operations per second.
-const (
-	significantDemandChange = 0.4
-	negligibleDemand        = 3
-)
-
-// demandDiffers reports whether two demands differ significantly for any customer. A
-// customer that is missing from one has no demand there.
-func demandDiffers(a, b share.Demands) bool {
-	return anyDemandDiffers(a, b) || anyDemandDiffers(b, a)
-}
-
-// anyDemandDiffers reports whether the demand of a customer in a differs significantly
-// from that in b.
-func anyDemandDiffers(a, b share.Demands) bool {
-	for id, customerDemand := range a {
-		if change := math.Abs(customerDemand - b[id]); change > negligibleDemand && change > significantDemandChange*max(customerDemand, b[id]) {
-			return true
-		}
-	}
-	return false
-}
-
-// observeDemand records the demand at an instance, this one or a peer.
-func (d *Daemon) observeDemand(from topology.InstanceID, demand share.Demands) {
-	d.mu.Lock()
-	d.demands[from] = demand
-	d.mu.Unlock()
-	notify(d.sharesWake)
-}
-
 // isMirrorLoaded reports whether the store's content has been listed. Before that, the
 // instance cannot serve and does not register.
 func (d *Daemon) isMirrorLoaded() bool {
@@ -259,100 +193,6 @@
 	return replaced
 }
 
-// putRegistration writes the registration under a lease, together with the usage. An
-// empty usage is written only to replace one that is stored, such as that of an earlier
-// process: forwarding instances need no key for it.
-func (d *Daemon) putRegistration(ctx context.Context, lease leaseGrant, services []topology.ServiceID) bool {
-	value, err := json.Marshal(d.registration(lease.ttl))
-	if err != nil {
-		eventConfigUnreadable.LogError(d.log, err, "key", instanceKey(d.settings.Instance))
-		return false
-	}
-	return d.putOwnKeys(ctx, purposeRegister, lease, services, map[string][]byte{instanceKey(d.settings.Instance): value})
-}
-
-// putUsage writes the usage under the registration's lease.
-func (d *Daemon) putUsage(ctx context.Context, lease leaseGrant, services []topology.ServiceID) bool {
-	return d.putOwnKeys(ctx, purposeUsage, lease, services, nil)
-}
-
-// putOwnKeys writes the usage and other keys of this instance under a lease. Once the
-// usage is written, it counts as declared.
-func (d *Daemon) putOwnKeys(ctx context.Context, purpose store.Purpose, lease leaseGrant, services []topology.ServiceID, values map[string][]byte) bool {
-	encodedUsage, err := json.Marshal(usage(services))
-	if err != nil {
-		eventConfigUnreadable.LogError(d.log, err, "key", usageKey(d.settings.Instance))
-		return false
-	}
-	var puts []store.Put
-	for key, value := range values {
-		puts = append(puts, store.Put{Key: key, Value: value, Lease: lease.id})
-	}
-	usagePut := store.Put{Key: usageKey(d.settings.Instance), Value: encodedUsage, Lease: lease.id}
-	ctx = store.WithPurpose(ctx, purpose)
-	for range maxOwnKeyAttempts {
-		if err = d.replaceOwnKeys(ctx, puts, usagePut, len(services) > 0); !errors.Is(err, store.ErrConflict) {
-			break
-		}
-	}
-	if errors.Is(err, store.ErrLeaseExpired) {
-		d.registrationExpired()
-	}
-	if err != nil {
-		d.storeFailed("put registration", err)
-		return false
-	}
-	d.setDeclaredServices(services)
-	return true
-}
-
-// maxOwnKeyAttempts bounds the attempts to replace this instance's keys. One attempt may
-// conflict with the keys of an earlier process, and another with a delayed write of that
-// process or of this one.
-const maxOwnKeyAttempts = 3
-
-// replaceOwnKeys writes keys of this instance and its usage, provided that each is still
-// at the last known revision. A usage that is neither stored nor needed is left out of the
-// write, not out of the condition. A write whose response was lost may take effect seconds
-// later. Without the condition it could replace a later usage, and a fence would not wait
-// for this instance while it uses the primary; or attach the registration to a lease that
-// is not renewed.
-func (d *Daemon) replaceOwnKeys(ctx context.Context, puts []store.Put, usagePut store.Put, usageNeeded bool) error {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	transaction := store.Transaction{Puts: slices.Clone(puts)}
-	d.mu.Lock()
-	if usageNeeded || len(puts) == 0 || d.ownRevisions[usagePut.Key] != 0 {
-		transaction.Puts = append(transaction.Puts, usagePut)
-	}
-	for _, put := range append(slices.Clone(puts), usagePut) {
-		transaction.Expect = append(transaction.Expect, store.Expectation{Key: put.Key, Revision: d.ownRevisions[put.Key]})
-	}
-	d.mu.Unlock()
-	revision, err := d.store.Transact(callCtx, transaction)
-	var conflict *store.ConflictError
-	if err != nil && !errors.As(err, &conflict) {
-		return err
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if conflict == nil {
-		for _, put := range transaction.Puts {
-			d.ownRevisions[put.Key] = revision
-		}
-		return nil
-	}
-	for _, expectation := range transaction.Expect {
-		d.ownRevisions[expectation.Key] = 0
-	}
-	for _, current := range conflict.Current {
-		if _, own := d.ownRevisions[current.Key]; own {
-			d.ownRevisions[current.Key] = current.Revision
-		}
-	}
-	return err
-}
-
 // renewRegistration renews the registration's lease and reports whether it did.
 func (d *Daemon) renewRegistration(ctx context.Context, lease leaseGrant) bool {
 	requestedAt := d.clock()
