Send the token of a commit whose response was lost; keep the unnamed statement at Close of a portal

Two candidates seen by reading are confirmed, each by a test that fails before: - TestTokenIsSentAfterALostCommitResponse: after a COMMIT whose response was lost and whose outcome was resolved as committed, the caller kept its earlier token (…0102 instead of …0103): the response was discarded after the confirmation had added the token to it. With that token a connection to another instance could read a state before the write. It is discarded first. - TestCloseOfAPortalKeepsTheUnnamedStatement: 26000, 'the prepared statement does not exist': in a batch that the instance answers itself, Close of the unnamed portal removed the unnamed statement.

Not confirmed, and left open: settings that a transaction changed are reverted in the session when the response to its COMMIT was lost (the stand-in has no SHOW to see it by).

--- a/request/execute/extended_protocol_test.go
+++ b/request/execute/extended_protocol_test.go
@@ -146,6 +146,35 @@
 // TestPreparedStatementsFollowTheSession checks that a session can use its
 // prepared statements on any target connection, until Close, DEALLOCATE or
 // DISCARD.
+// Drivers prepare the unnamed statement once and execute it again and again; each batch
+// closes the portal. A batch that the instance answers itself must not remove the statement.
+func TestCloseOfAPortalKeepsTheUnnamedStatement(t *testing.T) {
+	h := newHarness(t)
+	client := h.connectRaw(testKey, "")
+	client.send(&pgproto3.Parse{Query: "SHOW samphirehitch.token"}, &pgproto3.Bind{}, &pgproto3.Execute{},
+		&pgproto3.Close{ObjectType: 'P'}, &pgproto3.Sync{})
+	client.awaitReady()
+	client.send(&pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{})
+	client.awaitReady()
+}
+
+// awaitReady receives messages until ReadyForQuery. An error fails the test.
+func (c *wireClient) awaitReady() {
+	c.t.Helper()
+	for {
+		message, err := c.receive()
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		switch message := message.(type) {
+		case *pgproto3.ErrorResponse:
+			c.t.Fatalf("%s: %s", message.Code, message.Message)
+		case *pgproto3.ReadyForQuery:
+			return
+		}
+	}
+}
+
 func TestPreparedStatementsFollowTheSession(t *testing.T) {
 	h := newHarness(t)
 	client := h.connectRaw(testKey, "")
--- a/request/execute/local_result.go
+++ b/request/execute/local_result.go
@@ -115,7 +115,9 @@
 	case stepExecute:
 		return r.writeResultRows(result)
 	default:
-		r.session.Statements.Delete(step.callerName)
+		if step.message == nil { // the Close of a statement, not that of a portal
+			r.session.Statements.Delete(step.callerName)
+		}
 		return r.response.write(&pgproto3.CloseComplete{})
 	}
 }
--- a/request/execute/pinned.go
+++ b/request/execute/pinned.go
@@ -167,10 +167,14 @@
 	}
 	if commit.sent {
 		r.status = statusIdle
+		reconstructible := !r.response.partlySent && !r.plan.statement.Multiple
+		if reconstructible {
+			r.response.discard() // before the confirmation, which adds the token to the response
+		}
 		if err := r.confirmPinnedCommit(commit); err != nil {
 			return err
 		}
-		if err := r.respondCommitted(target); err != nil {
+		if err := r.respondCommitted(target, reconstructible); err != nil {
 			return err
 		}
 		return r.finish()
@@ -186,11 +190,10 @@
 // respondCommitted responds to a COMMIT that took effect although its response
 // was lost. A batch with other statements is refused with an unknown outcome,
 // since their responses cannot be reconstructed.
-func (r *request) respondCommitted(target topology.TargetID) error {
-	if r.response.partlySent || r.plan.statement.Multiple {
+func (r *request) respondCommitted(target topology.TargetID, reconstructible bool) error {
+	if !reconstructible {
 		return refusal.New(refusal.OutcomeUnknown, refusal.StepCommit, string(target), nil)
 	}
-	r.response.discard()
 	return r.writeLocalResult(localResult{commandTag: queryCommit})
 }
 
--- a/request/execute/target_failure_test.go
+++ b/request/execute/target_failure_test.go
@@ -71,6 +71,24 @@
 	}
 }
 
+// TestTokenIsSentAfterALostCommitResponse drops the response to a COMMIT that took effect.
+// The caller must receive the token of its write, or a later connection to another instance
+// could read an older state.
+func TestTokenIsSentAfterALostCommitResponse(t *testing.T) {
+	h := newHarness(t)
+	conn := h.connect(testKey, "")
+	h.exec(conn, "INSERT INTO kv VALUES ('n', '0')")
+	before := conn.PgConn().ParameterStatus(settingToken)
+	h.group.Member("t-1").SetFaults(standin.Faults{DropCommitAnswers: 1})
+	h.exec(conn, "BEGIN")
+	h.exec(conn, "UPDATE kv SET value = value + 1 WHERE key = 'n'")
+	h.exec(conn, "COMMIT")
+	token := conn.PgConn().ParameterStatus(settingToken)
+	if want := h.queryValue(conn, "SHOW "+settingToken); token != want || token == before {
+		t.Errorf("token %q after the commit, want %q; before it %q", token, want, before)
+	}
+}
+
 // TestCommitOnReplacedPrimaryIsRefused commits on a primary that does not know
 // of its replacement. The caller must receive an error that says that the
 // transaction did not commit, and the new primary must not have the write.
