Keep the daemon running while a shutdown finishes the last sessions

The part that accepts callers now ends with the daemon.

Test: TestShutdownWaitsForTheLastAcceptedConnection checks it; it fails without the wait.

--- a/edge/listeners.go
+++ b/edge/listeners.go
@@ -61,7 +61,7 @@
 // add adds the servers of all listeners and the signal handler to the run group.
 func (l listeners) add(group *run.Group, d *Daemon) {
 	acceptor := newAcceptor(l.callers)
-	group.Add(func() error { return d.accept(acceptor) }, func(error) { _ = l.callers.Close() })
+	group.Add(func() error { return d.serveCallers(acceptor) }, func(error) { _ = l.callers.Close() })
 	addHTTP(group, l.peers, d.mesh)
 	addHTTP(group, l.readiness, d.adapter.Readiness(d.acceptsCallers))
 	if l.metrics != nil {
@@ -100,15 +100,24 @@
 	<-a.stopped
 }
 
+// serveCallers accepts callers' connections until the daemon stops. It does not return when
+// a shutdown closes the listener: the run group would end everything that the last sessions
+// still need.
+func (d *Daemon) serveCallers(a *acceptor) error {
+	d.accept(a)
+	<-d.ctx.Done()
+	return nil
+}
+
 // accept accepts callers' connections until the listener is closed. Each connection is
 // counted before the next one is accepted, so that a shutdown waits for all of them.
-func (d *Daemon) accept(a *acceptor) error {
+func (d *Daemon) accept(a *acceptor) {
 	defer close(a.stopped)
 	for {
 		conn, err := a.listener.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
-			return nil
+			return
 		case err != nil:
 			eventSessionFailed.Log(d.log, "step", "accept", "error", err.Error())
 			sleep(d.ctx, 10*time.Millisecond)
--- a/edge/listeners_test.go
+++ b/edge/listeners_test.go
@@ -45,7 +45,8 @@
 		t.Fatal(err)
 	}
 	a := newAcceptor(listener)
-	go func() { _ = d.accept(a) }() // returns when the listener is closed
+	served := make(chan error, 1)
+	go func() { served <- d.serveCallers(a) }()
 	connect := func() error {
 		conn, err := net.Dial("tcp", listener.Addr().String())
 		if err == nil {
@@ -78,4 +79,15 @@
 	if d.callers.count() != 0 {
 		t.Error("sessions are left")
 	}
+	// The end of any part of the daemon ends all others, such as the links to the owners
+	// that run the last sessions' operations.
+	select {
+	case <-served:
+		t.Fatal("the daemon's part that serves callers has ended before the shutdown is complete")
+	default:
+	}
+	d.cancel()
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
 }
