--- a/edge/listeners_test.go
+++ b/edge/listeners_test.go
@@ -58,7 +58,7 @@
 		t.Fatal(err)
 	}
 	for d.callers.count() == 0 {
-		time.Sleep(time.Millisecond)
+		time.Sleep(time.Millisecond) // until the connection is accepted
 	}
 	finished := make(chan struct{})
 	go func() {
