--- a/process/share/share.go
+++ b/process/share/share.go
@@ -1,7 +1,6 @@
 // Package share divides the customers' rate limits among the instances of the
-// fleet and enforces the share of one instance. Every instance publishes its
-// measured demand in its registration, and all compute the same division from
-// the published demands. Each instance admits operations by a token bucket for
+// fleet and enforces the share of one instance. The instances send each other
+// their measured demands, and all compute the same division from them. Each instance admits operations by a token bucket for
 // its share. When its share of a customer's limit is used up, an instance can
 // request that others admit the operation on theirs.
 package share
@@ -29,7 +28,7 @@
 }
 
 // Demands is the measured demand of each customer at one instance, in operations
-// per second. Instances publish it.
+// per second. Instances send it to each other.
 type Demands map[topology.CustomerID]float64
 
 // Fraction returns this instance's share of the limit as a fraction. Every
