Log and count what an instance does with a store that was restored from an older copy

New: events 2110 to 2112, the gauge store_era and the counter ignored_entries_total. No logic changes.

--- a/cmd/samphirehitch-edge/main.go
+++ b/cmd/samphirehitch-edge/main.go
@@ -69,6 +69,7 @@
 		Log:        logger,
 		Dropped:    output.Dropped,
 		CountCalls: storeClient.CountCalls,
+		ObserveEra: storeClient.ObserveEra,
 	})
 	go reloadOnHangup(daemon, settingsPath)
 	if err := daemon.Run(); err != nil {
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -78,6 +78,9 @@
 	// CountCalls, if not nil, is called with the function that counts calls to the store
 	// in the daemon's metrics.
 	CountCalls func(count func(purpose store.Purpose, call string, status int))
+	// ObserveEra, if not nil, is called with the function that observes the era of the
+	// store's responses, which rises when the store is restored from an older copy.
+	ObserveEra func(observe func(era uint64))
 }
 
 // Daemon is the entry daemon of one instance.
@@ -107,6 +110,8 @@
 	cancel context.CancelFunc
 	// stopping is set from the start of a shutdown.
 	stopping atomic.Bool
+	// storeEra is the highest era of the store's responses.
+	storeEra atomic.Uint64
 	// storeUnavailable reports that the last call to the store failed.
 	storeUnavailable atomic.Bool
 	// Each of these wakes a loop; see notify.
@@ -215,6 +220,9 @@
 	if o.CountCalls != nil {
 		o.CountCalls(d.countStoreCall)
 	}
+	if o.ObserveEra != nil {
+		o.ObserveEra(d.observeEra)
+	}
 	return d
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -21,6 +21,7 @@
 	connectionWait *prometheus.HistogramVec
 	storeFailures  *prometheus.CounterVec
 	storeCalls     *prometheus.CounterVec
+	ignoredEntries prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -38,7 +39,9 @@
 	}
 	m.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "store_calls_total",
 		Help: "Calls to the platform's store by purpose, kind and outcome; status 0 means no response."}, []string{"purpose", "call", "status"})
-	m.registry.MustRegister(m.statements, m.latency, m.connectionWait, m.storeFailures, m.storeCalls, collectors.NewGoCollector())
+	m.ignoredEntries = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "ignored_entries_total",
+		Help: "Entries of the platform's store that were ignored because a later revision of their key is known."})
+	m.registry.MustRegister(m.ignoredEntries, m.statements, m.latency, m.connectionWait, m.storeFailures, m.storeCalls, collectors.NewGoCollector())
 	return m
 }
 
@@ -55,6 +58,9 @@
 		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_dropped_total",
 			Help: "Log lines dropped because the log's buffer was full."}, func() float64 { return float64(d.dropped()) }))
 	}
+	gauge("store_era", "Highest era of the responses of the platform's store; it rises when the store is restored from an older copy.", func() float64 {
+		return float64(d.storeEra.Load())
+	})
 	gauge("configuration_version", "Version of the configuration in force.", func() float64 {
 		if config := d.engine.Catalog(); config != nil {
 			return float64(config.Version)
--- a/edge/store_changes.go
+++ b/edge/store_changes.go
@@ -15,6 +15,8 @@
 	for _, change := range changes {
 		if d.mirror.Apply(change) {
 			changed = append(changed, change.Key)
+		} else {
+			d.logIgnored(change.Entry)
 		}
 	}
 	d.mu.Unlock()
@@ -73,6 +75,9 @@
 	if d.engine.SetCatalog(config) {
 		eventConfigApplied.Log(d.log, "version", config.Version, "revision", config.Revision,
 			"routes", len(config.Routes), "customers", len(config.Customers), "keys", len(config.Keys))
+	} else if inForce := d.engine.Catalog(); inForce.Version != config.Version {
+		eventConfigIgnored.Log(d.log, "version", config.Version, "revision", config.Revision,
+			"version_in_force", inForce.Version, "revision_in_force", inForce.Revision)
 	}
 	if d.authority.ConfirmationAge(d.clock()) < 0 {
 		d.wakeConfirm() // the instance cannot serve before the first confirmation
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -217,6 +217,11 @@
 	}
 	d.mu.Lock()
 	changed := d.mirror.Replace("", listing)
+	for _, entry := range listing.Entries {
+		if known := d.mirror.Get(entry.Key); known.Revision != entry.Revision {
+			d.logIgnored(entry)
+		}
+	}
 	if !d.mirrorLoaded {
 		for _, key := range []string{instanceKey(d.settings.Instance), usageKey(d.settings.Instance)} {
 			d.ownRevisions[key] = d.mirror.Get(key).Revision
