Make the era of the store a part of every revision

Cause: revisions are given out again after a restore, and were compared as if they only grew. The mirror dropped version 14 at revision 39, because it knew version 11 at 39 from before. The same holds for a watch after a number that the store has reached again, for conditional writes, and for what peers tell each other; and a confirmation counted although its answer differed from the configuration in force.

Change: the adapter makes the era (header Store-Era) the upper bits of store.Revision. Comparisons stay as they are. Peers compare versions of the configuration, not revisions. A store that is behind the configuration in force confirms nothing.

--- a/edge/confirm.go
+++ b/edge/confirm.go
@@ -65,42 +65,6 @@
 	return since
 }
 
-// observePeerConfirmation records that a peer found the configuration's latest revision
-// in the store at confirmedAt. If this instance has an earlier configuration and does not
-// watch the store, it requests the latest from the peer that it follows, which is in the
-// same failure domain if possible: configurations may be large.
-func (d *Daemon) observePeerConfirmation(from topology.InstanceID, revision store.Revision, confirmedAt time.Duration) {
-	config := d.engine.Catalog()
-	switch {
-	case config == nil:
-	case config.Revision == revision:
-		d.authority.ObservePeerConfirmation(confirmedAt)
-	case config.Revision < revision && d.forwardsOnly() && !d.isFollowed(from):
-		notify(d.ownerWake)
-	case config.Revision < revision && (d.store.unavailable() || d.forwardsOnly()):
-		d.relay.RequestConfiguration(from)
-	case config.Revision < revision:
-		d.wakeConfirm()
-	}
-}
-
-// storedConfiguration returns the mirrored entry of the configuration.
-func (d *Daemon) storedConfiguration() store.Entry {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.mirror.Get(d.adapter.ConfigurationKey)
-}
-
-// applyPeerConfiguration applies a configuration that a peer has read from the store. It
-// was the latest at confirmedAt, which is negative if unknown.
-func (d *Daemon) applyPeerConfiguration(from topology.InstanceID, revision store.Revision, value []byte, confirmedAt time.Duration) {
-	eventPeerConfig.Log(d.log, "peer", from, "revision", revision, "confirmed_age_ms", (d.clock() - confirmedAt).Milliseconds())
-	d.applyChanges([]store.Change{{Entry: store.Entry{Key: d.adapter.ConfigurationKey, Value: value, Revision: revision}}})
-	if config := d.engine.Catalog(); confirmedAt >= 0 && config != nil && config.Revision == revision {
-		d.authority.ObservePeerConfirmation(confirmedAt)
-	}
-}
-
 // confirmInterval returns the interval between confirmations.
 func (d *Daemon) confirmInterval() time.Duration { return upkeep.For(d.role()).ConfirmInterval }
 
@@ -180,31 +144,35 @@
 		return false
 	}
 	d.storeResponded()
-	recordRevisions := make(map[topology.ServiceID]store.Revision)
-	d.mu.Lock()
+	configuration := false
+	records := make(map[topology.ServiceID]store.Revision)
 	for _, expectation := range expected {
-		if service, isRecord := strings.CutPrefix(expectation.Key, prefixRecords); isRecord {
-			revision := expectation.Revision
-			for _, current := range conflictEntries(conflict) {
-				if current.Key == expectation.Key {
-					revision = current.Revision
-				}
-			}
-			if revision != 0 {
-				recordRevisions[topology.ServiceID(service)] = revision
-			}
+		revision := foundRevision(expectation, conflict)
+		service, isRecord := strings.CutPrefix(expectation.Key, prefixRecords)
+		switch {
+		case revision == 0:
+		case isRecord:
+			records[topology.ServiceID(service)] = revision
+		case expectation.Key == d.adapter.ConfigurationKey:
+			configuration = d.isLatest(revision)
 		}
 	}
-	d.mu.Unlock()
-	d.authority.ObserveConfirmation(requestedAt, recordRevisions)
+	d.authority.ObserveConfirmation(requestedAt, configuration, records)
 	return true
 }
 
-func conflictEntries(conflict *store.ConflictError) []store.Entry {
+// foundRevision returns the revision of an expected key that a transaction found, zero if
+// the key did not exist.
+func foundRevision(expectation store.Expectation, conflict *store.ConflictError) store.Revision {
 	if conflict == nil {
-		return nil
+		return expectation.Revision
+	}
+	for _, current := range conflict.Current {
+		if current.Key == expectation.Key {
+			return current.Revision
+		}
 	}
-	return conflict.Current
+	return 0
 }
 
 // applyConflict applies the current entries that the store returned for a transaction
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -80,7 +80,7 @@
 	CountCalls func(count func(purpose store.Purpose, call string, status int))
 	// ObserveEra, if not nil, is called with the function that observes the era of the
 	// store's responses, which rises when the store is restored from an older copy.
-	ObserveEra func(observe func(era uint64))
+	ObserveEra func(observe func(era store.Era))
 }
 
 // Daemon is the entry daemon of one instance.
@@ -133,6 +133,9 @@
 	confirming    sync.Mutex
 	nextConfirmAt time.Duration
 
+	// configuring is held while a configuration is applied.
+	configuring sync.Mutex
+
 	// sentDemand is the demand of this instance's customers as last sent to the other
 	// rate sharers, at demandSentAt. Only the register loop uses them.
 	demandSentAt time.Duration
@@ -143,6 +146,10 @@
 	mirror *mirror.Mirror
 	// mirrorLoaded reports that the store's content has been listed.
 	mirrorLoaded bool
+	// inForce is the configuration in force in its stored form, and stored describes the
+	// one that the store last returned.
+	inForce store.Entry
+	stored  storedConfiguration
 	// mirroredUntil is the revision up to which the mirror holds every change.
 	mirroredUntil store.Revision
 	// lease is that of the registration.
@@ -208,7 +215,7 @@
 		Address: o.Settings.PeerAddress, Dial: o.Adapter.DialPeer}, o.Log)
 	d.relay = relay.New(relay.Dependencies{Self: o.Settings.Instance, Incarnation: d.incarnation, Engine: d.engine, Link: d.mesh,
 		Clock: d.clock, Log: o.Log, Stopping: d.stopping.Load, Ready: d.canRunRequests, OnConfigurationConfirmed: d.observePeerConfirmation,
-		Configuration: d.storedConfiguration, OnConfiguration: d.applyPeerConfiguration, OnDemand: d.observeDemand,
+		Configuration: d.configurationInForce, OnConfiguration: d.applyPeerConfiguration, OnDemand: d.observeDemand,
 		Registrations: d.registrationChanges, OnFollowed: d.observeFollowed,
 		OnRoutingOutdated: func() { notify(d.ownerWake) }})
 	d.mesh.Handle(peer.KindRelay, d.relay.Receive)
--- a/edge/daemon_test.go
+++ b/edge/daemon_test.go
@@ -14,6 +14,7 @@
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/process/upkeep"
+	"samphirehitch.example/samphirehitch/request/relay"
 )
 
 // newTestDaemon returns a daemon without a store, whose mirror the test fills.
@@ -150,7 +151,7 @@
 	d := newTestDaemon(t)
 	d.leadership.fences = make(map[topology.ServiceID]fence)
 	d.put(recordKey("s"), failover.Record{Primary: "x", Term: 1, Fenced: true, FenceSequence: 4}.Encode(), 10)
-	d.observeFollowed("peer", nil, 12, 0)
+	d.observeFollowed("peer", relay.RegistrationChanges{Until: 12}, 0)
 	if d.failoverView(time.Second, "s").FenceAcknowledged {
 		t.Fatal("acknowledged after an answer with registrations only")
 	}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -8,6 +8,7 @@
 	"samphirehitch.example/samphirehitch/process/following"
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/request/relay"
 )
 
 var eventFollowing = event.Define(2109, event.Info, "this instance learns the store's state from another peer")
@@ -51,30 +52,58 @@
 	return d.follower.Follows(peer)
 }
 
-// observeFollowed applies the answer of the followed peer.
-func (d *Daemon) observeFollowed(from topology.InstanceID, changes []store.Change, until store.Revision, confirmationAge time.Duration) {
-	d.applyChanges(changes)
+// observeFollowed applies the answer of the followed peer. An answer from before a restore
+// of the store that this instance knows of counts as outdated.
+func (d *Daemon) observeFollowed(from topology.InstanceID, answer relay.RegistrationChanges, confirmationAge time.Duration) {
+	if answer.Complete {
+		d.replaceRegistrations(answer)
+	} else {
+		d.applyChanges(answer.Changes)
+	}
 	d.mu.Lock()
-	d.followedUntil = max(d.followedUntil, until)
+	if answer.Until.Era() < d.followedUntil.Era() {
+		confirmationAge = -1
+	}
+	d.followedUntil = max(d.followedUntil, answer.Until)
 	d.follower.Answered(d.clock(), from, confirmationAge)
 	d.mu.Unlock()
 	notify(d.followWake)
 }
 
+// replaceRegistrations applies a complete listing of the registrations from a peer.
+func (d *Daemon) replaceRegistrations(answer relay.RegistrationChanges) {
+	listing := store.Listing{Revision: answer.Until}
+	for _, change := range answer.Changes {
+		listing.Entries = append(listing.Entries, change.Entry)
+	}
+	d.mu.Lock()
+	changed := d.mirror.Replace(prefixInstances, listing)
+	d.mu.Unlock()
+	d.handleChangedKeys(changed)
+}
+
 // registrationChanges returns the changes of registrations after a revision, for a
-// follower, and the revision until which they are complete: zero when this instance does
-// not watch the whole store.
-func (d *Daemon) registrationChanges(since store.Revision) (changes []store.Change, until store.Revision) {
+// follower: none if this instance does not watch the whole store, or knows less of it than
+// the follower.
+func (d *Daemon) registrationChanges(since store.Revision) relay.RegistrationChanges {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.declaredServices) == 0 {
-		return nil, 0
+	if len(d.declaredServices) == 0 || since.Era() > d.mirroredUntil.Era() {
+		return relay.RegistrationChanges{}
+	}
+	answer := relay.RegistrationChanges{Until: d.mirroredUntil, Complete: since.Era() < d.mirroredUntil.Era()}
+	if answer.Complete {
+		d.mirror.ForEach(prefixInstances, func(entry store.Entry) {
+			answer.Changes = append(answer.Changes, store.Change{Entry: entry})
+		})
+		return answer
 	}
-	changes, complete := d.mirror.ChangesSince(prefixInstances, since, d.mirroredUntil)
-	if !complete {
-		return nil, 0
+	changes, known := d.mirror.ChangesSince(prefixInstances, since, d.mirroredUntil)
+	if !known {
+		return relay.RegistrationChanges{}
 	}
-	return changes, d.mirroredUntil
+	answer.Changes = changes
+	return answer
 }
 
 // setFollowCandidates has one of the owners of services followed.
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -9,6 +9,7 @@
 	"samphirehitch.example/samphirehitch/process/following"
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/request/relay"
 	"samphirehitch.example/samphirehitch/version/catalog"
 )
 
@@ -41,14 +42,13 @@
 	follower.followedUntil = 6
 	owner.applyChanges([]store.Change{{Entry: store.Entry{Key: instanceKey("left"), Revision: 9}, Deleted: true}})
 	owner.put(instanceKey("new"), registrationValue(t, registration{CPUShare: 0.8}), 11)
-	changes, until := owner.registrationChanges(follower.followedUntil)
-	follower.observeFollowed("owner", changes, until, 0)
+	follower.observeFollowed("owner", owner.registrationChanges(follower.followedUntil), 0)
 	registered := follower.registrations()
 	if _, known := registered["new"]; !known || len(registered) != 1 || follower.followedUntil != 12 {
 		t.Fatalf("registered until %d: %v", follower.followedUntil, registered)
 	}
-	if changes, _ := owner.registrationChanges(follower.followedUntil); len(changes) != 0 {
-		t.Fatalf("sent again: %v", changes)
+	if again := owner.registrationChanges(follower.followedUntil); len(again.Changes) != 0 {
+		t.Fatalf("sent again: %v", again.Changes)
 	}
 }
 
@@ -56,8 +56,8 @@
 func TestForwardingInstanceIsNotFollowed(t *testing.T) {
 	d := newTestDaemon(t)
 	d.advanceMirror(12)
-	if _, until := d.registrationChanges(0); until != 0 {
-		t.Fatalf("registrations until %d", until)
+	if answer := d.registrationChanges(0); answer.Until != 0 {
+		t.Fatalf("registrations until %d", answer.Until)
 	}
 }
 
@@ -65,7 +65,7 @@
 // as they are recent: the bound on withdrawn keys holds on a forwarding instance, too.
 func TestFollowerConfirmsItselfOnceAnswersAreOld(t *testing.T) {
 	d := newTestDaemon(t)
-	d.engine.SetCatalog(&catalog.Catalog{Version: 1, Revision: 7})
+	d.engine.SetCatalog(&catalog.Catalog{Version: 7, Revision: 1})
 	now := d.clock()
 	d.observePeerConfirmation("owner", 7, now)
 	if since := d.sinceConfirmation(); since > d.clock()-now {
@@ -74,7 +74,7 @@
 	// A confirmation that the peer received long ago does not postpone the own one.
 	d = newTestDaemon(t)
 	d.clock = func() time.Duration { return time.Minute }
-	d.engine.SetCatalog(&catalog.Catalog{Version: 1, Revision: 7})
+	d.engine.SetCatalog(&catalog.Catalog{Version: 7, Revision: 1})
 	d.observePeerConfirmation("owner", 7, 30*time.Second)
 	if since := d.sinceConfirmation(); since != 30*time.Second {
 		t.Fatalf("%s since the confirmation", since)
@@ -91,10 +91,8 @@
 		inForce, listed store.Revision
 		confirmed       bool
 	}{{7, 7, true}, {8, 7, true}, {6, 7, false}} {
-		d := newTestDaemon(t)
-		d.adapter.ConfigurationKey = "configuration"
+		d := newConfiguredDaemon(t, test.inForce)
 		d.authority = authority.New(time.Hour)
-		d.engine.SetCatalog(&catalog.Catalog{Version: 1, Revision: test.inForce})
 		d.observeListing(d.clock(), store.Listing{Revision: 20, Entries: []store.Entry{
 			{Key: "configuration", Revision: test.listed}, {Key: recordKey("s"), Revision: 4}}})
 		if got := d.authority.MayAcceptKeys(d.clock()); got != test.confirmed {
@@ -107,6 +105,23 @@
 	}
 }
 
+// newConfiguredDaemon returns a daemon with the configuration of a revision in force. The
+// version of a configuration is its first byte, or its number in the store if it has none.
+func newConfiguredDaemon(t *testing.T, revision store.Revision) *Daemon {
+	t.Helper()
+	d := newTestDaemon(t)
+	d.adapter.ConfigurationKey, d.adapter.TargetPrefix = "configuration", "target/"
+	d.adapter.DecodeCatalog = func(entry store.Entry) (*catalog.Catalog, error) {
+		version := entry.Revision.Sequence()
+		if len(entry.Value) > 0 {
+			version = uint64(entry.Value[0])
+		}
+		return &catalog.Catalog{Version: version, Revision: entry.Revision}, nil
+	}
+	d.applyChanges([]store.Change{{Entry: store.Entry{Key: "configuration", Revision: revision}}})
+	return d
+}
+
 // Hundreds of changes within a second, as when a fleet starts, must not cost a call each;
 // a single change is received at once.
 func TestBatchesOfChangesGrow(t *testing.T) {
@@ -135,7 +150,7 @@
 // response announces it.
 func TestConfigurationIsRequestedFromTheFollowedPeer(t *testing.T) {
 	d := newTestDaemon(t)
-	d.engine.SetCatalog(&catalog.Catalog{Version: 1, Revision: 7})
+	d.engine.SetCatalog(&catalog.Catalog{Version: 7, Revision: 1})
 	d.follower.SetCandidates([]following.Candidate{{ID: "local", Local: true}, {ID: "remote"}})
 	if peer, _ := d.follower.Next(time.Hour); peer != "local" {
 		t.Fatalf("%s is followed", peer)
@@ -153,3 +168,36 @@
 	default:
 	}
 }
+
+// The owner has read the store after a restore. A follower that knows revisions from before
+// it gets all registrations, without those that the restore has removed.
+func TestFollowerGetsAllRegistrationsAfterARestore(t *testing.T) {
+	owner, follower := newOwner(store.NewRevision(2, 8)), newRegisteringDaemon(nil)
+	follower.put(instanceKey("lost"), registrationValue(t, registration{CPUShare: 0.8}), store.NewRevision(1, 9))
+	follower.followedUntil = store.NewRevision(1, 12)
+	owner.put(instanceKey("kept"), registrationValue(t, registration{CPUShare: 0.8}), store.NewRevision(2, 4))
+	follower.observeFollowed("owner", owner.registrationChanges(follower.followedUntil), 0)
+	registered := follower.registrations()
+	if _, known := registered["kept"]; !known || len(registered) != 1 || follower.followedUntil != store.NewRevision(2, 8) {
+		t.Fatalf("registered until %d: %v", follower.followedUntil, registered)
+	}
+}
+
+// A peer that has not heard of a restore yet is not followed by an instance that has, however
+// recent its last confirmation is.
+func TestPeerFromBeforeARestoreIsOutdated(t *testing.T) {
+	owner, follower := newOwner(store.NewRevision(1, 30)), newRegisteringDaemon(nil)
+	follower.followedUntil = store.NewRevision(2, 8)
+	if answer := owner.registrationChanges(follower.followedUntil); answer.Until != 0 {
+		t.Fatalf("answered until %d", answer.Until)
+	}
+	follower.follower.SetCandidates([]following.Candidate{{ID: "owner"}})
+	if peer, _ := follower.follower.Next(time.Hour); peer != "owner" {
+		t.Fatalf("%q is asked", peer)
+	}
+	follower.clock = func() time.Duration { return time.Hour + time.Millisecond }
+	follower.observeFollowed("owner", relay.RegistrationChanges{Until: store.NewRevision(1, 30)}, 0)
+	if !follower.follower.Stale(time.Hour + following.StaleAfter) {
+		t.Fatal("the answer counts as current")
+	}
+}
--- a/edge/store_changes.go
+++ b/edge/store_changes.go
@@ -58,32 +58,6 @@
 	}
 }
 
-// applyConfiguration passes the mirrored configuration to the engine. One that cannot
-// be decoded leaves the previous one in force.
-func (d *Daemon) applyConfiguration() {
-	d.mu.Lock()
-	entry := d.mirror.Get(d.adapter.ConfigurationKey)
-	d.mu.Unlock()
-	if entry.Revision == 0 {
-		return
-	}
-	config, err := d.adapter.DecodeCatalog(entry)
-	if err != nil {
-		eventConfigUnreadable.LogError(d.log, err, "revision", entry.Revision)
-		return
-	}
-	if d.engine.SetCatalog(config) {
-		eventConfigApplied.Log(d.log, "version", config.Version, "revision", config.Revision,
-			"routes", len(config.Routes), "customers", len(config.Customers), "keys", len(config.Keys))
-	} else if inForce := d.engine.Catalog(); inForce.Version != config.Version {
-		eventConfigIgnored.Log(d.log, "version", config.Version, "revision", config.Revision,
-			"version_in_force", inForce.Version, "revision_in_force", inForce.Revision)
-	}
-	if d.authority.ConfirmationAge(d.clock()) < 0 {
-		d.wakeConfirm() // the instance cannot serve before the first confirmation
-	}
-}
-
 // applyTargets passes to each service its targets. Entries that cannot be decoded are
 // logged once and left out.
 func (d *Daemon) applyTargets() {
@@ -135,7 +109,7 @@
 	for service, record := range records {
 		d.engine.SetRecord(service, record.Record, record.revision)
 		eventRecordChanged.Log(d.log, "service", service, "primary", record.Primary, "term", record.Term,
-			"fenced", record.Fenced, "sequence", record.FenceSequence, "revision", record.revision)
+			"fenced", record.Fenced, "sequence", record.FenceSequence, "revision", record.revision.String())
 		if record.Fenced && slices.Contains(d.declaredUsage(), service) {
 			go d.acknowledgeFence(service, record.Record)
 		}
--- a/edge/store_era.go
+++ b/edge/store_era.go
@@ -10,11 +10,11 @@
 var (
 	eventStoreRestored = event.Define(2110, event.Warning, "store was restored from an older copy")
 	eventEntryIgnored  = event.Define(2111, event.Warning, "entry of the store ignored, a later revision of the key is known")
-	eventConfigIgnored = event.Define(2112, event.Info, "configuration ignored, its version is not above the one in force")
 )
 
 // observeEra records the era of a response of the store.
-func (d *Daemon) observeEra(era uint64) {
+func (d *Daemon) observeEra(newEra store.Era) {
+	era := uint64(newEra)
 	previous := d.storeEra.Load()
 	if era <= previous || !d.storeEra.CompareAndSwap(previous, era) {
 		return
@@ -23,7 +23,7 @@
 	loaded, until := d.mirrorLoaded, d.mirroredUntil
 	d.mu.Unlock()
 	if loaded {
-		eventStoreRestored.Log(d.log, "era", era, "previous_era", previous, "mirrored_until", until)
+		eventStoreRestored.Log(d.log, "era", era, "previous_era", previous, "mirrored_until", until.String())
 	}
 }
 
@@ -35,5 +35,5 @@
 		return
 	}
 	d.metrics.ignoredEntries.Inc()
-	eventEntryIgnored.Log(d.log, "key", entry.Key, "revision", entry.Revision, "known_revision", known.Revision, "era", d.storeEra.Load())
+	eventEntryIgnored.Log(d.log, "key", entry.Key, "revision", entry.Revision.String(), "known_revision", known.Revision.String(), "era", d.storeEra.Load())
 }
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -16,11 +16,8 @@
 	eventStoreUnavailable      = event.Define(2100, event.Warning, "store unavailable")
 	eventStoreAvailable        = event.Define(2101, event.Info, "store available again")
 	eventWatchHistoryDiscarded = event.Define(2102, event.Warning, "store discarded the history that the watch needs, listing all keys")
-	eventConfigApplied         = event.Define(2103, event.Info, "configuration applied")
-	eventConfigUnreadable      = event.Define(2104, event.Failure, "cannot read configuration, the previous one stays in force")
 	eventEntryUnreadable       = event.Define(2105, event.Warning, "cannot decode entry of the store, it is ignored")
 	eventTargetsChanged        = event.Define(2106, event.Info, "targets changed")
-	eventPeerConfig            = event.Define(2107, event.Info, "configuration received from a peer")
 	eventRecordChanged         = event.Define(4100, event.Info, "record of a primary changed")
 )
 
@@ -88,7 +85,7 @@
 		switch {
 		case err == nil && asOf == 0: // the instance's role has changed
 		case errors.Is(err, store.ErrHistoryDiscarded):
-			eventWatchHistoryDiscarded.Log(d.log, "after", after)
+			eventWatchHistoryDiscarded.Log(d.log, "after", after.String())
 			loaded = false
 		case err != nil:
 			d.storeFailed("watch", err)
@@ -244,22 +241,18 @@
 // requestedAt. The listing reads each key at some later time, so a configuration in force
 // that is at least as recent as the listed one was the latest then.
 func (d *Daemon) observeListing(requestedAt time.Duration, listing store.Listing) {
-	config := d.engine.Catalog()
-	if config == nil {
-		return
-	}
 	confirmed := false
 	records := make(map[topology.ServiceID]store.Revision)
 	for _, entry := range listing.Entries {
 		if entry.Key == d.adapter.ConfigurationKey {
-			confirmed = config.Revision >= entry.Revision
+			confirmed = d.isLatest(entry.Revision)
 		}
 		if service, isRecord := strings.CutPrefix(entry.Key, prefixRecords); isRecord {
 			records[topology.ServiceID(service)] = entry.Revision
 		}
 	}
 	if confirmed {
-		d.authority.ObserveConfirmation(requestedAt, records)
+		d.authority.ObserveConfirmation(requestedAt, true, records)
 	}
 }
 
--- a/process/authority/authority.go
+++ b/process/authority/authority.go
@@ -90,13 +90,15 @@
 	t.registered = false
 }
 
-// ObserveConfirmation records that a call sent at requestedAt found the configuration
-// at the revision that is in force here and the services' records at the given
-// revisions. Responses may arrive out of order: an earlier one changes nothing.
-func (t *Tracker) ObserveConfirmation(requestedAt time.Duration, records map[topology.ServiceID]store.Revision) {
+// ObserveConfirmation records that a call sent at requestedAt found the services' records
+// at the given revisions and, if configuration is set, no later configuration than the one
+// that is in force here. Responses may arrive out of order: an earlier one changes nothing.
+func (t *Tracker) ObserveConfirmation(requestedAt time.Duration, configuration bool, records map[topology.ServiceID]store.Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.hasConfirmation, t.confirmedAt = true, max(t.confirmedAt, requestedAt)
+	if configuration {
+		t.hasConfirmation, t.confirmedAt = true, max(t.confirmedAt, requestedAt)
+	}
 	for service, revision := range records {
 		if c := t.recordConfirmations[service]; revision > c.revision || revision == c.revision && requestedAt > c.at {
 			t.recordConfirmations[service] = confirmation{at: requestedAt, revision: revision}
--- a/process/authority/authority_test.go
+++ b/process/authority/authority_test.go
@@ -11,7 +11,7 @@
 func TestPrimaryAuthorityExpiresWithTheOlderOfRenewalAndConfirmation(t *testing.T) {
 	tracker := New(4 * time.Second)
 	records := map[topology.ServiceID]store.Revision{"s": 5}
-	tracker.ObserveConfirmation(time.Second, records)
+	tracker.ObserveConfirmation(time.Second, true, records)
 	if tracker.MayUsePrimary(time.Second, "s", 5) {
 		t.Fatal("authority without a registration")
 	}
@@ -31,8 +31,8 @@
 func TestOutOfOrderResponsesDoNotShortenAuthority(t *testing.T) {
 	tracker := New(4 * time.Second)
 	tracker.ObserveRenewal(2*time.Second, MinRegistrationTTL)
-	tracker.ObserveConfirmation(2*time.Second, map[topology.ServiceID]store.Revision{"s": 7})
-	tracker.ObserveConfirmation(time.Second, map[topology.ServiceID]store.Revision{"s": 5})
+	tracker.ObserveConfirmation(2*time.Second, true, map[topology.ServiceID]store.Revision{"s": 7})
+	tracker.ObserveConfirmation(time.Second, true, map[topology.ServiceID]store.Revision{"s": 5})
 	tracker.ObserveRenewal(time.Second, MinRegistrationTTL)
 	if !tracker.MayUsePrimary(2*time.Second+PrimaryDuration-1, "s", 7) || tracker.MayUsePrimary(2*time.Second, "s", 5) {
 		t.Fatal("the response to an earlier call replaced that to a later one")
@@ -44,7 +44,7 @@
 func TestSuspensionExpiresAuthority(t *testing.T) {
 	tracker := New(4 * time.Second)
 	tracker.ObserveRenewal(0, MinRegistrationTTL)
-	tracker.ObserveConfirmation(0, map[topology.ServiceID]store.Revision{"s": 1})
+	tracker.ObserveConfirmation(0, true, map[topology.ServiceID]store.Revision{"s": 1})
 	if now := 6 * time.Second; tracker.MayUsePrimary(now, "s", 1) || tracker.MayAcceptKeys(now) || tracker.RegistrationValid(now) {
 		t.Fatal("authority outlived the suspension")
 	}
@@ -55,7 +55,7 @@
 	if tracker.MayAcceptKeys(0) || tracker.ConfirmationAge(0) >= 0 {
 		t.Fatal("keys are accepted without a confirmation")
 	}
-	tracker.ObserveConfirmation(time.Second, nil)
+	tracker.ObserveConfirmation(time.Second, true, nil)
 	if !tracker.MayAcceptKeys(5*time.Second-1) || tracker.MayAcceptKeys(5*time.Second) {
 		t.Fatal("keys are not accepted for exactly the configured duration")
 	}
@@ -72,7 +72,7 @@
 func TestLongRegistrationDoesNotExtendPrimaryAuthority(t *testing.T) {
 	tracker := New(4 * time.Second)
 	tracker.ObserveRenewal(0, 20*time.Second)
-	tracker.ObserveConfirmation(PrimaryDuration, map[topology.ServiceID]store.Revision{"s": 1})
+	tracker.ObserveConfirmation(PrimaryDuration, true, map[topology.ServiceID]store.Revision{"s": 1})
 	if !tracker.RegistrationValid(19*time.Second) || tracker.RegistrationValid(20*time.Second) {
 		t.Fatal("the registration is not valid until shortly before its lease ends")
 	}
@@ -86,7 +86,7 @@
 func TestPeerConfirmationCoversKeysOnly(t *testing.T) {
 	tracker := New(4 * time.Second)
 	tracker.ObserveRenewal(0, MinRegistrationTTL)
-	tracker.ObserveConfirmation(0, map[topology.ServiceID]store.Revision{"s": 1})
+	tracker.ObserveConfirmation(0, true, map[topology.ServiceID]store.Revision{"s": 1})
 	tracker.ObserveRenewal(PrimaryDuration, MinRegistrationTTL)
 	tracker.ObservePeerConfirmation(PrimaryDuration)
 	if !tracker.MayAcceptKeys(PrimaryDuration + time.Second) {
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -16,6 +16,9 @@
 // Mirror is a local copy of the store's keys. It is not safe for concurrent use.
 type Mirror struct {
 	keys map[string]keyState
+	// era is the latest era of a change or listing. Changes of earlier eras are ignored,
+	// also for keys without a tombstone.
+	era store.Era
 }
 
 // keyState is the last known state of a key. A deleted key is kept as a tombstone.
@@ -66,21 +69,26 @@
 	return changes, true
 }
 
-// Apply applies a change, unless the key's state is at least as recent, and reports
-// whether the key's entry changed.
+// Apply applies a change, unless the key's state is at least as recent or the change is of
+// an earlier era, and reports whether the key's entry changed.
 func (m *Mirror) Apply(change store.Change) bool {
 	state, known := m.keys[change.Key]
-	if known && change.Revision <= state.asOf {
+	if known && change.Revision <= state.asOf || change.Revision.Era() < m.era {
 		return false
 	}
+	m.era = change.Revision.Era()
 	m.keys[change.Key] = keyState{entry: change.Entry, deleted: change.Deleted, asOf: change.Revision}
 	return !change.Deleted || (known && !state.deleted)
 }
 
 // Replace applies a complete listing of a prefix and returns the keys whose entries
 // changed. Keys that the listing lacks are deleted, unless they are known to have
-// changed after it.
+// changed after it. A listing of an earlier era is ignored.
 func (m *Mirror) Replace(prefix string, listing store.Listing) []string {
+	if listing.Revision.Era() < m.era {
+		return nil
+	}
+	m.era = listing.Revision.Era()
 	var changed []string
 	present := make(map[string]bool, len(listing.Entries))
 	for _, entry := range listing.Entries {
--- a/process/mirror/mirror_test.go
+++ b/process/mirror/mirror_test.go
@@ -74,3 +74,28 @@
 		t.Error("changes count as complete although deletions may be forgotten")
 	}
 }
+
+// The store is restored: its revisions are given out again and keys are gone.
+func TestStateAfterARestoreReplacesTheStateBefore(t *testing.T) {
+	m := New()
+	m.Apply(put("kept", store.NewRevision(1, 3)))
+	m.Apply(put("changed", store.NewRevision(1, 9)))
+	m.Apply(put("lost", store.NewRevision(1, 8)))
+	changed := m.Replace("", store.Listing{Revision: store.NewRevision(2, 7), Entries: []store.Entry{
+		{Key: "kept", Revision: store.NewRevision(2, 3)}, {Key: "changed", Revision: store.NewRevision(2, 6)}}})
+	slices.Sort(changed)
+	if !slices.Equal(changed, []string{"changed", "kept", "lost"}) || m.Get("lost").Revision != 0 {
+		t.Fatalf("changed %v, lost %+v", changed, m.Get("lost"))
+	}
+	if !m.Apply(put("changed", store.NewRevision(2, 8))) {
+		t.Fatal("a change after the restore is taken for an older one")
+	}
+	for _, key := range []string{"lost", "unknown", "changed"} {
+		if m.Apply(put(key, store.NewRevision(1, 100))) {
+			t.Errorf("a change of %q from before the restore was applied", key)
+		}
+	}
+	if m.Replace("", store.Listing{Revision: store.NewRevision(1, 100)}) != nil || m.Get("kept").Revision == 0 {
+		t.Error("a listing from before the restore was applied")
+	}
+}
--- a/process/store/store.go
+++ b/process/store/store.go
@@ -28,10 +28,6 @@
 // MaxValueBytes is the maximum size of a value.
 const MaxValueBytes = 1 << 20
 
-// Revision numbers the changes of all keys of the service in increasing order. As
-// the revision of a key, zero means that the key does not exist.
-type Revision uint64
-
 // LeaseID identifies a lease. Zero means no lease.
 type LeaseID uint64
 
--- a/request/relay/configuration.go
+++ b/request/relay/configuration.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
 
@@ -49,9 +48,6 @@
 		return
 	}
 	entry := r.Configuration()
-	if entry.Revision != c.Revision {
-		return // a newer one was received but is not in force yet
-	}
 	r.send(to, &message{ConfigurationResponse: &configurationResponse{Revision: entry.Revision, Value: entry.Value, ConfirmationAge: r.Engine.Authority.ConfirmationAge(r.Clock()), RequestSentAt: req.SentAt}})
 }
 
@@ -85,12 +81,12 @@
 	return current()
 }
 
-// confirmedConfiguration returns the revision of the configuration in force here and
+// confirmedConfiguration returns the version of the configuration in force here and
 // the age of its confirmation by the store, or zeros without a confirmation.
-func (r *Relay) confirmedConfiguration() (store.Revision, time.Duration) {
+func (r *Relay) confirmedConfiguration() (uint64, time.Duration) {
 	c, age := r.Engine.Catalog(), r.Engine.Authority.ConfirmationAge(r.Clock())
 	if c == nil || age < 0 {
 		return 0, 0
 	}
-	return c.Revision, age
+	return c.Version, age
 }
--- a/request/relay/configuration_test.go
+++ b/request/relay/configuration_test.go
@@ -58,7 +58,7 @@
 	now := f.network.relays["e"].Clock
 	session := f.newSession()
 	f.mustRun(session, statement.Write, statement.OK)
-	if len(f.confirmed) != 1 || f.confirmed[0].revision != 7 {
+	if len(f.confirmed) != 1 || f.confirmed[0].version != 1 {
 		t.Fatalf("confirmed %v", f.confirmed)
 	}
 	first, _ := f.owners()
--- a/request/relay/follow.go
+++ b/request/relay/follow.go
@@ -8,7 +8,7 @@
 )
 
 // Follow requests from a peer what it knows of the store's state: the changes of
-// registrations after a revision, and the revision of the configuration. The answer, if
+// registrations after a revision, and the version of the configuration. The answer, if
 // any, is passed to OnFollowed and OnConfigurationConfirmed.
 func (r *Relay) Follow(peer topology.InstanceID, since store.Revision) {
 	r.awaitLink(peer)
@@ -28,9 +28,9 @@
 }
 
 func (r *Relay) handleFollowRequest(to topology.InstanceID, req *followRequest) {
-	resp := &followResponse{RequestSentAt: req.SentAt}
-	resp.Changes, resp.Until = r.Registrations(req.Since)
-	resp.ConfirmedRevision, resp.ConfirmationAge = r.confirmedConfiguration()
+	known := r.Registrations(req.Since)
+	resp := &followResponse{RequestSentAt: req.SentAt, Changes: known.Changes, Until: known.Until, Complete: known.Complete}
+	resp.ConfirmedVersion, resp.ConfirmationAge = r.confirmedConfiguration()
 	r.send(to, &message{FollowResponse: resp})
 }
 
@@ -45,10 +45,10 @@
 		return
 	}
 	age := time.Duration(-1)
-	if resp.ConfirmedRevision != 0 && resp.Until != 0 {
+	if resp.ConfirmedVersion != 0 && resp.Until != 0 {
 		confirmedAt := resp.RequestSentAt - resp.ConfirmationAge
 		age = r.Clock() - confirmedAt
-		r.OnConfigurationConfirmed(from, resp.ConfirmedRevision, confirmedAt)
+		r.OnConfigurationConfirmed(from, resp.ConfirmedVersion, confirmedAt)
 	}
-	r.OnFollowed(from, resp.Changes, resp.Until, age)
+	r.OnFollowed(from, RegistrationChanges{Changes: resp.Changes, Until: resp.Until, Complete: resp.Complete}, age)
 }
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -122,10 +122,10 @@
 	resp.Placement.copyTo(o)
 	o.ForwardedTo, o.ConfigVersion = to, resp.ConfigVersion
 	r.recordConfigVersion(resp.ConfigVersion)
-	if resp.ConfirmedRevision != 0 {
+	if resp.ConfirmedVersion != 0 {
 		// The owner measured the age after the request was sent, so the confirmation
 		// is at least as recent as this.
-		r.OnConfigurationConfirmed(to, resp.ConfirmedRevision, pending.sentAt-resp.ConfirmationAge)
+		r.OnConfigurationConfirmed(to, resp.ConfirmedVersion, pending.sentAt-resp.ConfirmationAge)
 	}
 	if resp.Floor.Reaches(s.Floor) {
 		s.Floor, s.FloorSentAt = resp.Floor, r.Clock()-resp.FloorAge
--- a/request/relay/fuzz_test.go
+++ b/request/relay/fuzz_test.go
@@ -43,8 +43,8 @@
 // ignoreFollowing has all instances answer followers and ignore the answers.
 func (f *fleet) ignoreFollowing() {
 	for _, r := range f.network.relays {
-		r.Registrations = func(store.Revision) ([]store.Change, store.Revision) { return nil, 1 }
-		r.OnFollowed = func(topology.InstanceID, []store.Change, store.Revision, time.Duration) {}
+		r.Registrations = func(store.Revision) RegistrationChanges { return RegistrationChanges{Until: 1} }
+		r.OnFollowed = func(topology.InstanceID, RegistrationChanges, time.Duration) {}
 	}
 }
 
--- a/request/relay/harness_test.go
+++ b/request/relay/harness_test.go
@@ -189,8 +189,8 @@
 }
 
 type confirmation struct {
-	revision store.Revision
-	at       time.Duration
+	version uint64
+	at      time.Duration
 }
 
 // longTimeout is a statement timeout that is not exceeded even on a busy machine.
@@ -225,8 +225,8 @@
 		OnConfiguration: func(_ topology.InstanceID, revision store.Revision, _ []byte, confirmedAt time.Duration) {
 			f.applyConfiguration(eng, revision, confirmedAt)
 		},
-		OnConfigurationConfirmed: func(_ topology.InstanceID, revision store.Revision, confirmedAt time.Duration) {
-			f.confirmed = append(f.confirmed, confirmation{revision, confirmedAt})
+		OnConfigurationConfirmed: func(_ topology.InstanceID, version uint64, confirmedAt time.Duration) {
+			f.confirmed = append(f.confirmed, confirmation{version, confirmedAt})
 		},
 		OnDemand: func(from topology.InstanceID, demand share.Demands) { f.demands[from] = demand }})
 	owners := owner.Assign([]topology.ServiceID{"s"}, []owner.Instance{{ID: "h1", CPUShare: 1}, {ID: "h2", CPUShare: 1}})
--- a/request/relay/message.go
+++ b/request/relay/message.go
@@ -40,7 +40,7 @@
 	FollowResponse *followResponse `cbor:"12,keyasint,omitempty"`
 }
 
-// followRequest requests the changes of registrations after a revision, and the revision
+// followRequest requests the changes of registrations after a revision, and the version
 // of the configuration.
 type followRequest struct {
 	Since store.Revision `cbor:"1,keyasint"`
@@ -54,13 +54,16 @@
 	// Until is zero when the sender does not watch the store.
 	Changes []store.Change `cbor:"1,keyasint,omitempty"`
 	Until   store.Revision `cbor:"2,keyasint,omitempty"`
-	// ConfirmedRevision is the revision of the sender's configuration, ConfirmationAge the
+	// ConfirmedVersion is the version of the sender's configuration, ConfirmationAge the
 	// time since the sender requested the store's confirmation of it. Both are zero
 	// without a confirmation.
-	ConfirmedRevision store.Revision `cbor:"3,keyasint,omitempty"`
-	ConfirmationAge   time.Duration  `cbor:"4,keyasint,omitempty"`
+	ConfirmedVersion uint64        `cbor:"6,keyasint,omitempty"`
+	ConfirmationAge  time.Duration `cbor:"4,keyasint,omitempty"`
 	// RequestSentAt is the SentAt of the request.
 	RequestSentAt time.Duration `cbor:"5,keyasint"`
+	// Complete says that Changes are all registrations, because the requested revision
+	// precedes a restore of the store.
+	Complete bool `cbor:"7,keyasint,omitempty"`
 }
 
 // loanRequest requests a token for one operation of a customer.
@@ -176,9 +179,9 @@
 	// ConfigVersion is the version of the configuration under which the operation was
 	// decided.
 	ConfigVersion uint64 `cbor:"7,keyasint,omitempty"`
-	// ConfirmedRevision is the revision of the owner's configuration, ConfirmationAge
-	// the time since the owner requested the store's confirmation of it. Both are zero
-	// without a confirmation.
-	ConfirmedRevision store.Revision `cbor:"8,keyasint,omitempty"`
-	ConfirmationAge   time.Duration  `cbor:"9,keyasint,omitempty"`
+	// ConfirmedVersion is the version of the owner's configuration, ConfirmationAge the
+	// time since the owner requested the store's confirmation of it. Both are zero without
+	// a confirmation.
+	ConfirmedVersion uint64        `cbor:"12,keyasint,omitempty"`
+	ConfirmationAge  time.Duration `cbor:"9,keyasint,omitempty"`
 }
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -76,8 +76,8 @@
 	// recently enough to run operations itself.
 	Ready func() bool
 	// OnConfigurationConfirmed is called when an owner's response shows that the
-	// configuration of a revision was the latest at confirmedAt.
-	OnConfigurationConfirmed func(from topology.InstanceID, revision store.Revision, confirmedAt time.Duration)
+	// configuration of a version was the latest at confirmedAt.
+	OnConfigurationConfirmed func(from topology.InstanceID, version uint64, confirmedAt time.Duration)
 	// Configuration returns the configuration in force in its stored form.
 	Configuration func() store.Entry
 	// OnConfiguration is called with a configuration that a peer sent. It was the
@@ -87,17 +87,24 @@
 	// changed: an instance declined a forwarded operation, did not respond to it, or
 	// reported that it does not own the service.
 	OnRoutingOutdated func()
-	// Registrations returns the changes of registrations after a revision, and the revision
-	// until which they are complete, zero when this instance does not watch the store.
-	Registrations func(since store.Revision) (changes []store.Change, until store.Revision)
+	// Registrations returns the changes of registrations after a revision.
+	Registrations func(since store.Revision) RegistrationChanges
 	// OnFollowed is called with the answer of the followed peer: the changes of
-	// registrations until a revision, and the age of its confirmation by the store,
-	// negative without one.
-	OnFollowed func(from topology.InstanceID, changes []store.Change, until store.Revision, confirmationAge time.Duration)
+	// registrations, and the age of its confirmation by the store, negative without one.
+	OnFollowed func(from topology.InstanceID, changes RegistrationChanges, confirmationAge time.Duration)
 	// OnDemand is called with a peer's demand for the customers' rates.
 	OnDemand func(from topology.InstanceID, demand share.Demands)
 }
 
+// RegistrationChanges are the changes of registrations after a revision, up to Until. Until
+// is zero when the instance that reports them does not watch the store. Complete says that
+// they are all registrations instead, because the revision precedes a restore of the store.
+type RegistrationChanges struct {
+	Changes  []store.Change
+	Until    store.Revision
+	Complete bool
+}
+
 // Relay runs callers' operations by forwarding them to owners. It implements the
 // engine's Runner and is safe for concurrent use.
 type Relay struct {
--- a/request/relay/server.go
+++ b/request/relay/server.go
@@ -135,7 +135,7 @@
 	}
 	s.forgetUnlessOpen(id, remote)
 	resp := &forwardResponse{ID: req.ID, Result: response, Placement: placementOf(outcome), Floor: callerSession.Floor, FloorAge: s.relay.Clock() - callerSession.FloorSentAt, ConfigVersion: outcome.ConfigVersion}
-	resp.ConfirmedRevision, resp.ConfirmationAge = s.relay.confirmedConfiguration()
+	resp.ConfirmedVersion, resp.ConfirmationAge = s.relay.confirmedConfiguration()
 	resp.NotOwner = outcome.Service != "" && !s.relay.routing.Load().owners.MayConnect(s.relay.Self, outcome.Service)
 	return resp
 }
