Verify records of primaries after a restore of the store; keep authority and owners meanwhile

The copy may name a primary that was replaced; it may lack users that still have authority, so that a fence seems to be acknowledged; sequences of fences and fencing tokens were given out twice; a delayed write of the time before could take effect under a condition that holds again by chance.

Class: conclusions from the absence of a key, or from a number, that hold only while the store goes forward.

Changes: - A record carries the era in which it was written or verified. One of another era does not allow the use of its primary. What an instance was allowed before the restore lasts as long as without it (3.3 s), since the leader counts no fence as acknowledged for 3.6 s. - The leader verifies the records: at once if it led until the restore and a user of the primary attests that it has seen no fence; else by the targets' statuses, once promotions ordered before have taken effect (2.2 s). What fits no primary is fenced and replaced. - Users register again under another lease, publish the records that they know, and end the earlier lease, so that delayed writes under it fail. Forwarding instances keep a registration that has survived. - Registrations that the restore removed count for 4 s; those of instances that had left do not come back. Owners and shares of limits do not change because of a restore. - Sequences of fences are above all of earlier eras; fencing tokens are, by the revision. A leadership counts once its key is seen in the present era. - The leader records that an era has settled, so that later leaders need not wait.

--- a/edge/confirm.go
+++ b/edge/confirm.go
@@ -145,14 +145,14 @@
 	}
 	d.storeResponded()
 	configuration := false
-	records := make(map[topology.ServiceID]store.Revision)
+	records := make(recordRevisions)
 	for _, expectation := range expected {
 		revision := foundRevision(expectation, conflict)
 		service, isRecord := strings.CutPrefix(expectation.Key, prefixRecords)
 		switch {
 		case revision == 0:
 		case isRecord:
-			records[topology.ServiceID(service)] = revision
+			d.confirmRecord(records, topology.ServiceID(service), revision)
 		case expectation.Key == d.adapter.ConfigurationKey:
 			configuration = d.isLatest(revision)
 		}
@@ -161,6 +161,19 @@
 	return true
 }
 
+// recordRevisions are the revisions of confirmed records.
+type recordRevisions = map[topology.ServiceID]store.Revision
+
+// confirmRecord adds a record that the store has at a revision, unless another one is in
+// force here: one from after a restore of the store counts only once it is verified.
+func (d *Daemon) confirmRecord(records recordRevisions, service topology.ServiceID, revision store.Revision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.records[service].revision == revision {
+		records[service] = revision
+	}
+}
+
 // foundRevision returns the revision of an expected key that a transaction found, zero if
 // the key did not exist.
 func foundRevision(expectation store.Expectation, conflict *store.ConflictError) store.Revision {
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -110,8 +110,6 @@
 	cancel context.CancelFunc
 	// stopping is set from the start of a shutdown.
 	stopping atomic.Bool
-	// storeEra is the highest era of the store's responses.
-	storeEra atomic.Uint64
 	// storeUnavailable reports that the last call to the store failed.
 	storeUnavailable atomic.Bool
 	// Each of these wakes a loop; see notify.
@@ -152,6 +150,9 @@
 	stored  storedConfiguration
 	// mirroredUntil is the revision up to which the mirror holds every change.
 	mirroredUntil store.Revision
+	// era is the era of the store.
+	era     storeEra
+	carried carriedRegistrations
 	// lease is that of the registration.
 	lease   leaseGrant
 	targets map[topology.ServiceID]targetMap
@@ -266,6 +267,7 @@
 	for sleep(ctx, tickInterval) {
 		d.engine.Tick()
 		d.relay.Tick()
+		d.expireCarried()
 		if !started && d.acceptsCallers() && d.authority.MayAcceptKeys(d.clock()) {
 			started = true
 			close(d.serving)
--- a/edge/failover.go
+++ b/edge/failover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -85,6 +86,12 @@
 	// successful renewal was sent. Only the failover loop writes them.
 	lease     store.LeaseID
 	renewedAt time.Duration
+	// renewedEra is the era of the store at that renewal.
+	renewedEra store.Era
+	// restoredEra is the era before whose begin this instance led, and interrupted holds the
+	// services whose failovers were under way then.
+	restoredEra store.Era
+	interrupted map[topology.ServiceID]bool
 	// coordinators run the services' failovers; they are discarded with the token.
 	coordinators map[topology.ServiceID]*failover.Coordinator
 	// fences are the known fences by service, nil before the first leadership.
@@ -114,6 +121,7 @@
 				nextListAt = now + interval
 				d.relistInstanceKeys(ctx)
 			}
+			d.publishSettledEra(ctx)
 		}
 		select {
 		case <-ctx.Done():
@@ -124,6 +132,28 @@
 	return nil
 }
 
+// publishSettledEra writes the era to the store once all authority from before it has
+// expired.
+func (d *Daemon) publishSettledEra(ctx context.Context) {
+	transaction, due := d.settledEraTransaction()
+	if !due {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	revision, err := d.store.Transact(store.WithPurpose(callCtx, purposeFailover), transaction)
+	var conflict *store.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		d.applyConflict(nil, conflict.Current)
+	case err != nil:
+		d.storeFailed("publish settled era", err)
+	default:
+		put := transaction.Puts[0]
+		d.applyChanges([]store.Change{{Entry: store.Entry{Key: put.Key, Value: put.Value, Revision: revision}}})
+	}
+}
+
 // relistInstanceKeys lists the instances' keys, on which failovers depend: a watch may
 // return nothing for seconds while the store discards its history.
 func (d *Daemon) relistInstanceKeys(ctx context.Context) {
@@ -134,10 +164,7 @@
 		d.storeFailed("list instances", err)
 		return
 	}
-	d.mu.Lock()
-	changed := d.mirror.Replace(prefixProject, listing)
-	d.mu.Unlock()
-	d.handleChangedKeys(changed)
+	d.replaceMirrored(prefixProject, listing)
 }
 
 // stepCoordinators steps every service's coordinator and starts the actions that they
@@ -169,7 +196,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	entry := d.mirror.Get(recordKey(service))
-	view := failover.View{Targets: d.targets[service], Revision: entry.Revision, OwnerCount: d.ownerCounts[service]}
+	view := failover.View{Targets: d.targets[service], Revision: entry.Revision, OwnerCount: d.ownerCounts[service],
+		Era: d.era.number, PromotionsSettled: d.settled(now, promotionSettleTime)}
 	if entry.Revision != 0 {
 		record, err := failover.DecodeRecord(entry.Value)
 		if err != nil {
@@ -178,9 +206,13 @@
 		}
 		view.Record = record
 	}
+	if entry.Revision == 0 || view.Record.Era != view.Era {
+		d.addKnownRecords(service, &view)
+	}
 	// All instances that declared their usage before the fence are known only once the
-	// mirror holds every change up to it.
-	view.FenceAcknowledged = view.Record.Fenced && d.mirroredUntil >= entry.Revision
+	// mirror holds every change up to it, and a restore of the store has lost none that may
+	// still have authority.
+	view.FenceAcknowledged = view.Record.Fenced && d.mirroredUntil >= entry.Revision && d.settled(now, authority.FenceWait)
 	d.mirror.ForEach(prefixUsages, func(entry store.Entry) {
 		var used usage
 		if err := json.Unmarshal(entry.Value, &used); err == nil && !slices.Contains(used, service) {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -76,10 +76,7 @@
 	for _, change := range answer.Changes {
 		listing.Entries = append(listing.Entries, change.Entry)
 	}
-	d.mu.Lock()
-	changed := d.mirror.Replace(prefixInstances, listing)
-	d.mu.Unlock()
-	d.handleChangedKeys(changed)
+	d.replaceMirrored(prefixInstances, listing)
 }
 
 // registrationChanges returns the changes of registrations after a revision, for a
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/authority"
+	"samphirehitch.example/samphirehitch/process/failover"
 	"samphirehitch.example/samphirehitch/process/following"
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
@@ -93,6 +94,7 @@
 	}{{7, 7, true}, {8, 7, true}, {6, 7, false}} {
 		d := newConfiguredDaemon(t, test.inForce)
 		d.authority = authority.New(time.Hour)
+		d.applyChanges([]store.Change{{Entry: store.Entry{Key: recordKey("s"), Value: failover.Record{Primary: "p", Term: 1}.Encode(), Revision: 4}}})
 		d.observeListing(d.clock(), store.Listing{Revision: 20, Entries: []store.Entry{
 			{Key: "configuration", Revision: test.listed}, {Key: recordKey("s"), Revision: 4}}})
 		if got := d.authority.MayAcceptKeys(d.clock()); got != test.confirmed {
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -26,12 +26,20 @@
 	prefixFenceAcks = prefixProject + "yield/"
 	// Suspicions of primaries, by service and instance.
 	prefixSuspicions = prefixProject + "suspect/"
+	// Records of primaries that an instance had verified before a restore of the store, by
+	// instance.
+	prefixKnown = prefixProject + "known/"
+	// keySettledEra holds the era of the store since whose begin authority.FenceWait has
+	// passed.
+	keySettledEra = prefixProject + "era"
 	// keyLeadership identifies the failover leader.
 	keyLeadership = prefixProject + "duty/promotion"
 )
 
 func instanceKey(id topology.InstanceID) string { return prefixInstances + string(id) }
 
+func knownKey(id topology.InstanceID) string { return prefixKnown + string(id) }
+
 func usageKey(id topology.InstanceID) string { return prefixUsages + string(id) }
 
 func recordKey(id topology.ServiceID) string { return prefixRecords + string(id) }
--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"samphirehitch.example/samphirehitch/process/authority"
 	"samphirehitch.example/samphirehitch/process/failover"
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
@@ -49,6 +50,10 @@
 	if entry.Revision == 0 {
 		return d.acquireLeadership(ctx)
 	}
+	if entry.Revision.Era() != d.currentEra() {
+		d.setLeadership(false, 0) // the store was restored, its present leader is not known yet
+		return false
+	}
 	held := string(entry.Value) == d.leadershipValue()
 	if held {
 		d.renewLeadership(ctx)
@@ -78,9 +83,38 @@
 // setLeadershipLease records the leader's lease, granted or renewed by a call sent at
 // requestedAt; zero is no lease.
 func (d *Daemon) setLeadershipLease(lease store.LeaseID, requestedAt time.Duration) {
+	era := d.currentEra()
 	d.leadership.mu.Lock()
 	defer d.leadership.mu.Unlock()
-	d.leadership.lease, d.leadership.renewedAt = lease, requestedAt
+	d.leadership.lease, d.leadership.renewedAt, d.leadership.renewedEra = lease, requestedAt, era
+}
+
+// maxLeadershipGap is the time after the last renewal within which no other instance can
+// have been the leader before a restore of the store, waited for a fence that some user did
+// not acknowledge, and ordered a promotion: the lease, the wait, less the time after the
+// renewal of that other leader in which it may order one.
+const maxLeadershipGap = leadershipTTL + authority.FenceWait - promotionWindow
+
+// observeRestore records whether this instance led until the store was restored, and which
+// failovers were under way.
+func (l *leadership) observeRestore(now time.Duration, previous, era store.Era) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lease == 0 || l.renewedEra != previous || now-l.renewedAt >= maxLeadershipGap {
+		return
+	}
+	l.restoredEra, l.interrupted = era, make(map[topology.ServiceID]bool)
+	for service, coordinator := range l.coordinators {
+		l.interrupted[service] = coordinator.Busy()
+	}
+}
+
+// ledThrough reports whether this instance led until the era began and no failover of the
+// service was under way then.
+func (l *leadership) ledThrough(era store.Era, service topology.ServiceID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.restoredEra == era && !l.interrupted[service]
 }
 
 // acquireLeadership tries to acquire the leadership while no instance holds it. It
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -59,7 +59,7 @@
 			Help: "Log lines dropped because the log's buffer was full."}, func() float64 { return float64(d.dropped()) }))
 	}
 	gauge("store_era", "Highest era of the responses of the platform's store; it rises when the store is restored from an older copy.", func() float64 {
-		return float64(d.storeEra.Load())
+		return float64(d.currentEra())
 	})
 	gauge("configuration_version", "Version of the configuration in force.", func() float64 {
 		if config := d.engine.Catalog(); config != nil {
--- a/edge/own_keys.go
+++ b/edge/own_keys.go
@@ -19,7 +19,11 @@
 		eventConfigUnreadable.LogError(d.log, err, "key", instanceKey(d.settings.Instance))
 		return false
 	}
-	return d.putOwnKeys(ctx, purposeRegister, lease, services, map[string][]byte{instanceKey(d.settings.Instance): value})
+	values := map[string][]byte{instanceKey(d.settings.Instance): value}
+	if known := d.recordsBeforeRestore(); known != nil {
+		values[knownKey(d.settings.Instance)] = known
+	}
+	return d.putOwnKeys(ctx, purposeRegister, lease, services, values)
 }
 
 // putUsage writes the usage under the registration's lease.
@@ -47,7 +51,7 @@
 		}
 	}
 	if errors.Is(err, store.ErrLeaseExpired) {
-		d.registrationExpired()
+		d.registrationExpired(lease)
 	}
 	if err != nil {
 		d.storeFailed("put registration", err)
--- a/edge/register.go
+++ b/edge/register.go
@@ -57,7 +57,7 @@
 		}
 		switch {
 		case !d.isMirrorLoaded():
-		case current.id == 0, upkeep.NeedsNewLease(role, current.ttl) && !unavailable:
+		case current.id == 0, upkeep.NeedsNewLease(role, current.ttl) && !unavailable, d.isRegistrationInDoubt(current) && !unavailable:
 			attemptedAt = now
 			renewed = d.register(ctx, role)
 		case now >= attemptedAt+interval:
@@ -114,11 +114,12 @@
 		d.storeFailed("grant lease", err)
 		return false
 	}
-	lease := leaseGrant{id: id, ttl: ttl}
+	earlier, lease := d.registrationLease(), leaseGrant{id: id, ttl: ttl, era: d.currentEra()}
 	if !d.putRegistration(ctx, lease, d.declaredUsage()) {
 		return false
 	}
 	replaced := d.setLease(lease)
+	d.endEarlierLease(ctx, earlier, lease)
 	d.authority.ObserveRenewal(requestedAt, ttl)
 	if replaced {
 		d.suspicions.registrationExpired() // they expire with the earlier lease
@@ -159,7 +160,7 @@
 	if !d.renewRegistration(ctx, leaseGrant{id: entry.Lease, ttl: r.LeaseTTL}) {
 		return false
 	}
-	d.setLease(leaseGrant{id: entry.Lease, ttl: r.LeaseTTL})
+	d.setLease(leaseGrant{id: entry.Lease, ttl: r.LeaseTTL, era: entry.Revision.Era()})
 	eventRegistered.Log(d.log, "lease", entry.Lease, "ttl_ms", r.LeaseTTL.Milliseconds(), "role", upkeep.Forwarding.String(), "adopted", true)
 	return true
 }
@@ -175,6 +176,47 @@
 type leaseGrant struct {
 	id  store.LeaseID
 	ttl time.Duration
+	// era is the era of the store in which the registration was written, or found unchanged.
+	era store.Era
+}
+
+// isRegistrationInDoubt reports whether the instance has to register again because the
+// store was restored. A forwarding instance first looks whether its registration has
+// survived, so that a restore costs a large fleet few calls.
+func (d *Daemon) isRegistrationInDoubt(lease leaseGrant) bool {
+	role := d.role()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if lease.id == 0 || lease.era == d.era.number {
+		return false
+	}
+	if role != upkeep.Forwarding {
+		return true
+	}
+	entry := d.mirror.Get(instanceKey(d.settings.Instance))
+	var stored registration
+	switch {
+	case d.carried.era != d.era.number:
+		return false // not listed yet
+	case entry.Lease != lease.id || json.Unmarshal(entry.Value, &stored) != nil || stored != d.registration(lease.ttl):
+		return true
+	}
+	d.lease.era = d.era.number
+	return false
+}
+
+// endEarlierLease ends the lease of a registration from before a restore of the store. A
+// delayed write under it, whose condition may hold again by chance, then has no effect.
+func (d *Daemon) endEarlierLease(ctx context.Context, earlier, current leaseGrant) {
+	if earlier.id == 0 || earlier.era == current.era {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := d.store.Revoke(store.WithPurpose(callCtx, purposeRegister), earlier.id)
+	if err != nil && !errors.Is(err, store.ErrLeaseExpired) {
+		d.storeFailed("end earlier lease", err)
+	}
 }
 
 func (d *Daemon) registrationLease() leaseGrant {
@@ -204,22 +246,27 @@
 		d.authority.ObserveRenewal(requestedAt, lease.ttl)
 		d.storeResponded()
 	case errors.Is(err, store.ErrLeaseExpired):
-		d.registrationExpired()
+		d.registrationExpired(lease)
 	default:
 		d.storeFailed("renew lease", err)
 	}
 	return err == nil
 }
 
-// registrationExpired handles the expiry of the registration's lease.
-func (d *Daemon) registrationExpired() {
+// registrationExpired handles the loss of the registration's lease. If a restore of the
+// store has removed it, the authority that the instance has lasts as long as it would have
+// without: the failover leader allows for it.
+func (d *Daemon) registrationExpired(lease leaseGrant) {
+	restored := lease.era != d.currentEra()
 	d.setLease(leaseGrant{})
 	d.mu.Lock()
 	clear(d.ownRevisions) // the keys have expired as well
 	d.mu.Unlock()
-	d.authority.ObserveExpiry()
+	if !restored {
+		d.authority.ObserveExpiry()
+	}
 	d.suspicions.registrationExpired()
-	eventRegistrationExpired.Log(d.log)
+	eventRegistrationExpired.Log(d.log, "restored", restored)
 }
 
 // setDeclaredServices records the services that the written usage names. Fences of newly
--- a/edge/shares.go
+++ b/edge/shares.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/owner"
@@ -159,20 +157,11 @@
 	return unreachable
 }
 
-// registrations returns the mirrored registrations of all instances.
+// registrations returns the registrations of all instances.
 func (d *Daemon) registrations() map[topology.InstanceID]registration {
-	registered := make(map[topology.InstanceID]registration)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.mirror.ForEach(prefixInstances, func(entry store.Entry) {
-		var r registration
-		if err := json.Unmarshal(entry.Value, &r); err != nil {
-			eventEntryUnreadable.LogError(d.log, err, "key", entry.Key)
-			return
-		}
-		registered[topology.InstanceID(strings.TrimPrefix(entry.Key, prefixInstances))] = r
-	})
-	return registered
+	return d.countedRegistrations()
 }
 
 // spreadCustomers distributes the customers over the owners of each service by their
--- a/edge/store_changes.go
+++ b/edge/store_changes.go
@@ -99,8 +99,8 @@
 			return
 		}
 		service := topology.ServiceID(strings.TrimPrefix(entry.Key, prefixRecords))
-		if d.records[service].revision >= record.revision {
-			return
+		if record.Era != entry.Revision.Era() || d.records[service].revision >= record.revision {
+			return // the record was not verified since the store was restored, or is known
 		}
 		d.records[service] = record
 		records[service] = record
--- a/edge/suspicions_test.go
+++ b/edge/suspicions_test.go
@@ -47,7 +47,7 @@
 	s := &leaseStore{}
 	d := newSuspectingDaemon(s)
 	d.publishSuspicions()
-	d.registrationExpired()
+	d.registrationExpired(d.registrationLease())
 	clear(s.entries) // the entry expired with the lease
 	d.setLease(leaseGrant{id: 2})
 	d.publishSuspicions()
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -212,13 +212,8 @@
 	if err != nil {
 		return 0, err
 	}
+	d.replaceMirrored("", listing)
 	d.mu.Lock()
-	changed := d.mirror.Replace("", listing)
-	for _, entry := range listing.Entries {
-		if known := d.mirror.Get(entry.Key); known.Revision != entry.Revision {
-			d.logIgnored(entry)
-		}
-	}
 	if !d.mirrorLoaded {
 		for _, key := range []string{instanceKey(d.settings.Instance), usageKey(d.settings.Instance)} {
 			d.ownRevisions[key] = d.mirror.Get(key).Revision
@@ -229,7 +224,6 @@
 	d.follower.ReadStore(d.clock())
 	d.mu.Unlock()
 	d.recordEligibility(ownerCandidates(d.registrations()))
-	d.handleChangedKeys(changed)
 	d.observeListing(requestedAt, listing)
 	if d.role() == upkeep.Using {
 		d.wakeConfirm()
@@ -242,13 +236,13 @@
 // that is at least as recent as the listed one was the latest then.
 func (d *Daemon) observeListing(requestedAt time.Duration, listing store.Listing) {
 	confirmed := false
-	records := make(map[topology.ServiceID]store.Revision)
+	records := make(recordRevisions)
 	for _, entry := range listing.Entries {
 		if entry.Key == d.adapter.ConfigurationKey {
 			confirmed = d.isLatest(entry.Revision)
 		}
 		if service, isRecord := strings.CutPrefix(entry.Key, prefixRecords); isRecord {
-			records[topology.ServiceID(service)] = entry.Revision
+			d.confirmRecord(records, topology.ServiceID(service), entry.Revision)
 		}
 	}
 	if confirmed {
@@ -270,10 +264,7 @@
 			d.storeFailed("list targets", err)
 			continue
 		}
-		d.mu.Lock()
-		changed := d.mirror.Replace(d.adapter.TargetPrefix, listing)
-		d.mu.Unlock()
-		d.handleChangedKeys(changed)
+		d.replaceMirrored(d.adapter.TargetPrefix, listing)
 	}
 	return nil
 }
--- a/process/failover/action.go
+++ b/process/failover/action.go
@@ -15,6 +15,18 @@
 	// store, zero when there is no record yet.
 	Record   Record
 	Revision store.Revision
+	// Era is the era of the store.
+	Era store.Era
+	// Known are the latest records that users of the primary, and this leader, had verified
+	// before the store was restored.
+	Known []Record
+	// LedThroughout is set if this leader led until the store was restored, no failover of
+	// the service was under way, and a user confirms the record that the leader knows.
+	// Then nobody else can have replaced the primary.
+	LedThroughout bool
+	// PromotionsSettled is set once every promotion that was ordered before the store was
+	// restored has taken effect.
+	PromotionsSettled bool
 	// Targets are the service's listed targets.
 	Targets map[topology.TargetID]directory.Target
 	// InstanceCount is the number of instances that have declared the service, as
--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -73,6 +73,9 @@
 	successor topology.TargetID
 	// rejectedAt is when the platform last rejected each target as successor.
 	rejectedAt map[topology.TargetID]time.Duration
+	// verifications is the number of status requests without a primary that fits the record
+	// that is being verified.
+	verifications int
 	// replaced is the previous primary. It is to be demoted with demoteTerm, which is
 	// zero when no demotion is pending.
 	replaced   topology.TargetID
@@ -100,9 +103,12 @@
 // nextAction advances the phase as far as the view allows and returns the action
 // that is due.
 func (c *Coordinator) nextAction(now time.Duration, v View) Action {
-	if v.Revision == 0 {
+	if v.Revision == 0 && len(v.Known) == 0 {
 		return c.bootstrap(v)
 	}
+	if !v.verified() {
+		return c.verify(v)
+	}
 	if v.Record.Fenced && c.phase == phaseSteady {
 		c.enterPhase(now, phaseFenced)
 	}
@@ -141,8 +147,12 @@
 }
 
 // bootstrap returns the status request that precedes the first record of a service,
-// once a target is listed as primary.
+// once a target is listed as primary. The store may have been restored to a time before
+// the service's records.
 func (c *Coordinator) bootstrap(v View) Action {
+	if !v.PromotionsSettled {
+		return Action{}
+	}
 	var primaries []directory.Target
 	for _, t := range v.Targets {
 		if t.Role == topology.RolePrimary && !t.Draining {
@@ -170,9 +180,12 @@
 	if reason == "" || !hasCandidate(v) {
 		return Action{}
 	}
-	record := v.Record
-	record.Fenced = true
-	record.FenceSequence++
+	return publishFence(v, v.Record, reason)
+}
+
+// publishFence returns the publication of a record that fences the primary.
+func publishFence(v View, record Record, reason string) Action {
+	record.Fenced, record.FenceSequence, record.Era = true, record.NextFenceSequence(v.Era), v.Era
 	return Action{Kind: PublishRecord, Record: record, Revision: v.Revision, Reason: reason}
 }
 
@@ -302,8 +315,11 @@
 // return an action to run immediately.
 func (c *Coordinator) handleStatuses(now time.Duration, v View, r Result) Action {
 	c.nextActionAt = now + probeInterval
-	if v.Revision == 0 {
-		return c.startFollowUp(c.firstRecord(r))
+	if v.Revision == 0 && len(v.Known) == 0 {
+		return c.startFollowUp(c.firstRecord(v, r))
+	}
+	if !v.verified() {
+		return c.startFollowUp(c.verifiedRecord(v, r.Statuses))
 	}
 	if c.phase == phaseConfirming {
 		status, responded := r.Statuses[c.successor]
@@ -341,11 +357,11 @@
 // firstRecord returns the publication of a service's first record. It names the
 // primary of the highest term, since a replaced primary may keep that role for a
 // while.
-func (c *Coordinator) firstRecord(r Result) Action {
+func (c *Coordinator) firstRecord(v View, r Result) Action {
 	var first Action
 	for id, status := range r.Statuses {
 		if status.Role == topology.RolePrimary && status.Term > first.Record.Term {
-			first = Action{Kind: PublishRecord, Record: Record{Primary: id, Term: status.Term, TermStart: status.Received}, Reason: "first record"}
+			first = Action{Kind: PublishRecord, Record: Record{Primary: id, Term: status.Term, TermStart: status.Received, Era: v.Era}, Reason: "first record"}
 		}
 	}
 	return first
@@ -357,7 +373,7 @@
 	c.replaced = v.Record.Primary
 	return Action{
 		Kind: PublishRecord, Revision: v.Revision, Reason: "the successor is primary",
-		Record: Record{Primary: c.successor, Term: status.Term, TermStart: status.Received, FenceSequence: v.Record.FenceSequence},
+		Record: Record{Primary: c.successor, Term: status.Term, TermStart: status.Received, FenceSequence: v.Record.FenceSequence, Era: v.Era},
 	}
 }
 
--- a/process/failover/coordinator_test.go
+++ b/process/failover/coordinator_test.go
@@ -37,7 +37,7 @@
 		"c": {ID: "c", Role: topology.RoleReplica},
 	}
 	return &fixture{t: t, view: View{
-		Record: Record{Primary: "a", Term: 1}, Revision: 1, Targets: targets, InstanceCount: 7, OwnerCount: 2,
+		Record: Record{Primary: "a", Term: 1}, Revision: 1, Targets: targets, InstanceCount: 7, OwnerCount: 2, PromotionsSettled: true,
 	}, statuses: map[topology.TargetID]TargetStatus{
 		"a": {Role: topology.RolePrimary, Term: 1, Received: pointAt(1, 50)},
 		"b": {Role: topology.RoleReplica, Term: 1, Received: pointAt(1, 48)},
--- a/process/failover/record.go
+++ b/process/failover/record.go
@@ -7,6 +7,7 @@
 package failover
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -15,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"samphirehitch.example/samphirehitch/process/directory"
+	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
 
@@ -75,9 +77,25 @@
 	// Fenced forbids the use of the primary until a record without a fence is
 	// published.
 	Fenced bool `json:"fenced,omitempty"`
-	// FenceSequence counts the fences of the service. Acknowledgements name the fence
-	// by it.
+	// FenceSequence rises with each fence of the service. Acknowledgements name the fence
+	// by it. It is unique across restores of the store; see NextFenceSequence.
 	FenceSequence uint64 `json:"sequence"`
+	// Era is the era of the store in which the record was written or verified. After a
+	// restore of the store the record may be older than the state of the service, and does
+	// not allow the use of the primary until it is verified.
+	Era store.Era `json:"era,omitempty"`
+}
+
+// NextFenceSequence returns the sequence of the record's next fence in an era. It is above
+// all sequences of earlier eras, whose fences the restored record may lack and whose
+// acknowledgements may still arrive.
+func (r Record) NextFenceSequence(era store.Era) uint64 {
+	return max(r.FenceSequence, uint64(store.FirstRevision(era))) + 1
+}
+
+// Later reports whether the record describes a later state of the service than another.
+func (r Record) Later(other Record) bool {
+	return cmp.Or(cmp.Compare(r.Term, other.Term), cmp.Compare(r.FenceSequence, other.FenceSequence)) > 0
 }
 
 // Encode returns the record's stored form.
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -25,10 +25,20 @@
 type keyState struct {
 	entry   store.Entry
 	deleted bool
+	// lastValue is the value that a deleted key had, nil if unknown.
+	lastValue []byte
 	// asOf is the revision of the store at which the key was known to have this state.
 	asOf store.Revision
 }
 
+// valueOrLast returns the value of the key, or the one that it had before its deletion.
+func (s keyState) valueOrLast() []byte {
+	if s.deleted {
+		return s.lastValue
+	}
+	return s.entry.Value
+}
+
 // New returns an empty mirror.
 func New() *Mirror { return &Mirror{keys: make(map[string]keyState)} }
 
@@ -41,6 +51,10 @@
 	return state.entry
 }
 
+// LastValue returns the value that a deleted key had, or nil if the key exists or its last
+// value is unknown.
+func (m *Mirror) LastValue(key string) []byte { return m.keys[key].lastValue }
+
 // ForEach calls visit for every existing key with the prefix, in no particular order.
 func (m *Mirror) ForEach(prefix string, visit func(store.Entry)) {
 	for key, state := range m.keys {
@@ -77,7 +91,11 @@
 		return false
 	}
 	m.era = change.Revision.Era()
-	m.keys[change.Key] = keyState{entry: change.Entry, deleted: change.Deleted, asOf: change.Revision}
+	next := keyState{entry: change.Entry, deleted: change.Deleted, asOf: change.Revision}
+	if change.Deleted {
+		next.lastValue = state.valueOrLast()
+	}
+	m.keys[change.Key] = next
 	return !change.Deleted || (known && !state.deleted)
 }
 
@@ -107,7 +125,7 @@
 			}
 			continue
 		}
-		m.keys[key] = keyState{deleted: true, asOf: listing.Revision}
+		m.keys[key] = keyState{deleted: true, asOf: listing.Revision, lastValue: state.valueOrLast()}
 		changed = append(changed, key)
 	}
 	return changed
--- a/request/engine/service.go
+++ b/request/engine/service.go
@@ -50,10 +50,11 @@
 	// declaredUse reports whether the instance has declared that it uses the
 	// primary.
 	declaredUse bool
-	// drainingPrimary is the fenced primary whose statements in flight may still
-	// complete, until drainDeadline; empty without one.
-	drainingPrimary topology.TargetID
-	drainDeadline   time.Duration
+	// drainingPrimary is the fenced primary whose statements in flight, granted under
+	// drainingSequence, may still complete until drainDeadline; empty without one.
+	drainingPrimary  topology.TargetID
+	drainingSequence uint64
+	drainDeadline    time.Duration
 	// primaryLeases is the number of leases on a primary.
 	primaryLeases int
 }
@@ -109,7 +110,8 @@
 		return
 	}
 	if record.Fenced && !s.record.Fenced {
-		s.drainingPrimary, s.drainDeadline = s.record.Primary, s.authority.PrimaryExpiry(s.id)
+		s.drainingPrimary, s.drainingSequence = s.record.Primary, s.record.FenceSequence
+		s.drainDeadline = s.authority.PrimaryExpiry(s.id)
 	}
 	if !record.Fenced {
 		s.drainingPrimary = ""
@@ -142,7 +144,7 @@
 		return s.usablePrimary(now) == id
 	}
 	// The next record fences the primary: statements in flight may complete.
-	return s.record.Fenced && s.drainingPrimary == id && s.record.FenceSequence == sequence+1 && now < s.drainDeadline
+	return s.record.Fenced && s.drainingPrimary == id && s.drainingSequence == sequence && now < s.drainDeadline
 }
 
 // closeEvicted closes idle connections that the dispatcher has evicted.
