Keep targets across a restore of the store and across expired entries

What could happen: after a restore the copy may hold the entry of a target that has left, or one from before the report that it drains, until the targets have written theirs again: requests go to a target that they must not reach (DRAIN), or to an address that others use by now. And entries that have expired while the store was away are missing for up to two seconds after its return; the targets got no requests meanwhile although they serve.

Change: an entry carries the number of its target's report. For 4 s after a restore an entry older than a known one does not count. For 2.5 s after the store's return, requests use targets whose entries are missing; failovers go by the listed ones, as before.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -156,7 +156,16 @@
 	// lease is that of the registration.
 	lease   leaseGrant
 	targets map[topology.ServiceID]targetMap
-	records map[topology.ServiceID]storedRecord
+	// usedTargets are the targets that requests use: those and, soon after the store has
+	// returned, others whose entries are missing.
+	usedTargets map[topology.ServiceID]targetMap
+	// knownTargets are the latest entries of targets, deleted ones included.
+	knownTargets map[topology.TargetID]knownTarget
+	// storeReturnedAt is when the store last responded again after an outage or a restore,
+	// and recomputeTargetsAt when the targets are to be computed again.
+	storeReturnedAt    time.Duration
+	recomputeTargetsAt []time.Duration
+	records            map[topology.ServiceID]storedRecord
 	// unreadableTargets are the revisions of targets' entries that could not be decoded,
 	// by key, so that each is logged once.
 	unreadableTargets map[string]store.Revision
@@ -200,7 +209,7 @@
 		sharesWake: make(chan struct{}, 1), usageWake: make(chan struct{}, 1), serving: make(chan struct{}),
 		roleWake: make(chan struct{}, 1), ownerWake: make(chan struct{}, 1), followWake: make(chan struct{}, 1), demands: make(map[topology.InstanceID]share.Demands),
 		mirror: mirror.New(), records: make(map[topology.ServiceID]storedRecord),
-		targets: make(map[topology.ServiceID]targetMap), unreadableTargets: make(map[string]store.Revision),
+		targets: make(map[topology.ServiceID]targetMap), knownTargets: make(map[topology.TargetID]knownTarget), unreadableTargets: make(map[string]store.Revision),
 		lastLogged: make(map[string]string), ownRevisions: make(map[string]store.Revision),
 	}
 	d.store.probeInterval = func() time.Duration { return upkeep.For(d.role()).ProbeInterval }
@@ -268,6 +277,7 @@
 		d.engine.Tick()
 		d.relay.Tick()
 		d.expireCarried()
+		d.recomputeTargets()
 		if !started && d.acceptsCallers() && d.authority.MayAcceptKeys(d.clock()) {
 			started = true
 			close(d.serving)
@@ -314,6 +324,9 @@
 // storeResponded logs that the store is available if the last call had failed.
 func (d *Daemon) storeResponded() {
 	if d.storeUnavailable.Swap(false) {
+		d.mu.Lock()
+		d.noteStoreReturn(d.clock())
+		d.mu.Unlock()
 		eventStoreAvailable.Log(d.log)
 	}
 }
--- a/edge/store_changes.go
+++ b/edge/store_changes.go
@@ -58,35 +58,6 @@
 	}
 }
 
-// applyTargets passes to each service its targets. Entries that cannot be decoded are
-// logged once and left out.
-func (d *Daemon) applyTargets() {
-	byService := make(map[topology.ServiceID]targetMap)
-	for _, id := range d.engine.Services() {
-		byService[id] = make(targetMap)
-	}
-	d.mu.Lock()
-	d.mirror.ForEach(d.adapter.TargetPrefix, func(entry store.Entry) {
-		t, err := d.adapter.DecodeTarget(entry)
-		if err != nil {
-			if d.unreadableTargets[entry.Key] != entry.Revision {
-				d.unreadableTargets[entry.Key] = entry.Revision
-				eventEntryUnreadable.LogError(d.log, err, "key", entry.Key)
-			}
-			return
-		}
-		if targets, known := byService[t.Service]; known {
-			targets[t.ID] = t
-		}
-	})
-	d.targets = byService
-	d.mu.Unlock()
-	for id, targets := range byService {
-		d.engine.SetTargets(id, targets)
-		d.logIfChanged(eventTargetsChanged, "targets of "+string(id), "service", id, "targets", targets.String())
-	}
-}
-
 // applyRecords passes changed records to their services, and acknowledges fences of
 // primaries that this instance may use.
 func (d *Daemon) applyRecords() {
--- a/edge/store_era.go
+++ b/edge/store_era.go
@@ -37,6 +37,8 @@
 	// since is when the first response of the era arrived.
 	since time.Duration
 	known bool
+	// restored says that this instance knew the store in an earlier era.
+	restored bool
 }
 
 // observeEra records the era of a response of the store. After a restore, the instance
@@ -48,7 +50,10 @@
 	previous, until := d.era, d.mirroredUntil
 	later := !previous.known || number > previous.number
 	if later {
-		d.era = storeEra{number: number, since: now, known: true}
+		d.era = storeEra{number: number, since: now, known: true, restored: previous.known}
+	}
+	if later && previous.known {
+		d.noteStoreReturn(now)
 	}
 	d.mu.Unlock()
 	if !later || !previous.known {
--- /dev/null
+++ b/edge/targets.go
@@ -0,0 +1,129 @@
+package edge
+
+import (
+	"maps"
+	"time"
+
+	"samphirehitch.example/samphirehitch/process/directory"
+	"samphirehitch.example/samphirehitch/process/event"
+	"samphirehitch.example/samphirehitch/process/store"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+var eventTargetsChanged = event.Define(2106, event.Info, "targets changed")
+
+const (
+	// missingTargetGrace is how long after the store's return a target whose entry is
+	// missing is still used: entries that expired in the meantime are written again within
+	// two seconds.
+	missingTargetGrace = 2500 * time.Millisecond
+	// restoredTargetGrace is how long after a restore of the store entries do not count that
+	// are older than known ones. By then the targets have written theirs again, and those of
+	// targets that had left have expired.
+	restoredTargetGrace = 4 * time.Second
+)
+
+// goneTargetMemory is how long an instance remembers that a target's entry was deleted. It
+// exceeds the age of the copies from which a store is restored.
+const goneTargetMemory = time.Minute
+
+// knownTarget is the latest entry of a target. If it was deleted, goneAt is when.
+type knownTarget struct {
+	directory.Target
+	gone   bool
+	goneAt time.Duration
+}
+
+// applyTargets passes to each service its targets.
+func (d *Daemon) applyTargets() {
+	listed, used := make(map[topology.ServiceID]targetMap), make(map[topology.ServiceID]targetMap)
+	for _, id := range d.engine.Services() {
+		listed[id], used[id] = make(targetMap), make(targetMap)
+	}
+	d.mu.Lock()
+	now := d.clock()
+	if now < d.storeReturnedAt+missingTargetGrace {
+		for id := range used {
+			maps.Copy(used[id], d.usedTargets[id])
+		}
+	}
+	for _, t := range d.currentTargets(now) {
+		if _, known := listed[t.Service]; known {
+			listed[t.Service][t.ID], used[t.Service][t.ID] = t, t
+		}
+	}
+	d.targets, d.usedTargets = listed, used
+	d.mu.Unlock()
+	for id, targets := range used {
+		d.engine.SetTargets(id, targets)
+		d.logIfChanged(eventTargetsChanged, "targets of "+string(id), "service", id, "targets", targets.String())
+	}
+}
+
+// currentTargets returns the listed targets. Soon after a restore of the store, an entry
+// that is older than the latest known one of its target does not count. Entries that cannot
+// be decoded are logged once and left out. The caller holds d.mu.
+func (d *Daemon) currentTargets(now time.Duration) map[topology.TargetID]directory.Target {
+	listed := d.decodeTargets()
+	restored := d.era.restored && now < d.era.since+restoredTargetGrace
+	for id, t := range listed {
+		known, seen := d.knownTargets[id]
+		switch {
+		case !restored || !seen || known.Before(t):
+			d.knownTargets[id] = knownTarget{Target: t}
+		case known.gone:
+			delete(listed, id)
+		default:
+			listed[id] = known.Target
+		}
+	}
+	for id, known := range d.knownTargets {
+		_, present := listed[id]
+		switch {
+		case present || restored:
+		case !known.gone:
+			d.knownTargets[id] = knownTarget{Target: known.Target, gone: true, goneAt: now}
+		case now-known.goneAt > goneTargetMemory:
+			delete(d.knownTargets, id)
+		}
+	}
+	return listed
+}
+
+// decodeTargets returns the mirrored targets. The caller holds d.mu.
+func (d *Daemon) decodeTargets() map[topology.TargetID]directory.Target {
+	targets := make(map[topology.TargetID]directory.Target)
+	d.mirror.ForEach(d.adapter.TargetPrefix, func(entry store.Entry) {
+		t, err := d.adapter.DecodeTarget(entry)
+		switch {
+		case err == nil:
+			targets[t.ID] = t
+		case d.unreadableTargets[entry.Key] != entry.Revision:
+			d.unreadableTargets[entry.Key] = entry.Revision
+			eventEntryUnreadable.LogError(d.log, err, "key", entry.Key)
+		}
+	})
+	return targets
+}
+
+// noteStoreReturn records that the store responds again after an outage or a restore, and
+// has the targets computed again at the ends of the times in which they are bridged. The
+// caller holds d.mu.
+func (d *Daemon) noteStoreReturn(now time.Duration) {
+	d.storeReturnedAt = now
+	d.recomputeTargetsAt = []time.Duration{now + missingTargetGrace, now + restoredTargetGrace}
+}
+
+// recomputeTargets computes the targets again if a time in which they are bridged has ended.
+func (d *Daemon) recomputeTargets() {
+	d.mu.Lock()
+	due := len(d.recomputeTargetsAt) > 0 && d.clock() >= d.recomputeTargetsAt[0]
+	if due {
+		d.recomputeTargetsAt = d.recomputeTargetsAt[1:]
+	}
+	d.mu.Unlock()
+	if due {
+		d.applyTargets()
+		d.wakeFailover()
+	}
+}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -17,7 +17,6 @@
 	eventStoreAvailable        = event.Define(2101, event.Info, "store available again")
 	eventWatchHistoryDiscarded = event.Define(2102, event.Warning, "store discarded the history that the watch needs, listing all keys")
 	eventEntryUnreadable       = event.Define(2105, event.Warning, "cannot decode entry of the store, it is ignored")
-	eventTargetsChanged        = event.Define(2106, event.Info, "targets changed")
 	eventRecordChanged         = event.Define(4100, event.Info, "record of a primary changed")
 )
 
--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -3,6 +3,7 @@
 package directory
 
 import (
+	"cmp"
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/topology"
@@ -26,4 +27,11 @@
 	// Incarnation identifies one run of the target. It changes when the target is
 	// restarted or replaced under the same ID.
 	Incarnation int64
+	// Report rises with each entry of one run of the target.
+	Report int64
+}
+
+// Before reports whether the entry was written before another one of the same target.
+func (t Target) Before(other Target) bool {
+	return cmp.Or(cmp.Compare(t.Incarnation, other.Incarnation), cmp.Compare(t.Report, other.Report)) < 0
 }
