Continue an interrupted failover without waiting if the leader has led throughout

A leader that led until the restore of the store waited 2.2 s before it verified a record whose failover was under way, even if it had requested no promotion that could still take effect. Now only a requested promotion makes it wait. What remains is the wait for authority that users may have whom the restore has removed: a failover within 3.6 s after a restore ends 3.6 s after it.

--- a/edge/failover.go
+++ b/edge/failover.go
@@ -88,10 +88,10 @@
 	renewedAt time.Duration
 	// renewedEra is the era of the store at that renewal.
 	renewedEra store.Era
-	// restoredEra is the era before whose begin this instance led, and interrupted holds the
-	// services whose failovers were under way then.
+	// restoredEra is the era before whose begin this instance led, and promoting holds the
+	// services for which it had requested a promotion then.
 	restoredEra store.Era
-	interrupted map[topology.ServiceID]bool
+	promoting   map[topology.ServiceID]bool
 	// coordinators run the services' failovers; they are discarded with the token.
 	coordinators map[topology.ServiceID]*failover.Coordinator
 	// fences are the known fences by service, nil before the first leadership.
--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -96,25 +96,25 @@
 const maxLeadershipGap = leadershipTTL + authority.FenceWait - promotionWindow
 
 // observeRestore records whether this instance led until the store was restored, and which
-// failovers were under way.
+// promotions it had requested.
 func (l *leadership) observeRestore(now time.Duration, previous, era store.Era) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.lease == 0 || l.renewedEra != previous || now-l.renewedAt >= maxLeadershipGap {
 		return
 	}
-	l.restoredEra, l.interrupted = era, make(map[topology.ServiceID]bool)
+	l.restoredEra, l.promoting = era, make(map[topology.ServiceID]bool)
 	for service, coordinator := range l.coordinators {
-		l.interrupted[service] = coordinator.Busy()
+		l.promoting[service] = coordinator.PromotionOrdered()
 	}
 }
 
-// ledThrough reports whether this instance led until the era began and no failover of the
-// service was under way then.
+// ledThrough reports whether this instance led until the era began and had requested no
+// promotion of the service that may still take effect.
 func (l *leadership) ledThrough(era store.Era, service topology.ServiceID) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.restoredEra == era && !l.interrupted[service]
+	return l.restoredEra == era && !l.promoting[service]
 }
 
 // acquireLeadership tries to acquire the leadership while no instance holds it. It
--- a/edge/store_era_test.go
+++ b/edge/store_era_test.go
@@ -8,6 +8,7 @@
 
 	"samphirehitch.example/samphirehitch/platform"
 	"samphirehitch.example/samphirehitch/process/authority"
+	"samphirehitch.example/samphirehitch/process/directory"
 	"samphirehitch.example/samphirehitch/process/failover"
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
@@ -116,15 +117,15 @@
 
 // leadBeforeRestore has a daemon lead in era 1 and publishes what it and a user know in era 2.
 // It returns the leader's view of the service.
-func leadBeforeRestore(t *testing.T, gap time.Duration, busy bool, own, users failover.Record, usersEra store.Era) failover.View {
+func leadBeforeRestore(t *testing.T, gap time.Duration, promoting bool, own, users failover.Record, usersEra store.Era) failover.View {
 	t.Helper()
 	d, now := newDaemonInEra(t, 1)
 	d.applyRecord("s", own, store.NewRevision(1, 9))
 	d.setLeadershipLease(7, *now)
 	d.setLeadership(true, 5)
 	coordinator := &failover.Coordinator{}
-	if busy {
-		coordinator.Step(*now, failover.View{Record: failover.Record{Fenced: true}, Revision: 1})
+	if promoting {
+		orderPromotion(coordinator)
 	}
 	d.leadership.coordinators["s"] = coordinator
 	*now += gap
@@ -137,29 +138,39 @@
 	return d.failoverView(*now, "s")
 }
 
+// orderPromotion has a coordinator replace a primary up to the request for a promotion.
+func orderPromotion(c *failover.Coordinator) {
+	targets := map[topology.TargetID]directory.Target{"a": {ID: "a"}, "b": {ID: "b"}}
+	view := failover.View{Record: failover.Record{Primary: "a", Term: 1, Fenced: true}, Revision: 1, Targets: targets, FenceAcknowledged: true}
+	now := time.Minute
+	c.HandleResult(now, view, failover.Result{Action: c.Step(now, view), Statuses: map[topology.TargetID]failover.TargetStatus{"b": {Term: 1}}})
+	now += time.Second
+	c.Step(now, view)
+}
+
 // The leader may vouch for the record that it knows only if nobody else can have replaced the
-// primary: it has led until the restore, no failover was under way, and a user of the primary
-// has seen no fence.
+// primary: it has led until the restore, has requested no promotion, and a user of the primary
+// knows the same record.
 func TestLeaderVouchesOnlyForWhatItHasLedThroughout(t *testing.T) {
 	record := failover.Record{Primary: "b", Term: 2, FenceSequence: 1, Era: 1}
 	fenced, older := record, failover.Record{Primary: "a", Term: 1, Era: 1}
 	fenced.Fenced, fenced.FenceSequence = true, 2
 	for name, test := range map[string]struct {
 		gap        time.Duration
-		busy       bool
+		promoting  bool
 		own, users failover.Record
 		usersEra   store.Era
 		vouches    bool
 	}{
 		"led throughout":                   {2 * time.Second, false, record, record, 2, true},
 		"last renewal too long ago":        {maxLeadershipGap, false, record, record, 2, false},
-		"failover under way":               {0, true, record, record, 2, false},
-		"user has seen a fence":            {0, false, record, fenced, 2, false},
+		"promotion requested":              {0, true, record, record, 2, false},
+		"user has seen another fence":      {0, false, record, fenced, 2, false},
 		"user knows an older record":       {0, false, record, older, 2, false},
 		"leader knows an older record":     {0, false, older, record, 2, false},
 		"users' record of another restore": {0, false, record, record, 1, false},
 	} {
-		view := leadBeforeRestore(t, test.gap, test.busy, test.own, test.users, test.usersEra)
+		view := leadBeforeRestore(t, test.gap, test.promoting, test.own, test.users, test.usersEra)
 		if view.LedThroughout != test.vouches {
 			t.Errorf("%s: vouches %v", name, view.LedThroughout)
 		}
--- a/process/failover/action.go
+++ b/process/failover/action.go
@@ -20,9 +20,9 @@
 	// Known are the latest records that users of the primary, and this leader, had verified
 	// before the store was restored.
 	Known []Record
-	// LedThroughout is set if this leader led until the store was restored, no failover of
-	// the service was under way, and a user confirms the record that the leader knows.
-	// Then nobody else can have replaced the primary.
+	// LedThroughout is set if this leader led until the store was restored, had requested no
+	// promotion that may still take effect, and a user confirms the record that the leader
+	// knows. Then nobody has replaced the primary since.
 	LedThroughout bool
 	// PromotionsSettled is set once every promotion that was ordered before the store was
 	// restored has taken effect.
--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -73,6 +73,9 @@
 	successor topology.TargetID
 	// rejectedAt is when the platform last rejected each target as successor.
 	rejectedAt map[topology.TargetID]time.Duration
+	// promotionOrdered is set from the first request for a promotion until the successor's
+	// record is published.
+	promotionOrdered bool
 	// verifications is the number of status requests without a primary that fits the record
 	// that is being verified.
 	verifications int
@@ -84,11 +87,16 @@
 
 func (c *Coordinator) enterPhase(now time.Duration, p phase) {
 	c.phase, c.phaseStart, c.nextActionAt = p, now, now
+	c.promotionOrdered = c.promotionOrdered && p != phaseSteady
 }
 
 // Busy reports whether a failover is under way.
 func (c *Coordinator) Busy() bool { return c.phase != phaseSteady || c.actionRunning }
 
+// PromotionOrdered reports whether the failover under way has requested a promotion, which
+// may still take effect.
+func (c *Coordinator) PromotionOrdered() bool { return c.promotionOrdered }
+
 // Step returns the next action, or one of kind NoAction when there is nothing to
 // do or an action is still running.
 func (c *Coordinator) Step(now time.Duration, v View) Action {
@@ -97,6 +105,7 @@
 	}
 	action := c.nextAction(now, v)
 	c.actionRunning = action.Kind != NoAction
+	c.promotionOrdered = c.promotionOrdered || action.Kind == PromoteTarget
 	return action
 }
 
--- a/process/failover/verification.go
+++ b/process/failover/verification.go
@@ -30,15 +30,14 @@
 // earlier promotion can take effect any more.
 func (c *Coordinator) verify(v View) Action {
 	latest := v.LatestKnown()
-	if v.LedThroughout && !latest.Fenced {
-		latest.Era = v.Era
-		return Action{Kind: PublishRecord, Record: latest, Revision: v.Revision, Reason: "known to its users before the restore"}
-	}
-	if !v.PromotionsSettled {
+	switch {
+	case !v.LedThroughout && !v.PromotionsSettled:
 		return Action{}
-	}
-	if latest.Fenced {
+	case latest.Fenced:
 		return publishFence(v, latest, "the failover was interrupted by a restore of the store")
+	case v.LedThroughout:
+		latest.Era = v.Era
+		return Action{Kind: PublishRecord, Record: latest, Revision: v.Revision, Reason: "known to its users before the restore"}
 	}
 	targets := make([]directory.Target, 0, len(v.Targets))
 	for _, t := range v.Targets {
--- a/process/failover/verification_test.go
+++ b/process/failover/verification_test.go
@@ -143,6 +143,18 @@
 	}
 }
 
+// A leader that led until the restore and has requested no promotion need not wait before it
+// fences anew.
+func TestInterruptedFailoverOfTheSameLeaderGoesOnAtOnce(t *testing.T) {
+	f := newRestoredFixture(t)
+	f.view.Known = []Record{{Primary: "a", Term: 1, Fenced: true, FenceSequence: 7, Era: 2}}
+	f.view.LedThroughout = true
+	f.run(10 * time.Millisecond)
+	if r := f.view.Record; !r.Fenced || r.Era != 3 || r.FenceSequence <= 7 {
+		t.Fatalf("record %+v", r)
+	}
+}
+
 // The sequences of lost fences are not used again: an acknowledgement of one may still be
 // written, and must not count for a later fence.
 func TestFenceSequencesAreUniqueAcrossRestores(t *testing.T) {
