--- a/process/config/coordinator_test.go
+++ b/process/config/coordinator_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -374,3 +377,51 @@
 	}
 	t.Error("the reverted store is not reported")
 }
+
+// TestRestoreOfTheStoreDoesNotRevertTheConfiguration restores the store to a time before a
+// key was withdrawn, a customer added and a route removed. None of it comes back, and what
+// is written after the restore comes into force although its number is below known ones.
+func TestRestoreOfTheStoreDoesNotRevertTheConfiguration(t *testing.T) {
+	c := NewCoordinator(platform.Instance{ID: "a"}, rand.New(rand.NewPCG(1, 1)))
+	now := time.Duration(0)
+	handle := func(event Event) (published map[string]string, held []string) {
+		now += 3 * time.Second
+		for _, action := range c.Handle(now, event) {
+			switch action := action.(type) {
+			case Publish:
+				published = make(map[string]string)
+				for _, entry := range action.State.Entries {
+					published[entry.Key] = string(entry.Value)
+				}
+			case StoreReverted:
+				held = action.Held
+			}
+		}
+		return published, held
+	}
+	entry := func(key, value string, revision store.Revision) store.Entry {
+		return store.Entry{Key: key, Value: []byte(value), Revision: revision}
+	}
+	handle(MembersChanged{Live: []platform.Instance{{ID: "a"}}, Known: []platform.Instance{{ID: "a"}}})
+	handle(Tick{})
+	handle(ListDone{Listing: store.Listing{Revision: 5, Entries: []store.Entry{entry("key", "valid", 3), entry("route", "r", 4), entry("limit", "1", 5)}}})
+	handle(WatchDone{CompleteRevision: 40, Changes: []store.Change{
+		{Entry: entry("key", "withdrawn", 10)}, {Entry: entry("customer", "new", 20)}, {Entry: store.Entry{Key: "route", Revision: 30}, Deleted: true}}})
+	handle(Tick{})
+	handle(WatchDone{Err: store.ErrHistoryDiscarded})
+	handle(Tick{})
+	at := func(sequence uint64) store.Revision { return store.NewRevision(1, sequence) }
+	published, held := handle(ListDone{Listing: store.Listing{Revision: at(6), Entries: []store.Entry{
+		entry("key", "valid", at(3)), entry("route", "r", at(4)), entry("limit", "2", at(6))}}})
+	if want := map[string]string{"key": "withdrawn", "customer": "new", "limit": "2"}; !maps.Equal(published, want) {
+		t.Fatalf("published %v, want %v", published, want)
+	}
+	if slices.Sort(held); !slices.Equal(held, []string{"customer", "key", "route"}) {
+		t.Fatalf("held %v", held)
+	}
+	handle(Tick{})
+	published, _ = handle(WatchDone{CompleteRevision: at(8), Changes: []store.Change{{Entry: entry("key", "other", at(8))}}})
+	if published["key"] != "other" {
+		t.Fatalf("published %v after a change at a number below known ones", published)
+	}
+}
--- a/process/config/driver.go
+++ b/process/config/driver.go
@@ -26,7 +26,7 @@
 	eventPlacement        = event.Define(2001, event.Decision, "configuration watcher placement changed")
 	eventFreshness        = event.Define(2002, event.Info, "configuration freshness changed")
 	eventReceived         = event.Define(2003, event.Info, "configuration received")
-	eventReverted         = event.Define(2004, event.Failure, "store returned a revision that is not above one seen before")
+	eventReverted         = event.Define(2004, event.Failure, "store was restored or returned a revision that is not above one seen before")
 	eventStoreUnavailable = event.Define(2005, event.Warning, "configuration calls to the store are failing")
 	eventStoreAvailable   = event.Define(2006, event.Info, "configuration calls to the store are succeeding again")
 	eventBadMessage       = event.Define(2007, event.Warning, "cannot decode configuration message from peer")
@@ -224,6 +224,6 @@
 		eventFreshness.Log(d.logger, "freshness", action.Freshness.String(),
 			"age_ms", action.Age.Milliseconds(), "revision", action.Revision)
 	case StoreReverted:
-		eventReverted.Log(d.logger, "known", action.Known, "returned", action.Returned)
+		eventReverted.Log(d.logger, "known", action.Known.String(), "returned", action.Returned.String(), "held", action.Held)
 	}
 }
--- a/process/config/events.go
+++ b/process/config/events.go
@@ -104,9 +104,15 @@
 	Revision  store.Revision
 }
 
-// StoreReverted reports that a heartbeat write returned a revision that is not
-// above one seen before, as happens after the store was restored from a backup.
-type StoreReverted struct{ Known, Returned store.Revision }
+// StoreReverted reports that the store was restored from an older copy: it is in a
+// later era, or a heartbeat write returned a revision that is not above one seen
+// before.
+type StoreReverted struct {
+	Known, Returned store.Revision
+	// Held are the keys whose known state stays in force although the restored store
+	// has an earlier one, until they are written again.
+	Held []string
+}
 
 func (Send) isAction()             {}
 func (StartList) isAction()        {}
--- a/process/config/replica.go
+++ b/process/config/replica.go
@@ -1,10 +1,13 @@
 package config
 
 import (
+	"bytes"
 	"cmp"
 	"maps"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"samphirehitch.example/samphirehitch/process/store"
 )
 
@@ -37,6 +40,68 @@
 	log      []Update
 	logBase  store.Revision
 	logBytes int
+	// replaced holds the hashes of values that later changes have replaced, by key, and
+	// replacedOrder their keys, the oldest first.
+	replaced      map[string][]uint64
+	replacedOrder []string
+}
+
+// maxReplacedValues bounds the hashes of replaced values.
+const maxReplacedValues = 4096
+
+// recordReplaced remembers that a key's present value is about to be replaced.
+func (r *replica) recordReplaced(key string) {
+	index, found := slices.BinarySearchFunc(r.entries, key, compareEntryKey)
+	if !found {
+		return
+	}
+	if r.replaced == nil {
+		r.replaced = make(map[string][]uint64)
+	}
+	r.replaced[key] = append(r.replaced[key], xxhash.Sum64(r.entries[index].Value))
+	r.replacedOrder = append(r.replacedOrder, key)
+	if len(r.replacedOrder) > maxReplacedValues {
+		oldest := r.replacedOrder[0]
+		r.replacedOrder = r.replacedOrder[1:]
+		if r.replaced[oldest] = r.replaced[oldest][1:]; len(r.replaced[oldest]) == 0 {
+			delete(r.replaced, oldest)
+		}
+	}
+}
+
+// loadRestored replaces the content by the listing of a store that was restored from an
+// older copy. The configuration must not go back with it: a record whose listed value is
+// known to have been replaced, or that is missing, keeps the state that is known here until
+// it is written again. It returns the keys of these records.
+func (r *replica) loadRestored(listed []store.Entry, revision store.Revision) (held []string) {
+	var entries []store.Entry
+	listedKeys := make(map[string]bool, len(listed))
+	for _, entry := range listed {
+		listedKeys[entry.Key] = true
+		if !slices.Contains(r.replaced[entry.Key], xxhash.Sum64(entry.Value)) {
+			entries = append(entries, entry)
+			continue
+		}
+		index, exists := slices.BinarySearchFunc(r.entries, entry.Key, compareEntryKey)
+		switch {
+		case !exists:
+			held = append(held, entry.Key)
+			continue
+		case !bytes.Equal(r.entries[index].Value, entry.Value):
+			held = append(held, entry.Key)
+			entry.Value = r.entries[index].Value
+		}
+		entries = append(entries, entry)
+	}
+	for _, known := range r.entries {
+		if !listedKeys[known.Key] {
+			held = append(held, known.Key)
+			known.Revision = store.NewRevision(revision.Era(), 1)
+			entries = append(entries, known)
+		}
+	}
+	r.loadSnapshot(entries, revision, revision)
+	return held
 }
 
 // loadSnapshot replaces the whole content. It reports whether the snapshot was
@@ -64,6 +129,7 @@
 		if update.Revision <= r.completeRevision || update.Revision > delta.CompleteRevision {
 			continue
 		}
+		r.recordReplaced(update.Key)
 		r.appendLog(update)
 		applied = append(applied, update)
 	}
--- a/process/config/store_calls.go
+++ b/process/config/store_calls.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -45,6 +46,9 @@
 
 	listing  bool
 	watching bool
+	// relist is set when the store was restored, so that the watch has to start over
+	// with a listing.
+	relist bool
 	// watchStartedAt is when the current watch was started.
 	watchStartedAt time.Duration
 	// nextCall is the earliest time of the next list or watch call.
@@ -85,7 +89,7 @@
 		c.stopWatch()
 		return
 	}
-	if !c.replica.loaded {
+	if !c.replica.loaded || c.store.relist {
 		c.startList(now)
 		return
 	}
@@ -176,16 +180,27 @@
 		}
 		entries = append(entries, entry)
 	}
-	if c.replica.loaded {
+	c.store.relist = false
+	switch {
+	case !c.replica.loaded:
+		c.replica.loadSnapshot(entries, event.Listing.Revision, event.Listing.Revision)
+	case event.Listing.Revision.Era() > c.replica.completeRevision.Era():
+		known := c.replica.completeRevision
+		held := c.replica.loadRestored(entries, event.Listing.Revision)
+		c.emit(StoreReverted{Known: known, Returned: event.Listing.Revision, Held: held})
+	default:
 		return
 	}
-	c.replica.loadSnapshot(entries, event.Listing.Revision, event.Listing.Revision)
 	c.publish()
 }
 
 // handleWatchDone applies the changes that a watch returned.
 func (c *Coordinator) handleWatchDone(now time.Duration, event WatchDone) {
 	c.store.watching = false
+	if errors.Is(event.Err, store.ErrHistoryDiscarded) {
+		c.store.relist = true
+		return
+	}
 	if event.Err != nil {
 		c.store.nextCall = max(c.store.nextCall, now+c.nextBackoff())
 		return
--- a/process/membership/coordinator.go
+++ b/process/membership/coordinator.go
@@ -279,6 +279,21 @@
 	c.slots[index].pendingSwap = nil
 }
 
+// ForgetLost has the next swaps of the slots that a listing lacks expect no record, if the
+// store was restored since their records were read. What is known of the records stays, so
+// that epochs do not go back.
+func (c *Coordinator) ForgetLost(now time.Duration, listing store.Revision, entries []SlotEntry) {
+	listed := make(map[int]bool, len(entries))
+	for _, e := range entries {
+		listed[e.Index] = true
+	}
+	for i := range c.slots {
+		if s := &c.slots[i]; s.revision != 0 && !listed[i] && s.revision.Era() < listing.Era() {
+			s.revision, s.revisionSeenAt = 0, now
+		}
+	}
+}
+
 // SlotsRead processes the outcome of a read of the slots.
 func (c *Coordinator) SlotsRead(now time.Duration, entries []SlotEntry, err error) {
 	c.reading = false
@@ -304,6 +319,11 @@
 		return
 	}
 	if e.Record.Epoch < s.record.Epoch {
+		// After a restore of the store the next swap has to expect the revision of the
+		// older record, or else the slot could never be swapped again.
+		if e.Revision.Era() > s.revision.Era() {
+			s.revision, s.revisionSeenAt = e.Revision, now
+		}
 		return
 	}
 	ownSwap := s.pendingSwap != nil && s.pendingSwap.Record == e.Record
--- a/process/membership/driver.go
+++ b/process/membership/driver.go
@@ -218,7 +218,12 @@
 		eventReadError.LogError(d.logger, err)
 	}
 	entries := d.decodeSlots(listing.Entries)
-	d.update(func(now time.Duration, c *Coordinator) { c.SlotsRead(now, entries, err) })
+	d.update(func(now time.Duration, c *Coordinator) {
+		if err == nil {
+			c.ForgetLost(now, listing.Revision, entries)
+		}
+		c.SlotsRead(now, entries, err)
+	})
 }
 
 // decodeSlots decodes the slots' records. A record that cannot be decoded is
--- a/process/membership/lease_test.go
+++ b/process/membership/lease_test.go
@@ -73,3 +73,32 @@
 		t.Fatalf("got leases %+v after a stale read, want one", leases)
 	}
 }
+
+// TestSlotIsSwappedAgainAfterARestore restores the store to a time before this process
+// acquired the slot. The restored record or its absence must be replaceable, or the slot
+// would be idle for good; this process keeps its lease and its epoch meanwhile.
+func TestSlotIsSwappedAgainAfterARestore(t *testing.T) {
+	for name, restored := range map[string][]SlotEntry{
+		"earlier holder": {{Record: Record{Instance: "i9", Epoch: 1}, Revision: store.NewRevision(1, 3)}},
+		"no record":      nil,
+	} {
+		c, swap := firstSwap(t)
+		index := swap.Slot
+		c.SlotsRead(firstSwapSentAt, []SlotEntry{{Index: index, Record: Record{Epoch: 1}, Revision: 3}}, nil)
+		c.trackSwap(firstSwapSentAt, &Swap{Slot: index, Record: Record{Instance: "i0", Incarnation: 7, Epoch: 2}})
+		c.SwapDone(firstSwapSentAt, &Swap{Slot: index, Record: Record{Instance: "i0", Incarnation: 7, Epoch: 2}}, 9, nil)
+		var expected store.Revision
+		for i := range restored {
+			restored[i].Index, expected = index, restored[i].Revision
+		}
+		now := time.Second
+		c.ForgetLost(now, store.NewRevision(1, 4), restored)
+		c.SlotsRead(now, restored, nil)
+		if leases := c.View(now).SlotLeases; len(leases) != 1 || leases[0].Epoch != 2 {
+			t.Fatalf("%s: leases %+v", name, leases)
+		}
+		if next := c.newSwap(index, Record{}); next.Expect != expected {
+			t.Errorf("%s: the next swap expects %s, want %s", name, next.Expect, expected)
+		}
+	}
+}
--- a/process/store/httpstore/wire.go
+++ b/process/store/httpstore/wire.go
@@ -63,6 +63,7 @@
 	{store.ErrNotFound, http.StatusNotFound, "not_found"},
 	{store.ErrConflict, http.StatusConflict, "conflict"},
 	{store.ErrLeaseExpired, http.StatusGone, "lease_expired"},
+	{store.ErrHistoryDiscarded, http.StatusGone, "history_discarded"},
 	{store.ErrTooLarge, http.StatusRequestEntityTooLarge, "too_large"},
 	{store.ErrUnavailable, http.StatusServiceUnavailable, "unavailable"},
 }
--- a/process/store/memstore/memstore.go
+++ b/process/store/memstore/memstore.go
@@ -167,6 +167,8 @@
 		switch {
 		case result.down:
 			return nil, 0, eris.Wrapf(store.ErrUnavailable, "watch %s", prefix)
+		case result.discarded:
+			return nil, 0, eris.Wrapf(store.ErrHistoryDiscarded, "watch %s after %s", prefix, after)
 		case len(result.changes) > 0 || result.now >= deadline:
 			return result.changes, result.revision, nil
 		}
@@ -186,6 +188,8 @@
 	// expiry is when the next lease expires, at most one WatchWait after now.
 	expiry time.Duration
 	down   bool
+	// discarded says that the revision is from before a restore.
+	discarded bool
 }
 
 // poll expires leases and returns the changes under prefix after the revision.
@@ -201,6 +205,7 @@
 		}
 	}
 	slices.SortFunc(result.changes, func(a, b store.Change) int { return int(a.Revision) - int(b.Revision) })
+	result.discarded = after != 0 && after.Era() != s.mu.revision.Era()
 	result.expiry = now + s.watchWait
 	for _, l := range s.mu.leases {
 		result.expiry = min(result.expiry, l.expiry)
--- a/process/store/memstore/memstore_test.go
+++ b/process/store/memstore/memstore_test.go
@@ -165,3 +165,25 @@
 		t.Fatalf("got %v", list)
 	}
 }
+
+func TestRestoreBeginsANewEra(t *testing.T) {
+	s, _ := newStoreWithClock()
+	first := mustSwap(t, s, store.Swap{Key: "a", Value: []byte("1")})
+	earlier := s.Copy()
+	lost := mustSwap(t, s, store.Swap{Key: "b"})
+	lease, err := s.Grant(t.Context(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Restore(earlier)
+	_, err = s.Get(t.Context(), "b")
+	wantError(t, err, store.ErrNotFound)
+	wantError(t, s.KeepAlive(t.Context(), lease), store.ErrLeaseExpired)
+	_, _, err = s.Watch(t.Context(), "", lost)
+	wantError(t, err, store.ErrHistoryDiscarded)
+	_, err = s.CompareAndSwap(t.Context(), store.Swap{Key: "a", Expect: first})
+	wantError(t, err, store.ErrConflict)
+	if again := mustSwap(t, s, store.Swap{Key: "c"}); again.Sequence() != lost.Sequence() || again <= lost {
+		t.Fatalf("revision %s after %s", again, lost)
+	}
+}
--- a/process/store/store.go
+++ b/process/store/store.go
@@ -82,6 +82,8 @@
 	Revoke(ctx context.Context, lease LeaseID) error
 	// Watch waits until keys under the prefix change after the given revision and
 	// returns the changes in order, with the revision up to which they are
-	// complete. It returns no changes when the service ends the wait first.
+	// complete. It returns no changes when the service ends the wait first, and
+	// ErrHistoryDiscarded when the changes after the revision are not known, as after a
+	// restore of the service.
 	Watch(ctx context.Context, prefix string, after Revision) ([]Change, Revision, error)
 }
