Restore the store in the fault soak, beside all other faults

Between 0 and 4 s apart the store is away for up to 2 s and returns from a copy that is up to 10 s old, beside pauses, kills, stops, failovers, lost responses and a withdrawn key. The restores have a random source of their own, so that known seeds give the same faults.

--- a/cmd/samphirehitch-soak/main.go
+++ b/cmd/samphirehitch-soak/main.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -23,10 +22,11 @@
 	daemons := app.Flag("daemons", "Entry daemons.").Default("5").Int()
 	callers := app.Flag("callers", "Callers.").Default("24").Int()
 	faultInjectors := app.Flag("lanes", "Number of concurrent fault injectors.").Default("3").Int()
+	restores := app.Flag("restores", "Restore the store from older copies, beside the other faults.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	failedRuns := 0
 	for current := *seed; current < *seed+*runs; current++ {
-		violations, err := run(*program, *directory, current, *length, *daemons, *callers, *faultInjectors)
+		violations, err := run(*program, *directory, current, soak.Options{FaultDuration: *length, Daemons: *daemons, Callers: *callers, FaultInjectors: *faultInjectors, Restores: *restores})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "samphirehitch-soak:", err)
 			os.Exit(2)
@@ -44,9 +44,9 @@
 	}
 }
 
-// run runs the soak test with one seed, with settings and logs in a subdirectory, and
-// returns the violations.
-func run(program, directory string, seed uint64, length time.Duration, daemons, callers, faultInjectors int) ([]string, error) {
+// run runs the soak test with one seed and the given sizes, with settings and logs in a
+// subdirectory, and returns the violations.
+func run(program, directory string, seed uint64, options soak.Options) ([]string, error) {
 	runDirectory := filepath.Join(directory, fmt.Sprintf("seed-%d", seed))
 	if err := os.MkdirAll(runDirectory, 0o700); err != nil {
 		return nil, err
@@ -56,6 +56,6 @@
 		return nil, err
 	}
 	defer faultLog.Close()
-	return soak.Run(soak.Options{Program: program, Directory: runDirectory, Seed: seed, FaultDuration: length,
-		Daemons: daemons, Callers: callers, FaultInjectors: faultInjectors, FaultLog: faultLog})
+	options.Program, options.Directory, options.Seed, options.FaultLog = program, runDirectory, seed, faultLog
+	return soak.Run(options)
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -68,6 +68,35 @@
 	}
 }
 
+// Ranges of the restores of the store.
+const (
+	maxRestorePause  = 4 * time.Second
+	maxRestoreOutage = 2 * time.Second
+	maxCopyAge       = 10 * time.Second
+)
+
+// restoreStore makes the store unavailable now and then and returns it from an older copy,
+// beside the other faults, until stop is closed. It has a random source of its own.
+func (h *harness) restoreStore(random *rand.Rand, stop <-chan struct{}) {
+	below := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
+	for {
+		pause, outage, age := below(maxRestorePause), below(maxRestoreOutage), below(maxCopyAge)
+		select {
+		case <-stop:
+			return
+		case <-time.After(pause):
+		}
+		h.logEvent(fmt.Sprintf("store unavailable for %s, then restored from a copy that is %s old", outage.Round(time.Millisecond), age.Round(time.Millisecond)))
+		copiedAt := time.Now().Add(-age)
+		h.history.addDisturbance()
+		h.store.SetUnavailable(true)
+		time.Sleep(outage)
+		h.store.Restore(copiedAt)
+		h.store.SetUnavailable(false)
+		h.history.addDisturbance()
+	}
+}
+
 // injectFaults injects random faults one after the other until stop is closed. Several
 // injectors run concurrently, each with its own random source. The order and number of
 // the draws from it must not change, or else known seeds produce other faults.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -31,6 +31,8 @@
 	// callers, and of concurrent fault injectors. Each injector causes one fault at a
 	// time.
 	Daemons, Callers, FaultInjectors int
+	// Restores has the store restored from older copies, beside the other faults.
+	Restores bool
 	// FaultLog receives a line with the time of each fault.
 	FaultLog io.Writer
 }
@@ -195,6 +197,10 @@
 		random := rand.New(rand.NewPCG(h.options.Seed, uint64(injector)))
 		injectors.Go(func() { h.injectFaults(random, stopFaults) })
 	}
+	if h.options.Restores {
+		random := rand.New(rand.NewPCG(h.options.Seed, restoreSource))
+		injectors.Go(func() { h.restoreStore(random, stopFaults) })
+	}
 	time.Sleep(h.options.FaultDuration / 2)
 	h.withdrawKey()
 	time.Sleep(h.options.FaultDuration / 2)
@@ -211,6 +217,10 @@
 	registration.Wait()
 }
 
+// restoreSource is the random source of the restores, apart from those of the fault
+// injectors and the callers.
+const restoreSource = 500
+
 // newCaller returns a caller. Callers are spread over customers and databases. Their
 // random sources start at 1000, apart from those of the fault injectors.
 func (h *harness) newCaller(number int) *caller {
