--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -110,6 +110,8 @@
 	cancel context.CancelFunc
 	// stopping is set from the start of a shutdown.
 	stopping atomic.Bool
+	// renewalRequested has the registration renewed before it is due.
+	renewalRequested atomic.Bool
 	// storeUnavailable reports that the last call to the store failed.
 	storeUnavailable atomic.Bool
 	// Each of these wakes a loop; see notify.
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -64,9 +64,14 @@
 	if answer.Until.Era() < d.followedUntil.Era() {
 		confirmationAge = -1
 	}
+	restored := d.era.known && answer.Until.Era() > d.era.number
 	d.followedUntil = max(d.followedUntil, answer.Until)
 	d.follower.Answered(d.clock(), from, confirmationAge)
 	d.mu.Unlock()
+	if restored {
+		d.renewalRequested.Store(true) // the store's response shows the new era
+		notify(d.usageWake)
+	}
 	notify(d.followWake)
 }
 
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -185,6 +185,21 @@
 	}
 }
 
+// A forwarding instance calls the store rarely. It hears of a restore from the owner that it
+// follows, and then asks the store at once, since its own registration may be lost.
+func TestFollowerHearsOfARestoreFromTheOwner(t *testing.T) {
+	d := newRegisteringDaemon(nil)
+	d.observeEra(1)
+	d.observeFollowed("owner", relay.RegistrationChanges{Until: store.NewRevision(1, 30)}, 0)
+	if d.renewalRequested.Load() {
+		t.Fatal("a renewal is requested without a restore")
+	}
+	d.observeFollowed("owner", relay.RegistrationChanges{Until: store.NewRevision(2, 8), Complete: true}, 0)
+	if !d.renewalRequested.Load() || d.currentEra() != 1 {
+		t.Fatalf("renewal requested: %v, era %d", d.renewalRequested.Load(), d.currentEra())
+	}
+}
+
 // A peer that has not heard of a restore yet is not followed by an instance that has, however
 // recent its last confirmation is.
 func TestPeerFromBeforeARestoreIsOutdated(t *testing.T) {
--- a/edge/register.go
+++ b/edge/register.go
@@ -60,7 +60,7 @@
 		case current.id == 0, upkeep.NeedsNewLease(role, current.ttl) && !unavailable, d.isRegistrationInDoubt(current) && !unavailable:
 			attemptedAt = now
 			renewed = d.register(ctx, role)
-		case now >= attemptedAt+interval:
+		case now >= attemptedAt+interval, d.renewalRequested.Swap(false):
 			attemptedAt = now
 			renewed = d.renewRegistration(ctx, current)
 		}
