--- a/edge/store_changes.go
+++ b/edge/store_changes.go
@@ -1,13 +1,17 @@
 package edge
 
 import (
+	"bytes"
 	"slices"
 	"strings"
 
+	"samphirehitch.example/samphirehitch/process/event"
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
 
+var eventEntryIgnored = event.Define(2111, event.Warning, "entry of the store ignored, a later revision of the key is known")
+
 // applyChanges applies changes to the mirror and handles the keys that they changed.
 func (d *Daemon) applyChanges(changes []store.Change) {
 	var changed []string
@@ -23,6 +27,34 @@
 	d.handleChangedKeys(changed)
 }
 
+// replaceMirrored applies a complete listing of a prefix to the mirror and handles the
+// changed keys.
+func (d *Daemon) replaceMirrored(prefix string, listing store.Listing) {
+	d.mu.Lock()
+	if strings.HasPrefix(prefixInstances, prefix) {
+		d.carryRegistrations(listing)
+	}
+	changed := d.mirror.Replace(prefix, listing)
+	for _, entry := range listing.Entries {
+		if known := d.mirror.Get(entry.Key); known.Revision != entry.Revision {
+			d.logIgnored(entry)
+		}
+	}
+	d.mu.Unlock()
+	d.handleChangedKeys(changed)
+}
+
+// logIgnored logs an entry that the mirror did not apply although its value differs from
+// the mirrored one. The caller holds d.mu.
+func (d *Daemon) logIgnored(entry store.Entry) {
+	known := d.mirror.Get(entry.Key)
+	if known.Revision == 0 || bytes.Equal(known.Value, entry.Value) {
+		return
+	}
+	d.metrics.ignoredEntries.Inc()
+	eventEntryIgnored.Log(d.log, "key", entry.Key, "revision", entry.Revision.String(), "known_revision", known.Revision.String())
+}
+
 // handleChangedKeys updates everything that depends on the changed keys of the mirror.
 func (d *Daemon) handleChangedKeys(keys []string) {
 	targets, shares, records := false, false, false
