Check in the soak that a route which is added last is served by every daemon

The soak did not see what the incident was about: a change of the configuration that never comes into force. After the faults a route is added, and every daemon has to serve it within 10 s.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -211,6 +211,7 @@
 	h.awaitSuccesses()
 	h.logEvent(fmt.Sprintf("serving again %s after the last fault", time.Since(clearedAt).Round(time.Millisecond)))
 	time.Sleep(recoveryTime)
+	h.changeRoutes()
 	close(stopCallers)
 	callers.Wait()
 	close(stopRegistration)
@@ -249,6 +250,41 @@
 	h.logEvent("key withdrawn")
 }
 
+// routeDeadline is how long after its acknowledgement, without faults, a changed route may
+// take to be in force: the bound of the platform's pages and time for a busy machine.
+const routeDeadline = 10 * time.Second
+
+// changeRoutes adds a route and checks that every daemon serves it. A daemon that takes new
+// changes for old ones, such as after a restore of the store, never does.
+func (h *harness) changeRoutes() {
+	added := platformtest.Route{Host: "added", Service: "ledger", Type: string(levelPrimary)}
+	h.recordError(h.store.PutConfiguration(3, append(allDatabases(), added),
+		map[string]int{"ledger": connectionsPerTarget, "orders": connectionsPerTarget}, customers[:withdrawnCustomerIndex]))
+	deadline := time.Now().Add(routeDeadline)
+	for i, d := range h.daemons {
+		for number := 0; !h.serves(d, added, fmt.Sprintf("route.%d.%d", i, number)); number++ {
+			if time.Now().After(deadline) {
+				h.recordError(eris.Errorf("CONFIG: the route added last is not served by daemon %d", i+1))
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+// serves reports whether a daemon runs a read over a route.
+func (h *harness) serves(d *daemon, route platformtest.Route, id string) bool {
+	conn, response, err := platformtest.DialCaller(d.callerAddress, route.Host, customers[0].Key, responseTimeout)
+	if err != nil || !response.OK() {
+		return false
+	}
+	defer conn.Close()
+	text := platformtest.ReadText("item-0")
+	h.history.addStatement(id, customers[0].Name, text)
+	response, err = conn.Do(id, text, responseTimeout)
+	return err == nil && response.OK()
+}
+
 // clearFaults ends all faults. Faults that overlapped on one daemon or target may have
 // been reverted in another order than they were injected, which can leave one in effect.
 func (h *harness) clearFaults() {
