--- a/process/store/revision.go
+++ b/process/store/revision.go
@@ -1,6 +1,9 @@
 package store
 
-import "fmt"
+import (
+	"fmt"
+	"strconv"
+)
 
 // Revision orders the changes of all keys of the service. Its upper bits hold the era of
 // the service and the others the number that the service gave to the change, so that a
@@ -41,5 +44,10 @@
 // Sequence returns the number that the service gave to the change.
 func (r Revision) Sequence() uint64 { return uint64(r) & MaxSequence }
 
-// String returns the era and the number, such as "2:39", for logs.
-func (r Revision) String() string { return fmt.Sprintf("%d:%d", r.Era(), r.Sequence()) }
+// String returns the era and the number, such as "2:39", or the number alone in era zero.
+func (r Revision) String() string {
+	if r.Era() == 0 {
+		return strconv.FormatUint(r.Sequence(), 10)
+	}
+	return fmt.Sprintf("%d:%d", r.Era(), r.Sequence())
+}
