Do not end a lease whose ID a restored store has given to another instance

What callers would see: right after a restore, instances lose their registration, close their connections and register again, perhaps several in a row.

Cause: after a restore a using instance registers again and ends its earlier lease by its ID. If the restore had removed that lease, its ID is given out again, and the ended lease is the one under which another instance has just registered.

The lease is ended only if the store shows the instance's own registration under it after the restore: then it has survived, and its ID cannot be another's. A lease that was lost needs no end. A grant during which the era changes is not used: it is not known to which era its ID belongs.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -156,8 +156,11 @@
 	era     storeEra
 	carried carriedRegistrations
 	// lease is that of the registration.
-	lease   leaseGrant
-	targets map[topology.ServiceID]targetMap
+	lease leaseGrant
+	// survivedLease is the lease under which the store was last seen to hold a registration
+	// of this instance that this process did not expect, with the era of that.
+	survivedLease leaseGrant
+	targets       map[topology.ServiceID]targetMap
 	// usedTargets are the targets that requests use: those and, soon after the store has
 	// returned, others whose entries are missing.
 	usedTargets map[topology.ServiceID]targetMap
--- a/edge/own_keys.go
+++ b/edge/own_keys.go
@@ -101,6 +101,9 @@
 		d.ownRevisions[expectation.Key] = 0
 	}
 	for _, current := range conflict.Current {
+		if current.Key == instanceKey(d.settings.Instance) {
+			d.survivedLease = leaseGrant{id: current.Lease, era: current.Revision.Era()}
+		}
 		if _, own := d.ownRevisions[current.Key]; own {
 			d.ownRevisions[current.Key] = current.Revision
 		}
--- a/edge/register.go
+++ b/edge/register.go
@@ -105,7 +105,7 @@
 	if role == upkeep.Forwarding && d.adoptRegistration(ctx) {
 		return true
 	}
-	requestedAt := d.clock()
+	requestedAt, era := d.clock(), d.currentEra()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	ttl := max(upkeep.LeaseTTL(role, d.fleetStarting()), d.settings.MinLeaseTTL)
@@ -114,7 +114,10 @@
 		d.storeFailed("grant lease", err)
 		return false
 	}
-	earlier, lease := d.registrationLease(), leaseGrant{id: id, ttl: ttl, era: d.currentEra()}
+	if d.currentEra() != era {
+		return false // it is not known whether the lease was granted before the restore
+	}
+	earlier, lease := d.registrationLease(), leaseGrant{id: id, ttl: ttl, era: era}
 	if !d.putRegistration(ctx, lease, d.declaredUsage()) {
 		return false
 	}
@@ -157,10 +160,11 @@
 	if r != d.registration(r.LeaseTTL) || r.LeaseTTL != upkeep.For(upkeep.Forwarding).RegistrationTTL {
 		return false
 	}
-	if !d.renewRegistration(ctx, leaseGrant{id: entry.Lease, ttl: r.LeaseTTL}) {
+	adopted := leaseGrant{id: entry.Lease, ttl: r.LeaseTTL, era: entry.Revision.Era()}
+	if !d.renewRegistration(ctx, adopted) {
 		return false
 	}
-	d.setLease(leaseGrant{id: entry.Lease, ttl: r.LeaseTTL, era: entry.Revision.Era()})
+	d.setLease(adopted)
 	eventRegistered.Log(d.log, "lease", entry.Lease, "ttl_ms", r.LeaseTTL.Milliseconds(), "role", upkeep.Forwarding.String(), "adopted", true)
 	return true
 }
@@ -205,10 +209,15 @@
 	return false
 }
 
-// endEarlierLease ends the lease of a registration from before a restore of the store. A
-// delayed write under it, whose condition may hold again by chance, then has no effect.
+// endEarlierLease ends the lease of a registration from before a restore of the store, if the
+// registration was found under it after the restore: a lease that was lost may be that of
+// another instance by now. A delayed write under the ended lease, whose condition may hold
+// again by chance, then has no effect.
 func (d *Daemon) endEarlierLease(ctx context.Context, earlier, current leaseGrant) {
-	if earlier.id == 0 || earlier.era == current.era {
+	d.mu.Lock()
+	survived := d.survivedLease == leaseGrant{id: earlier.id, era: current.era}
+	d.mu.Unlock()
+	if earlier.id == 0 || earlier.era == current.era || !survived {
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
