Take no authority from the renewal of a lease from before a restore of the store

What callers would see: after a failover that follows a restore, a write acknowledged by the replaced primary (ONE), or a read on it.

Cause: while the store counts as unavailable, an instance renews its lease instead of registering again. The restored store may accept the renewal, because the lease is older than the copy or its ID was given to another instance, although the usage that the instance had declared is lost. The instance then has authority that no fence waits for: the leader waits FenceWait from the begin of the era, which covers only authority from before.

Evidence: TestRenewalOfALeaseFromBeforeARestoreGivesNoAuthority, before: "the renewal after the restore has extended the authority"; passes now.

A renewal counts only in the era in which the registration was written or found unchanged.

--- a/edge/lease_era_test.go
+++ b/edge/lease_era_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"samphirehitch.example/samphirehitch/process/authority"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/process/upkeep"
 )
@@ -32,3 +33,24 @@
 		t.Fatalf("registration of the other instance: %v", err)
 	}
 }
+
+// The store accepts the renewal of a lease from before a restore. The restore may have removed
+// the usage that was declared under it, so that no fence waits for this instance.
+func TestRenewalOfALeaseFromBeforeARestoreGivesNoAuthority(t *testing.T) {
+	d, now := newDaemonInEra(t, 1)
+	d.store = newThrottledStore(&leaseStore{}, d.clock)
+	lease := leaseGrant{id: 5, ttl: authority.MinRegistrationTTL, era: 1}
+	d.setLease(lease)
+	if !d.renewRegistration(t.Context(), lease) || !d.authority.RegistrationValid(*now) {
+		t.Fatal("no authority before the restore")
+	}
+	d.observeEra(2)
+	*now += time.Second
+	if !d.renewRegistration(t.Context(), lease) {
+		t.Fatal("not renewed")
+	}
+	*now += authority.PrimaryDuration - time.Second
+	if d.authority.RegistrationValid(*now) {
+		t.Fatal("the renewal after the restore has extended the authority")
+	}
+}
--- a/edge/register.go
+++ b/edge/register.go
@@ -123,7 +123,7 @@
 	}
 	replaced := d.setLease(lease)
 	d.endEarlierLease(ctx, earlier, lease)
-	d.authority.ObserveRenewal(requestedAt, ttl)
+	d.observeRenewal(requestedAt, lease)
 	if replaced {
 		d.suspicions.registrationExpired() // they expire with the earlier lease
 	}
@@ -252,7 +252,7 @@
 	err := d.store.KeepAlive(store.WithPurpose(callCtx, purposeRegister), lease.id)
 	switch {
 	case err == nil:
-		d.authority.ObserveRenewal(requestedAt, lease.ttl)
+		d.observeRenewal(requestedAt, lease)
 		d.storeResponded()
 	case errors.Is(err, store.ErrLeaseExpired):
 		d.registrationExpired(lease)
@@ -262,6 +262,16 @@
 	return err == nil
 }
 
+// observeRenewal records a renewal of the registration by a call that was sent at
+// requestedAt. After a restore of the store, the ID of a lease from before may be that of
+// another instance, or the registration may lack a usage that it had: a renewal then gives
+// no authority until the instance has registered again.
+func (d *Daemon) observeRenewal(requestedAt time.Duration, lease leaseGrant) {
+	if lease.era == d.currentEra() {
+		d.authority.ObserveRenewal(requestedAt, lease.ttl)
+	}
+}
+
 // registrationExpired handles the loss of the registration's lease. If a restore of the
 // store has removed it, the authority that the instance has lasts as long as it would have
 // without: the failover leader allows for it.
