Lead only by a key under the lease that the leader renews

What callers would see: two failover leaders, or none while a foreign lease is renewed.

Cause: the leader took the key of the leadership for its own by its value. After a restore the key may be that of an earlier term of the same process, under a lease that it does not renew, while it renews the ID of the lost one, which may be another instance's. A delayed acquisition from before the restore can also attach the key to a foreign lease.

Evidence: TestLeadershipUnderAnotherLeaseIsNotHeld, before: "leads by a key under a lease that it does not hold". The fixture of TestFencingTokensRiseAcrossARestore now names the lease, as the store does; its checks are unchanged.

The key counts only under the renewed lease. One that names this process under another lease is deleted, so that a leader is found at once. The leader that resigns uses the same call.

--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -54,15 +54,44 @@
 		d.setLeadership(false, 0) // the store was restored, its present leader is not known yet
 		return false
 	}
-	held := string(entry.Value) == d.leadershipValue()
-	if held {
+	own := string(entry.Value) == d.leadershipValue()
+	held := own && d.isLeadershipLease(entry.Lease)
+	switch {
+	case held:
 		d.renewLeadership(ctx)
+		held = d.leadershipValid()
+	case own:
+		// Another instance may renew the lease, to which a restored store has given its ID.
+		d.endLeadership(ctx, entry)
 	}
-	held = held && d.leadershipValid()
 	d.setLeadership(held, failover.FencingToken(entry.Revision))
 	return held
 }
 
+// isLeadershipLease reports whether a lease is the one that this instance renews as leader.
+// After a restore of the store, the key may be one of an earlier term, under another lease.
+func (d *Daemon) isLeadershipLease(lease store.LeaseID) bool {
+	d.leadership.mu.Lock()
+	defer d.leadership.mu.Unlock()
+	return lease == d.leadership.lease
+}
+
+// endLeadership deletes a key of the leadership that names this instance, if it is unchanged.
+func (d *Daemon) endLeadership(ctx context.Context, entry store.Entry) {
+	callCtx, cancel := context.WithTimeout(store.WithPurpose(ctx, purposeLeadership), callTimeout)
+	defer cancel()
+	revision, err := d.store.CompareAndSwap(callCtx, store.Swap{Key: entry.Key, Expect: entry.Revision, Delete: true})
+	var conflict *store.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		d.applyConflict(nil, conflict.Current)
+	case err != nil:
+		d.storeFailed("resign duty", err)
+	default:
+		d.applyChanges([]store.Change{{Entry: store.Entry{Key: entry.Key, Revision: revision}, Deleted: true}})
+	}
+}
+
 // leadershipValid reports whether the leader's lease is certain to be valid.
 func (d *Daemon) leadershipValid() bool {
 	d.leadership.mu.Lock()
@@ -182,9 +211,3 @@
 		eventLeadershipLost.Log(d.log)
 	}
 }
-
-// deleteUnchanged deletes an entry's key if its revision is unchanged.
-func (d *Daemon) deleteUnchanged(ctx context.Context, entry store.Entry) error {
-	_, err := d.store.CompareAndSwap(ctx, store.Swap{Key: entry.Key, Expect: entry.Revision, Delete: true})
-	return err
-}
--- a/edge/lease_era_test.go
+++ b/edge/lease_era_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/authority"
+	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/process/upkeep"
 )
@@ -54,3 +55,27 @@
 		t.Fatal("the renewal after the restore has extended the authority")
 	}
 }
+
+// The copy holds the leader's key of an earlier term, under a lease that another instance may
+// have by now. The leader does not lead by it, and deletes it.
+func TestLeadershipUnderAnotherLeaseIsNotHeld(t *testing.T) {
+	d, now := newDaemonInEra(t, 2)
+	stored := &leaseStore{changes: store.NewRevision(2, 23)}
+	stored.put(store.Put{Key: keyLeadership, Value: []byte(d.leadershipValue()), Lease: 4})
+	d.store = newThrottledStore(stored, d.clock)
+	d.declaredServices = []topology.ServiceID{"s"}
+	d.authority.ObserveRenewal(*now, authority.MinRegistrationTTL)
+	d.setLeadershipLease(7, *now)
+	d.applyChanges([]store.Change{{Entry: stored.entries[keyLeadership]}})
+	if d.maintainLeadership(t.Context()) {
+		t.Fatal("leads by a key under a lease that it does not hold")
+	}
+	if _, exists := stored.entries[keyLeadership]; exists {
+		t.Fatal("the key is left to a lease that another instance may renew")
+	}
+	stored.put(store.Put{Key: keyLeadership, Value: []byte(d.leadershipValue()), Lease: 7})
+	d.applyChanges([]store.Change{{Entry: stored.entries[keyLeadership]}})
+	if !d.maintainLeadership(t.Context()) {
+		t.Fatal("does not lead by its own lease")
+	}
+}
--- a/edge/listeners.go
+++ b/edge/listeners.go
@@ -184,13 +184,8 @@
 	d.mu.Lock()
 	entry := d.mirror.Get(keyLeadership)
 	d.mu.Unlock()
-	if string(entry.Value) != d.leadershipValue() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(store.WithPurpose(d.ctx, purposeLeadership), callTimeout)
-	defer cancel()
-	if err := d.deleteUnchanged(ctx, entry); err != nil {
-		d.storeFailed("resign duty", err)
+	if string(entry.Value) == d.leadershipValue() {
+		d.endLeadership(d.ctx, entry)
 	}
 }
 
--- a/edge/register_test.go
+++ b/edge/register_test.go
@@ -41,6 +41,16 @@
 // KeepAlive renews any lease.
 func (s *leaseStore) KeepAlive(context.Context, store.LeaseID) error { return nil }
 
+func (s *leaseStore) CompareAndSwap(ctx context.Context, swap store.Swap) (store.Revision, error) {
+	t := store.Transaction{Expect: []store.Expectation{{Key: swap.Key, Revision: swap.Expect}}}
+	if swap.Delete {
+		t.Deletes = []string{swap.Key}
+	} else {
+		t.Puts = []store.Put{{Key: swap.Key, Value: swap.Value, Lease: swap.Lease}}
+	}
+	return s.Transact(ctx, t)
+}
+
 func (s *leaseStore) Transact(_ context.Context, t store.Transaction) (store.Revision, error) {
 	s.calls++
 	if s.loseNextResponse {
@@ -66,6 +76,10 @@
 	for _, put := range t.Puts {
 		s.put(put)
 	}
+	for _, key := range t.Deletes {
+		s.changes++
+		delete(s.entries, key)
+	}
 	return s.changes, nil
 }
 
--- a/edge/store_era_test.go
+++ b/edge/store_era_test.go
@@ -184,7 +184,8 @@
 	d, now := newDaemonInEra(t, 1)
 	d.declaredServices = []topology.ServiceID{"s"}
 	d.authority.ObserveRenewal(*now, authority.MinRegistrationTTL)
-	d.put(keyLeadership, []byte(d.leadershipValue()), store.NewRevision(1, 24))
+	entry := store.Entry{Key: keyLeadership, Value: []byte(d.leadershipValue()), Revision: store.NewRevision(1, 24), Lease: 7}
+	d.mirror.Apply(store.Change{Entry: entry})
 	d.setLeadershipLease(7, *now)
 	if !d.maintainLeadership(t.Context()) {
 		t.Fatal("does not lead before the restore")
@@ -194,7 +195,8 @@
 	if d.maintainLeadership(t.Context()) || d.holdsLeadership(failover.FencingToken(store.NewRevision(1, 24)), leadershipDuration) {
 		t.Fatal("leads under a token from before the restore")
 	}
-	d.put(keyLeadership, []byte(d.leadershipValue()), store.NewRevision(2, 24))
+	entry.Revision = store.NewRevision(2, 24)
+	d.mirror.Apply(store.Change{Entry: entry})
 	if !d.maintainLeadership(t.Context()) || d.leadership.token <= lost {
 		t.Fatalf("token %d does not follow %d", d.leadership.token, lost)
 	}
