Keep adopted registrations that survived a restore of the store

What callers see: nothing; the store gets four calls more than needed from each forwarding instance that had restarted before the restore (grant, a conflicting and a successful write, end of lease).

Cause: a forwarding instance keeps a registration that has survived the restore, but compared it with its own including the number of the process. One that it has adopted from its earlier process has another number, so it registered again.

Evidence: TestAdoptedRegistrationThatSurvivedARestoreIsKept, before: "registers again".

Whether a stored registration is correct for this process is now one function for both places.

--- a/edge/register.go
+++ b/edge/register.go
@@ -156,8 +156,7 @@
 	if !known || lease.id != 0 || entry.Lease == 0 || json.Unmarshal(entry.Value, &r) != nil {
 		return false
 	}
-	r.Incarnation = d.incarnation
-	if r != d.registration(r.LeaseTTL) || r.LeaseTTL != upkeep.For(upkeep.Forwarding).RegistrationTTL {
+	if !d.describesThisInstance(r) || r.LeaseTTL != upkeep.For(upkeep.Forwarding).RegistrationTTL {
 		return false
 	}
 	adopted := leaseGrant{id: entry.Lease, ttl: r.LeaseTTL, era: entry.Revision.Era()}
@@ -175,6 +174,13 @@
 		Address: d.settings.PeerAddress, CPUShare: d.settings.CPUShare, LeaseTTL: ttl, Leaving: d.stopping.Load()}
 }
 
+// describesThisInstance reports whether a stored registration is correct for this process,
+// be it written by this process or adopted from an earlier one.
+func (d *Daemon) describesThisInstance(stored registration) bool {
+	stored.Incarnation = d.incarnation
+	return stored == d.registration(stored.LeaseTTL)
+}
+
 // leaseGrant is the lease of the registration, with the TTL that was requested. The ID is
 // zero while the instance is not registered.
 type leaseGrant struct {
@@ -202,7 +208,7 @@
 	switch {
 	case d.carried.era != d.era.number:
 		return false // not listed yet
-	case entry.Lease != lease.id || json.Unmarshal(entry.Value, &stored) != nil || stored != d.registration(lease.ttl):
+	case entry.Lease != lease.id || json.Unmarshal(entry.Value, &stored) != nil || !d.describesThisInstance(stored):
 		return true
 	}
 	d.lease.era = d.era.number
--- a/edge/store_era_test.go
+++ b/edge/store_era_test.go
@@ -321,6 +321,31 @@
 	}
 }
 
+// A forwarding instance has adopted the registration of its earlier process. It survives the
+// restore as it is, and costs no call.
+func TestAdoptedRegistrationThatSurvivedARestoreIsKept(t *testing.T) {
+	s := newRestorableStore(t)
+	earlier := s.daemon
+	if !earlier.register(t.Context(), upkeep.Forwarding) {
+		t.Fatal("not registered")
+	}
+	s.daemon = s.newDaemon("self")
+	s.daemon.incarnation = earlier.incarnation + 1
+	s.load()
+	d := s.daemon
+	d.forwardsAlways = true
+	if !d.register(t.Context(), upkeep.Forwarding) || d.registrationLease().id != earlier.registrationLease().id {
+		t.Fatal("not adopted")
+	}
+	lease := d.registrationLease()
+	s.Restore(time.Now())
+	s.receive()
+	d.forwardsAlways = true
+	if d.isRegistrationInDoubt(lease) || d.registrationLease().id != lease.id {
+		t.Fatal("registers again")
+	}
+}
+
 // What an instance knows of the primaries it uses is published with its registration, once
 // after each restore.
 func TestUsersPublishTheirRecordsAfterARestore(t *testing.T) {
