Use records of a failover leader that knows no eras until the store is restored

What callers see: during a rolling upgrade from the version before the incident, the services of upgraded instances stand still as long as the leader is of the earlier version.

Cause: a record counts if it names the era in which it is stored. The earlier version writes none, and upgraded instances took its records for ones from before a restore.

TestRecordOfALeaderThatKnowsNoErasIsUsedUntilARestore, before: "primary "" is in force, want a".

A record without an era counts until this process sees the era rise: until then it is as good as it was for the earlier version. Whether a record is older than the present era is now told by its revision.

--- a/cmd/samphirehitch-soak/main.go
+++ b/cmd/samphirehitch-soak/main.go
@@ -15,6 +15,7 @@
 func main() {
 	app := kingpin.New("samphirehitch-soak", "Runs entry daemons against stand-ins under fault injection and checks the guarantees.")
 	program := app.Flag("program", "Executable of the entry daemon.").Required().ExistingFile()
+	otherProgram := app.Flag("other-program", "Executable of every other entry daemon, such as one of an earlier version.").ExistingFile()
 	directory := app.Flag("directory", "Directory for the daemons' settings and the logs, with a subdirectory for each seed.").Required().ExistingDir()
 	seed := app.Flag("seed", "First seed.").Default("1").Uint64()
 	runs := app.Flag("runs", "Number of seeds.").Default("1").Uint64()
@@ -26,7 +27,7 @@
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	failedRuns := 0
 	for current := *seed; current < *seed+*runs; current++ {
-		violations, err := run(*program, *directory, current, soak.Options{FaultDuration: *length, Daemons: *daemons, Callers: *callers, FaultInjectors: *faultInjectors, Restores: *restores})
+		violations, err := run(*program, *directory, current, soak.Options{OtherProgram: *otherProgram, FaultDuration: *length, Daemons: *daemons, Callers: *callers, FaultInjectors: *faultInjectors, Restores: *restores})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "samphirehitch-soak:", err)
 			os.Exit(2)
--- a/edge/known_records.go
+++ b/edge/known_records.go
@@ -24,7 +24,7 @@
 	defer d.mu.Unlock()
 	known := knownRecords{Era: d.era.number, Records: make(map[topology.ServiceID]failover.Record)}
 	for service, record := range d.records {
-		if record.Era < d.era.number && slices.Contains(d.declaredServices, service) {
+		if record.revision.Era() < d.era.number && slices.Contains(d.declaredServices, service) {
 			known.Records[service] = record.Record
 		}
 	}
--- a/edge/store_changes.go
+++ b/edge/store_changes.go
@@ -90,6 +90,13 @@
 	}
 }
 
+// isVerified reports whether a record was written or verified since the store was last
+// restored. Leaders of versions that do not know of eras write records without one; such a
+// record counts as long as this process has seen no restore. The caller holds d.mu.
+func (d *Daemon) isVerified(record storedRecord) bool {
+	return record.Era == record.revision.Era() || record.Era == 0 && !d.era.restored
+}
+
 // applyRecords passes changed records to their services, and acknowledges fences of
 // primaries that this instance may use.
 func (d *Daemon) applyRecords() {
@@ -102,8 +109,8 @@
 			return
 		}
 		service := topology.ServiceID(strings.TrimPrefix(entry.Key, prefixRecords))
-		if record.Era != entry.Revision.Era() || d.records[service].revision >= record.revision {
-			return // the record was not verified since the store was restored, or is known
+		if !d.isVerified(record) || d.records[service].revision >= record.revision {
+			return
 		}
 		d.records[service] = record
 		records[service] = record
--- a/edge/store_era_test.go
+++ b/edge/store_era_test.go
@@ -115,6 +115,29 @@
 	}
 }
 
+// During an upgrade the failover leader may be of a version that does not know of eras. Its
+// records are used, or the services of all upgraded instances would stand still; but not
+// once the store was restored.
+func TestRecordOfALeaderThatKnowsNoErasIsUsedUntilARestore(t *testing.T) {
+	d, _ := newDaemonInEra(t, 1)
+	d.declaredServices = []topology.ServiceID{"s"}
+	d.applyRecord("s", failover.Record{Primary: "a", Term: 1}, store.NewRevision(1, 9))
+	if got := d.records["s"].Primary; got != "a" {
+		t.Fatalf("primary %q is in force, want a", got)
+	}
+	if d.recordsBeforeRestore() != nil {
+		t.Fatal("published without a restore")
+	}
+	d.observeEra(2)
+	if d.recordsBeforeRestore() == nil {
+		t.Fatal("not published after the restore")
+	}
+	d.applyRecord("s", failover.Record{Primary: "b", Term: 2}, store.NewRevision(2, 12))
+	if got := d.records["s"].Primary; got != "a" {
+		t.Fatalf("primary %q of an unverified record is in force after the restore", got)
+	}
+}
+
 // leadBeforeRestore has a daemon lead in era 1 and publishes what it and a user know in era 2.
 // It returns the leader's view of the service.
 func leadBeforeRestore(t *testing.T, gap time.Duration, promoting bool, own, users failover.Record, usersEra store.Era) failover.View {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -24,7 +24,10 @@
 	// Program is the path of the entry daemon's executable. The daemons' settings and
 	// logs are written to Directory.
 	Program, Directory string
-	Seed               uint64
+	// OtherProgram, if not empty, is the executable of every other daemon, such as one of
+	// an earlier version.
+	OtherProgram string
+	Seed         uint64
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
 	// Daemons, Callers and FaultInjectors are the numbers of entry daemons, of simulated
@@ -172,7 +175,11 @@
 	if err != nil {
 		return err
 	}
-	d, err := newDaemon(h.options.Program, h.options.Directory, fmt.Sprintf("edge-%d", number+1), fmt.Sprintf("z%d", number%3+1), proxy, h.promotionService.Address(), &h.ports)
+	program := h.options.Program
+	if number%2 == 1 && h.options.OtherProgram != "" {
+		program = h.options.OtherProgram
+	}
+	d, err := newDaemon(program, h.options.Directory, fmt.Sprintf("edge-%d", number+1), fmt.Sprintf("z%d", number%3+1), proxy, h.promotionService.Address(), &h.ports)
 	if err != nil {
 		return err
 	}
