--- a/edge/confirm.go
+++ b/edge/confirm.go
@@ -138,7 +138,7 @@
 	var conflict *store.ConflictError
 	switch {
 	case errors.As(err, &conflict):
-		d.applyConflict(expected, conflict.Current)
+		d.applyConflict(conflict.Current)
 	case err != nil:
 		d.storeFailed("confirm", err)
 		return false
@@ -190,7 +190,7 @@
 
 // applyConflict applies the current entries that the store returned for a transaction
 // whose expectations failed.
-func (d *Daemon) applyConflict(expected []store.Expectation, current []store.Entry) {
+func (d *Daemon) applyConflict(current []store.Entry) {
 	changes := make([]store.Change, 0, len(current))
 	for _, entry := range current {
 		changes = append(changes, store.Change{Entry: entry})
--- a/edge/failover.go
+++ b/edge/failover.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -141,17 +140,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	revision, err := d.store.Transact(store.WithPurpose(callCtx, purposeFailover), transaction)
-	var conflict *store.ConflictError
-	switch {
-	case errors.As(err, &conflict):
-		d.applyConflict(nil, conflict.Current)
-	case err != nil:
-		d.storeFailed("publish settled era", err)
-	default:
-		put := transaction.Puts[0]
-		d.applyChanges([]store.Change{{Entry: store.Entry{Key: put.Key, Value: put.Value, Revision: revision}}})
-	}
+	d.transact(store.WithPurpose(callCtx, purposeFailover), "publish settled era", transaction)
 }
 
 // relistInstanceKeys lists the instances' keys, on which failovers depend: a watch may
--- a/edge/failover_actions.go
+++ b/edge/failover_actions.go
@@ -76,7 +76,7 @@
 	})
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
-		d.applyConflict(nil, conflict.Current)
+		d.applyConflict(conflict.Current)
 	}
 	if err != nil {
 		eventFailoverStepFailed.LogError(d.log, err, "step", "publish", "service", service)
--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -80,16 +80,7 @@
 func (d *Daemon) endLeadership(ctx context.Context, entry store.Entry) {
 	callCtx, cancel := context.WithTimeout(store.WithPurpose(ctx, purposeLeadership), callTimeout)
 	defer cancel()
-	revision, err := d.store.CompareAndSwap(callCtx, store.Swap{Key: entry.Key, Expect: entry.Revision, Delete: true})
-	var conflict *store.ConflictError
-	switch {
-	case errors.As(err, &conflict):
-		d.applyConflict(nil, conflict.Current)
-	case err != nil:
-		d.storeFailed("resign duty", err)
-	default:
-		d.applyChanges([]store.Change{{Entry: store.Entry{Key: entry.Key, Revision: revision}, Deleted: true}})
-	}
+	d.transact(callCtx, "resign duty", store.Swap{Key: entry.Key, Expect: entry.Revision, Delete: true}.Transaction())
 }
 
 // leadershipValid reports whether the leader's lease is certain to be valid.
@@ -161,7 +152,7 @@
 	if err != nil {
 		var conflict *store.ConflictError
 		if errors.As(err, &conflict) {
-			d.applyConflict(nil, conflict.Current)
+			d.applyConflict(conflict.Current)
 		} else {
 			d.storeFailed("take duty", err)
 		}
--- a/edge/register_test.go
+++ b/edge/register_test.go
@@ -42,13 +42,7 @@
 func (s *leaseStore) KeepAlive(context.Context, store.LeaseID) error { return nil }
 
 func (s *leaseStore) CompareAndSwap(ctx context.Context, swap store.Swap) (store.Revision, error) {
-	t := store.Transaction{Expect: []store.Expectation{{Key: swap.Key, Revision: swap.Expect}}}
-	if swap.Delete {
-		t.Deletes = []string{swap.Key}
-	} else {
-		t.Puts = []store.Put{{Key: swap.Key, Value: swap.Value, Lease: swap.Lease}}
-	}
-	return s.Transact(ctx, t)
+	return s.Transact(ctx, swap.Transaction())
 }
 
 func (s *leaseStore) Transact(_ context.Context, t store.Transaction) (store.Revision, error) {
--- a/edge/store_changes.go
+++ b/edge/store_changes.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"slices"
 	"strings"
 
@@ -27,6 +29,29 @@
 	d.handleChangedKeys(changed)
 }
 
+// transact executes a transaction and applies its changes to the mirror, or the current
+// entries if its expectations do not hold. Step names it in the log if it fails.
+func (d *Daemon) transact(ctx context.Context, step string, t store.Transaction) {
+	revision, err := d.store.Transact(ctx, t)
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		d.applyConflict(conflict.Current)
+		return
+	}
+	if err != nil {
+		d.storeFailed(step, err)
+		return
+	}
+	var changes []store.Change
+	for _, put := range t.Puts {
+		changes = append(changes, store.Change{Entry: store.Entry{Key: put.Key, Value: put.Value, Lease: put.Lease, Revision: revision}})
+	}
+	for _, key := range t.Deletes {
+		changes = append(changes, store.Change{Entry: store.Entry{Key: key, Revision: revision}, Deleted: true})
+	}
+	d.applyChanges(changes)
+}
+
 // replaceMirrored applies a complete listing of a prefix to the mirror and handles the
 // changed keys.
 func (d *Daemon) replaceMirrored(prefix string, listing store.Listing) {
--- a/process/store/store.go
+++ b/process/store/store.go
@@ -65,6 +65,17 @@
 	Lease LeaseID `json:"lease,omitempty"`
 }
 
+// Transaction returns the transaction that performs the swap.
+func (s Swap) Transaction() Transaction {
+	t := Transaction{Expect: []Expectation{{Key: s.Key, Revision: s.Expect}}}
+	if s.Delete {
+		t.Deletes = []string{s.Key}
+	} else {
+		t.Puts = []Put{{Key: s.Key, Value: s.Value, Lease: s.Lease}}
+	}
+	return t
+}
+
 // Store is a client of the key-value service. Errors wrap one of this package's
 // errors and name the operation and the key or address. Implementations are safe for
 // concurrent use.
