--- /dev/null
+++ b/review/_standin/database.go
@@ -0,0 +1,488 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Figures of the databases of the small deployments.
+const (
+	handshakeTime  = 12 * time.Millisecond
+	queueLength    = 24
+	shippingTime   = time.Millisecond
+	demotionDelay  = time.Second
+	syncPollPeriod = time.Millisecond
+)
+
+// entry is one committed write in a log. Its number is its index plus one.
+type entry struct {
+	term             int
+	id, item, data   string
+	committed, lands time.Time // lands is when this member can show it to reads
+}
+
+// run is one statement that a member has run.
+type run struct {
+	id, text, customer, member string
+	at                         time.Time
+}
+
+// group is a service: a primary and its replicas, which replicate over the network.
+type group struct {
+	service              string
+	slots, connections   int
+	syncReplicas         int
+	lag, promoteDuration time.Duration
+	work                 func() time.Duration
+
+	mu       sync.Mutex
+	members  []*member
+	term     int
+	primary  *member
+	runs     []run
+	promoted func(m *member, log []entry) // called when a promotion takes effect
+}
+
+// member is one database of a group.
+type member struct {
+	group   *group
+	id      string
+	address string
+	slots   chan struct{}
+
+	// The fields below are guarded by group.mu.
+	listener net.Listener
+	isDown   bool
+	leads    bool
+	term     int
+	log      []entry
+	demoteAt time.Time
+	// The member receives nothing until deafUntil, and neither receives nor answers until
+	// darkUntil.
+	deafUntil, darkUntil time.Time
+	waiting              int
+	conns                map[net.Conn]bool
+	born                 int64
+	sequence             int
+}
+
+func startGroup(service string, size, slots, connections, syncReplicas int, lag, promote time.Duration, work func() time.Duration) (*group, error) {
+	g := &group{service: service, slots: slots, connections: connections, syncReplicas: syncReplicas, lag: lag,
+		promoteDuration: promote, work: work, term: 3}
+	for i := range size {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		m := &member{group: g, id: fmt.Sprintf("i-%s-%d", service, i+1), address: listener.Addr().String(), listener: listener,
+			slots: make(chan struct{}, slots), term: g.term, conns: make(map[net.Conn]bool), born: time.Now().UnixMilli()}
+		g.members = append(g.members, m)
+		go m.accept(listener)
+	}
+	g.primary, g.members[0].leads = g.members[0], true
+	go g.replicate()
+	return g, nil
+}
+
+// replicate ships the primary's log to the replicas that receive, for as long as the
+// process runs.
+func (g *group) replicate() {
+	for range time.Tick(time.Millisecond) {
+		now := time.Now()
+		g.mu.Lock()
+		for _, m := range g.members {
+			if m != g.primary && m.leads && !m.demoteAt.IsZero() && now.After(m.demoteAt) && !m.isDown {
+				m.leads = false
+			}
+			if m.leads || m.isDown || g.primary.isDown || now.Before(m.deafUntil) || now.Before(m.darkUntil) {
+				continue
+			}
+			source := g.primary.log
+			same := 0
+			for same < len(m.log) && same < len(source) && m.log[same].id == source[same].id {
+				same++
+			}
+			m.log, m.term = m.log[:same], g.primary.term
+			for len(m.log) < len(source) && now.Sub(source[len(m.log)].committed) >= shippingTime {
+				received := source[len(m.log)]
+				received.lands = now.Add(g.lag)
+				m.log = append(m.log, received)
+			}
+		}
+		g.mu.Unlock()
+	}
+}
+
+// setDown crashes a member or starts it again with its log.
+func (m *member) setDown(down bool) error {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	if m.isDown == down {
+		return nil
+	}
+	m.isDown = down
+	if down {
+		_ = m.listener.Close()
+		for conn := range m.conns {
+			_ = conn.Close()
+		}
+		return nil
+	}
+	listener, err := net.Listen("tcp", m.address)
+	if err != nil {
+		return err
+	}
+	m.listener, m.leads = listener, m == m.group.primary
+	go m.accept(listener)
+	return nil
+}
+
+// promote has a member lead the next term after the duration of a promotion. It reports
+// whether the member runs.
+func (g *group) promote(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
+		if m.id != id || m.isDown {
+			continue
+		}
+		if m != g.primary {
+			time.AfterFunc(g.promoteDuration, func() { g.completePromotion(m) })
+		}
+		return true
+	}
+	return false
+}
+
+func (g *group) completePromotion(m *member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m.isDown || m == g.primary {
+		return
+	}
+	g.primary.demoteAt = time.Now().Add(demotionDelay)
+	g.term++
+	g.primary, m.leads, m.term, m.demoteAt = m, true, g.term, time.Time{}
+	if g.promoted != nil {
+		g.promoted(m, append([]entry(nil), m.log...))
+	}
+}
+
+// executed returns the statements that members have run so far.
+func (g *group) executed() []run {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]run(nil), g.runs...)
+}
+
+func (m *member) accept(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go m.serve(conn)
+	}
+}
+
+// session is one connection to a member.
+type session struct {
+	member   *member
+	out      *bufio.Writer
+	customer string
+	state    string
+	readOnly bool
+	pending  []entry
+	prepared map[string]bool // whether it writes, by name
+}
+
+func (m *member) serve(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReaderSize(conn, 4096)
+	s := &session{member: m, out: bufio.NewWriter(conn), state: "I", prepared: make(map[string]bool)}
+	fields, err := m.readMessage(in, 4)
+	if err != nil || len(fields) < 3 || fields[0] != "STARTUP" {
+		return
+	}
+	s.customer = fields[2]
+	if fields[1] != m.group.service || len(fields) == 4 && fields[3] != m.id {
+		s.send("ERROR MISROUTED " + m.id)
+		return
+	}
+	g := m.group
+	g.mu.Lock()
+	switch {
+	case m.isDown:
+		g.mu.Unlock()
+		return
+	case len(m.conns) >= g.connections:
+		g.mu.Unlock()
+		s.send("ERROR CONNLIMIT " + m.id)
+		return
+	}
+	m.conns[conn] = true
+	g.mu.Unlock()
+	defer func() {
+		g.mu.Lock()
+		delete(m.conns, conn)
+		g.mu.Unlock()
+	}()
+	if !m.occupy(handshakeTime) {
+		s.send("ERROR BUSY " + m.id)
+		return
+	}
+	<-m.slots
+	if s.ready() != nil {
+		return
+	}
+	for {
+		fields, err := m.readMessage(in, 3)
+		if err != nil || fields[0] != "QUERY" || len(fields) < 3 {
+			return
+		}
+		if s.query(fields[1], fields[2]) != nil {
+			return
+		}
+	}
+}
+
+// readMessage reads a line and splits it into at most count fields. While the member is
+// dark it does not return.
+func (m *member) readMessage(in *bufio.Reader, count int) ([]string, error) {
+	line, err := in.ReadString('\n')
+	if err != nil {
+		return nil, err
+	}
+	m.group.mu.Lock()
+	dark := time.Until(m.darkUntil)
+	m.group.mu.Unlock()
+	time.Sleep(dark)
+	return strings.SplitN(strings.TrimSuffix(line, "\r\n"), " ", count), nil
+}
+
+func (s *session) send(lines ...string) error {
+	for _, line := range lines {
+		if _, err := s.out.WriteString(line + "\r\n"); err != nil {
+			return err
+		}
+	}
+	return s.out.Flush()
+}
+
+// ready sends the READY message that ends a response, after the given lines.
+func (s *session) ready(lines ...string) error {
+	s.member.group.mu.Lock()
+	position := fmt.Sprintf("%d.%d", s.member.term, s.member.shown())
+	s.member.group.mu.Unlock()
+	return s.send(append(lines, "READY "+s.state+" "+position)...)
+}
+
+// shown is the number of log entries that reads see. The caller holds group.mu.
+func (m *member) shown() int {
+	if m.leads {
+		return len(m.log)
+	}
+	n, now := len(m.log), time.Now()
+	for n > 0 && m.log[n-1].lands.After(now) {
+		n--
+	}
+	return n
+}
+
+// occupy takes a slot and works on it for a time. It returns false, without a slot, when
+// too many requests wait already.
+func (m *member) occupy(work time.Duration) bool {
+	m.group.mu.Lock()
+	if m.waiting >= queueLength {
+		m.group.mu.Unlock()
+		return false
+	}
+	m.waiting++
+	m.group.mu.Unlock()
+	m.slots <- struct{}{}
+	m.group.mu.Lock()
+	m.waiting--
+	m.group.mu.Unlock()
+	time.Sleep(work)
+	return true
+}
+
+// fail answers with an error code, which fails an open transaction.
+func (s *session) fail(code string) error {
+	if s.state == "T" {
+		s.state, s.pending = "E", nil
+	}
+	return s.ready("ERROR " + code + " " + s.member.id)
+}
+
+// query runs one statement and answers it.
+func (s *session) query(id, text string) error {
+	m, g := s.member, s.member.group
+	words := strings.SplitN(text, " ", 3)
+	if words[0] == "AFTERLSN" && len(words) == 3 {
+		var term, number int
+		if _, err := fmt.Sscanf(words[1], "%d.%d", &term, &number); err != nil {
+			return s.fail("MALFORMED")
+		}
+		g.mu.Lock()
+		lacks := m.term < term || m.shown() < number
+		g.mu.Unlock()
+		if lacks {
+			return s.fail("LAGGING")
+		}
+		text = words[2]
+		words = strings.SplitN(text, " ", 3)
+	}
+	if s.state == "E" && words[0] != "ROLLBACK" && words[0] != "COMMIT" {
+		return s.fail("MALFORMED")
+	}
+	switch words[0] {
+	case "BEGIN":
+		g.mu.Lock()
+		leads := m.leads
+		g.mu.Unlock()
+		if s.readOnly = text == "BEGIN READ"; !s.readOnly && !leads {
+			return s.fail("READONLY")
+		}
+		s.state = "T"
+		return s.ready("COMPLETE -")
+	case "ROLLBACK":
+		s.state, s.pending = "I", nil
+		return s.ready("COMPLETE -")
+	case "PREPARE":
+		s.prepared[words[1]] = strings.HasPrefix(words[2], "WRITE")
+		return s.ready("COMPLETE -")
+	case "RESET":
+		clear(s.prepared)
+		return s.ready("COMPLETE -")
+	case "SET", "DEALLOCATE", "PAUSE", "RESUME":
+		return s.ready("COMPLETE -")
+	case "DEMOTE":
+		g.mu.Lock()
+		if m != g.primary {
+			m.leads = false
+		}
+		g.mu.Unlock()
+		return s.status()
+	case "STATUS":
+		return s.status()
+	}
+	return s.data(id, text, words)
+}
+
+// status answers STATUS, which occupies a slot.
+func (s *session) status() error {
+	m, g := s.member, s.member.group
+	if !m.occupy(0) {
+		return s.fail("BUSY")
+	}
+	defer func() { <-m.slots }()
+	g.mu.Lock()
+	role := "replica"
+	if m.leads {
+		role = "primary"
+	}
+	row := fmt.Sprintf("ROW %s %d %d.%d 0 0 %d %d", role, m.term, m.term, len(m.log), len(m.slots), len(m.conns))
+	g.mu.Unlock()
+	return s.ready(row, "COMPLETE -")
+}
+
+// data runs a read, a write or a commit, which occupies a slot.
+func (s *session) data(id, text string, words []string) error {
+	m, g := s.member, s.member.group
+	keyword, arguments := words[0], words[1:]
+	if keyword == "EXECUTE" {
+		writes, known := s.prepared[words[1]]
+		if !known {
+			return s.fail("NOSTMT")
+		}
+		keyword, arguments = "READ", strings.SplitN(words[2], " ", 2)
+		if writes {
+			keyword = "WRITE"
+		}
+	}
+	if keyword == "COMMIT" && s.state == "E" {
+		s.state, s.pending = "I", nil
+		return s.ready("ERROR ABORTED " + m.id)
+	}
+	if !m.occupy(g.work()) {
+		return s.fail("BUSY")
+	}
+	defer func() { <-m.slots }()
+	g.mu.Lock()
+	lost := !m.leads && (keyword == "WRITE" || s.state == "T" && !s.readOnly && (keyword != "COMMIT" || len(s.pending) > 0))
+	if m.isDown || lost || keyword == "WRITE" && s.readOnly && s.state == "T" {
+		g.mu.Unlock()
+		return s.fail("READONLY")
+	}
+	g.runs = append(g.runs, run{id: id, text: text, customer: s.customer, member: m.id, at: time.Now()})
+	answer := []string{fmt.Sprintf("COMPLETE %s.%d.%08x", m.id, len(g.runs), rand.Uint32())}
+	wrote := false
+	switch keyword {
+	case "READ":
+		answer = append([]string{"ROW " + m.value(arguments[0])}, answer...)
+	case "WRITE":
+		e := entry{id: id, item: arguments[0]}
+		if len(arguments) > 1 {
+			e.data = arguments[1]
+		}
+		if s.state == "T" {
+			s.pending = append(s.pending, e)
+		} else {
+			m.commit(e)
+			wrote = true
+		}
+	case "COMMIT":
+		for _, e := range s.pending {
+			m.commit(e)
+			wrote = true
+		}
+		s.state, s.pending = "I", nil
+	}
+	number := len(m.log)
+	g.mu.Unlock()
+	if wrote && g.syncReplicas > 0 && !m.awaitReplica(id, number) {
+		return net.ErrClosed
+	}
+	return s.ready(answer...)
+}
+
+// value returns the newest value of an item that the member shows. The caller holds
+// group.mu.
+func (m *member) value(item string) string {
+	for n := m.shown(); n > 0; n-- {
+		if m.log[n-1].item == item {
+			return m.log[n-1].data
+		}
+	}
+	return "-"
+}
+
+// commit appends a write to the log. The caller holds group.mu.
+func (m *member) commit(e entry) {
+	e.term, e.committed, e.lands = m.term, time.Now(), time.Now()
+	m.log = append(m.log, e)
+}
+
+// awaitReplica waits until one replica has received the commit with a number. It returns
+// false when the member crashes or is replaced before.
+func (m *member) awaitReplica(id string, number int) bool {
+	g := m.group
+	for {
+		g.mu.Lock()
+		ended, received := m.isDown || m != g.primary, false
+		for _, other := range g.members {
+			received = received || other != m && len(other.log) >= number && number > 0 && other.log[number-1].id == m.log[number-1].id
+		}
+		g.mu.Unlock()
+		if received || ended {
+			return received
+		}
+		time.Sleep(syncPollPeriod)
+	}
+}
