Review case 3: a withdrawn key goes on working in open transactions

Cause: a key is checked when an operation is admitted, not for the statements of a transaction that is open.

Change: a script with its claim. Nothing is fixed.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -26,6 +26,7 @@
 var errNotRun = errors.New("the case could not run")
 
 var cases = map[string]func(program, record string, trouble bool) (broken bool, err error){
+	"revoked-key":  revokedKey,
 	"sync-replica": syncReplica,
 }
 
