Review case 4: a terminated daemon exits while databases run what it has passed on

Cause: at the end of its grace period a daemon exits whatever its sessions are doing. It reads statements of transactions until then.

Change: a script with its claim. Nothing is fixed.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -27,6 +27,7 @@
 
 var cases = map[string]func(program, record string, trouble bool) (broken bool, err error){
 	"revoked-key":  revokedKey,
+	"terminate":    terminate,
 	"sync-replica": syncReplica,
 }
 
