Log the steps of a shutdown, and each statement that it leaves without a response

The log of an instance that is terminated showed its begin and end only.

New: event 1314 after each step with the open sessions and running statements, 1315 for each statement that has no response at the exit, 1323 for each forwarded one with its peer, age and link, 1324 for a response that an owner cannot send. No change of logic; callers' connections and the shutdown get files of their own.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"os"
-	"sync"
 	"time"
 
 	"samphirehitch.example/samphirehitch/connection/client"
@@ -44,80 +43,6 @@
 // AcceptFunc returns the codec of an accepted connection.
 type AcceptFunc func(net.Conn) CallerCodec
 
-// callerConns is the set of open caller connections. It is safe for concurrent use.
-type callerConns struct {
-	mu     sync.Mutex
-	lastID uint64
-	conns  map[*callerConn]struct{}
-}
-
-// callerConn is an open caller connection.
-type callerConn struct {
-	codec CallerCodec
-	// mu guards the fields below.
-	mu sync.Mutex
-	// idle reports that no statement is running or pending and no transaction open.
-	idle bool
-	// closing marks the connection for closing as soon as it is idle.
-	closing bool
-}
-
-// add adds a connection and returns a unique ID for its session.
-func (c *callerConns) add(conn *callerConn) uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conns == nil {
-		c.conns = make(map[*callerConn]struct{})
-	}
-	c.conns[conn] = struct{}{}
-	c.lastID++
-	return c.lastID
-}
-
-func (c *callerConns) remove(conn *callerConn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.conns, conn)
-}
-
-// count returns the number of open connections.
-func (c *callerConns) count() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.conns)
-}
-
-// snapshot returns the open connections.
-func (c *callerConns) snapshot() []*callerConn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	conns := make([]*callerConn, 0, len(c.conns))
-	for conn := range c.conns {
-		conns = append(conns, conn)
-	}
-	return conns
-}
-
-// closeWhenIdle has the connection closed as soon as it is idle. If it is idle now, its
-// pending read is interrupted.
-func (c *callerConn) closeWhenIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closing = true
-	if c.idle {
-		_ = c.codec.SetReadDeadline(time.Now()) // fails only if the connection is closed already
-	}
-}
-
-// setIdle records whether the connection is idle, and reports whether it is to be
-// closed now.
-func (c *callerConn) setIdle(idle bool) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.idle = idle
-	return idle && c.closing
-}
-
 // serveCaller serves an accepted connection, whose session has the given ID, until it is
 // closed.
 func (d *Daemon) serveCaller(conn *callerConn, id uint64) {
@@ -164,7 +89,10 @@
 		if err != nil || st == nil {
 			return err
 		}
-		if err := conn.codec.WriteResponse(session.Run(*st)); err != nil {
+		conn.begin(st)
+		response := session.Run(*st)
+		conn.end()
+		if err := conn.codec.WriteResponse(response); err != nil {
 			return err
 		}
 	}
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -90,7 +90,7 @@
 // forward sends a request to an instance and waits for its response. A result updates
 // the outcome and the session's floor, and confirms this instance's configuration.
 func (r *Relay) forward(to topology.InstanceID, s *client.Session, req *forwardRequest, timeout time.Duration, o *engine.Outcome) (statement.Response, forwardOutcome) {
-	pending := &pendingRequest{to: to, sentAt: r.Clock(), readOnly: !req.InTransaction && req.Begin == beginNone && !s.MayWrite(req.Statement), response: make(chan *forwardResponse, 1)}
+	pending := &pendingRequest{to: to, sentAt: r.Clock(), statementID: req.Statement.ID, readOnly: !req.InTransaction && req.Begin == beginNone && !s.MayWrite(req.Statement), response: make(chan *forwardResponse, 1)}
 	r.mu.Lock()
 	r.pending[req.ID] = pending
 	r.mu.Unlock()
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -154,6 +154,8 @@
 type pendingRequest struct {
 	to     topology.InstanceID
 	sentAt time.Duration
+	// statementID is the caller's ID of the forwarded statement, for the log.
+	statementID string
 	// readOnly says that the request only reads, so that another instance may run it
 	// too.
 	readOnly bool
--- a/request/relay/server.go
+++ b/request/relay/server.go
@@ -99,7 +99,7 @@
 func (s *server) handle(from topology.InstanceID, req *forwardRequest) {
 	s.addRunning(1)
 	defer s.addRunning(-1)
-	s.relay.send(from, &message{Response: s.run(from, req)})
+	s.respond(from, req.Statement.ID, s.run(from, req))
 }
 
 func (s *server) addRunning(delta int) {
