Check in the soak that planned stops leave no statement unanswered

What callers see: around a SIGTERM a connection ends without an answer to a statement that a target has executed. The soak has no check for it, and its callers' transactions are too short to be open at an exit.

Callers choose among the daemons that a balancer has in rotation, keep their connections and run transactions of up to 12 statements. LOST now covers statements without a complete answer, with its excuses; unplanned faults are recorded as intervals, so that the check holds in the ordinary mode too. A run prints its unanswered statements by outcome and its refusals.

TestSoak, ordinary mode, three cases: nothing broken. Known: the draws of the ordinary mode do not change.

--- a/cmd/samphirehitch-soak/main.go
+++ b/cmd/samphirehitch-soak/main.go
@@ -24,21 +24,23 @@
 	callers := app.Flag("callers", "Callers.").Default("24").Int()
 	faultInjectors := app.Flag("lanes", "Number of concurrent fault injectors.").Default("3").Int()
 	restores := app.Flag("restores", "Restore the store from older copies, beside the other faults.").Bool()
+	plannedStops := app.Flag("planned-stops", "Terminate and restart the daemons in series instead of injecting faults.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	failedRuns := 0
 	for current := *seed; current < *seed+*runs; current++ {
-		violations, err := run(*program, *directory, current, soak.Options{OtherProgram: *otherProgram, FaultDuration: *length, Daemons: *daemons, Callers: *callers, FaultInjectors: *faultInjectors, Restores: *restores})
+		report, err := run(*program, *directory, current, soak.Options{OtherProgram: *otherProgram, FaultDuration: *length, Daemons: *daemons, Callers: *callers, FaultInjectors: *faultInjectors, Restores: *restores, PlannedStopsOnly: *plannedStops})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "samphirehitch-soak:", err)
 			os.Exit(2)
 		}
-		if len(violations) > 0 {
+		if len(report.Violations) > 0 {
 			failedRuns++
 		}
-		fmt.Printf("seed %d: %d promises broken\n", current, len(violations))
-		for _, violation := range violations {
+		fmt.Printf("seed %d: %d promises broken\n", current, len(report.Violations))
+		for _, violation := range report.Violations {
 			fmt.Println("  " + violation)
 		}
+		fmt.Println("  " + report.Summary)
 	}
 	if failedRuns > 0 {
 		os.Exit(1)
@@ -46,15 +48,15 @@
 }
 
 // run runs the soak test with one seed and the given sizes, with settings and logs in a
-// subdirectory, and returns the violations.
-func run(program, directory string, seed uint64, options soak.Options) ([]string, error) {
+// subdirectory, and returns its result.
+func run(program, directory string, seed uint64, options soak.Options) (soak.Report, error) {
 	runDirectory := filepath.Join(directory, fmt.Sprintf("seed-%d", seed))
 	if err := os.MkdirAll(runDirectory, 0o700); err != nil {
-		return nil, err
+		return soak.Report{}, err
 	}
 	faultLog, err := os.Create(filepath.Join(runDirectory, "faults.log"))
 	if err != nil {
-		return nil, err
+		return soak.Report{}, err
 	}
 	defer faultLog.Close()
 	options.Program, options.Directory, options.Seed, options.FaultLog = program, runDirectory, seed, faultLog
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -32,9 +32,16 @@
 	customer  platformtest.Customer
 	database  platformtest.Route
 	addresses []string
-	item      string
+	// rotation returns the indices of the addresses that may get new connections.
+	rotation func() []int
+	item     string
+	// patient callers run transactions with pauses and keep their connections until these
+	// end.
+	patient bool
 
 	conn                 *platformtest.Caller
+	daemon               int
+	transactionBegunAt   time.Time
 	connectionNumber     int
 	connectionOperations int
 	statementCount       int
@@ -52,7 +59,7 @@
 				c.conn.Close()
 			}
 			return
-		case <-time.After(time.Duration(c.random.Int64N(int64(maxThinkTime)))):
+		case <-time.After(below(c.random, c.thinkTimeLimit())):
 		}
 		if c.conn == nil && !c.connect() {
 			time.Sleep(reconnectBackoff)
@@ -65,14 +72,26 @@
 	}
 }
 
-// connect connects to a random instance and reports whether the login succeeded.
+// thinkTimeLimit returns the limit of the delay between operations.
+func (c *caller) thinkTimeLimit() time.Duration {
+	if c.patient {
+		return maxPatientThinkTime
+	}
+	return maxThinkTime
+}
+
+// connect connects to a random instance in rotation and reports whether the login succeeded.
 func (c *caller) connect() bool {
-	address := c.addresses[c.random.IntN(len(c.addresses))]
-	conn, response, err := platformtest.DialCaller(address, c.database.Host, c.customer.Key, responseTimeout)
+	candidates := c.rotation()
+	daemon := candidates[c.random.IntN(len(candidates))]
+	conn, response, err := platformtest.DialCaller(c.addresses[daemon], c.database.Host, c.customer.Key, responseTimeout)
+	if err == nil && !response.OK() {
+		c.history.addRefusal(response)
+	}
 	if err != nil || !response.OK() {
 		return false
 	}
-	c.conn, c.connectionOperations = conn, 0
+	c.conn, c.daemon, c.connectionOperations = conn, daemon, 0
 	c.connectionNumber++
 	return true
 }
@@ -82,6 +101,9 @@
 // it reports whether the connection is usable afterwards: every response arrived and no
 // transaction is open.
 func (c *caller) runOperation() bool {
+	if c.patient {
+		return c.runPatientOperation()
+	}
 	if c.connectionOperations++; c.connectionOperations > maxConnectionOperations {
 		return false
 	}
@@ -102,12 +124,25 @@
 	c.statementCount++
 	id := fmt.Sprintf("c%d.%d", c.number, c.statementCount)
 	c.history.addStatement(id, c.customer.Name, text)
+	sentAt := time.Now()
 	response, err := c.conn.Do(id, text, responseTimeout)
+	switch {
+	case err != nil:
+		c.history.addUnanswered(unansweredStatement{id: id, text: text, daemon: c.daemon, sentAt: sentAt, endedAt: time.Now(), transactionBegunAt: c.transactionBegunAt})
+	case !response.OK():
+		c.history.addRefusal(response)
+	}
 	return response, err == nil
 }
 
+// startRead returns the part of a read's result that is known when it starts.
+func (c *caller) startRead() readResult {
+	return readResult{item: c.item, level: consistencyLevel(c.database.Type), startedAt: time.Now(), connection: c.connectionNumber,
+		acknowledgedBefore: slices.Clone(c.recentWrites())}
+}
+
 func (c *caller) readItem() bool {
-	read := readResult{item: c.item, level: consistencyLevel(c.database.Type), startedAt: time.Now(), connection: c.connectionNumber, acknowledgedBefore: slices.Clone(c.recentWrites())}
+	read := c.startRead()
 	response, ok := c.execute(platformtest.ReadText(c.item))
 	if ok && response.OK() && len(response.Rows) == 1 {
 		read.data = response.Rows[0]
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"os/exec"
@@ -24,9 +25,12 @@
 // started again, with the same settings and log file. It is safe for concurrent use by
 // fault injectors.
 type daemon struct {
+	// number numbers the daemons of a run from 0.
+	number                int
 	program, settingsPath string
-	// callerAddress is where the daemon accepts callers.
-	callerAddress string
+	// The daemon accepts callers at callerAddress and readiness probes at
+	// readinessAddress.
+	callerAddress, readinessAddress string
 	// storeProxy carries the daemon's connections to the store.
 	storeProxy *FaultProxy
 
@@ -43,16 +47,20 @@
 // and readiness, in this order.
 const portsPerDaemon = 4
 
+// failureDomains is the number of failure domains over which the daemons are spread.
+const failureDomains = 3
+
 // newDaemon allocates ports and writes the settings of a daemon without starting it. The
 // settings contain the address of storeProxy as the store's.
-func newDaemon(program, directory, name, failureDomain string, storeProxy *FaultProxy, promotionAddress string, ports *portAllocator) (*daemon, error) {
+func newDaemon(program, directory string, number int, storeProxy *FaultProxy, promotionAddress string, ports *portAllocator) (*daemon, error) {
 	base, err := ports.allocate(portsPerDaemon)
 	if err != nil {
 		return nil, err
 	}
 	address := func(offset int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(base+offset)) }
-	d := &daemon{program: program, settingsPath: filepath.Join(directory, name+".toml"), callerAddress: address(2), storeProxy: storeProxy}
-	err = platformtest.WriteSettings(d.settingsPath, platformtest.Instance{Name: name, FailureDomain: failureDomain, CallerAddress: d.callerAddress, ReadinessAddress: address(3),
+	name, failureDomain := fmt.Sprintf("edge-%d", number+1), fmt.Sprintf("z%d", number%failureDomains+1)
+	d := &daemon{number: number, program: program, settingsPath: filepath.Join(directory, name+".toml"), callerAddress: address(2), readinessAddress: address(3), storeProxy: storeProxy}
+	err = platformtest.WriteSettings(d.settingsPath, platformtest.Instance{Name: name, FailureDomain: failureDomain, CallerAddress: d.callerAddress, ReadinessAddress: d.readinessAddress,
 		InternalPort: base, StoreAddress: storeProxy.Address(), PromotionAddress: promotionAddress})
 	if err != nil {
 		return nil, err
@@ -95,28 +103,30 @@
 	}
 }
 
-// stop sends a signal and waits until the process has exited. After stopTimeout it kills
-// the process.
-func (d *daemon) stop(sig syscall.Signal) {
+// stop sends a signal and waits until the process has exited. After the timeout it kills
+// the process. It returns when the signal was sent, zero if no process was running.
+func (d *daemon) stop(sig syscall.Signal, timeout time.Duration) time.Time {
 	d.mu.Lock()
 	exited, running := d.exited, d.command != nil
 	d.mu.Unlock()
 	if !running {
-		return
+		return time.Time{}
 	}
+	sentAt := time.Now()
 	d.signal(sig)
 	select {
 	case <-exited:
-	case <-time.After(stopTimeout):
+	case <-time.After(timeout):
 		d.signal(syscall.SIGKILL)
 		<-exited
 	}
+	return sentAt
 }
 
 // close kills the process, also if it is suspended, and closes the proxy and the log.
 func (d *daemon) close() {
 	d.signal(syscall.SIGCONT)
-	d.stop(syscall.SIGKILL)
+	d.stop(syscall.SIGKILL, stopTimeout)
 	d.storeProxy.Close()
 	_ = d.logFile.Close() // the process has exited and writes no more
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -13,6 +13,8 @@
 	// inject starts the fault and returns the function that reverts it.
 	inject      func() (revert func())
 	maxDuration time.Duration
+	// planned is set for planned work, around which no statement may be lost.
+	planned bool
 }
 
 // faults returns all kinds of faults. Each injection draws the instance, target or group
@@ -29,42 +31,42 @@
 			d := randomDaemon()
 			d.signal(syscall.SIGSTOP)
 			return func() { d.signal(syscall.SIGCONT) }
-		}, 5 * time.Second},
+		}, 5 * time.Second, false},
 		{"daemon killed", func() func() {
 			d := randomDaemon()
-			d.stop(syscall.SIGKILL)
+			d.stop(syscall.SIGKILL, stopTimeout)
 			return func() { h.recordError(d.start()) }
-		}, time.Second},
+		}, time.Second, false},
 		{"daemon terminated", func() func() {
 			d := randomDaemon()
 			d.signal(syscall.SIGCONT)
-			d.stop(syscall.SIGTERM)
+			h.terminate(d, stopTimeout)
 			return func() { h.recordError(d.start()) }
-		}, time.Second},
+		}, time.Second, true},
 		{"settings reloaded", func() func() {
 			randomDaemon().signal(syscall.SIGHUP)
 			return func() {}
-		}, 100 * time.Millisecond},
+		}, 100 * time.Millisecond, true},
 		{"store unavailable", func() func() {
 			h.store.SetUnavailable(true)
 			return func() { h.store.SetUnavailable(false) }
-		}, 4 * time.Second},
+		}, 4 * time.Second, false},
 		{"daemon's store connections disturbed", func() func() {
 			return disturb(randomDaemon().storeProxy, randomMode(DropAll, DropResponses, CloseConnections, Delay))
-		}, 5 * time.Second},
+		}, 5 * time.Second, false},
 		{"target's connections disturbed", func() func() {
 			return disturb(h.targets[random.IntN(len(h.targets))].proxy, randomMode(DropAll, DropResponses, CloseConnections, Delay))
-		}, 3 * time.Second},
+		}, 3 * time.Second, false},
 		{"target down", func() func() {
 			m := h.targets[random.IntN(len(h.targets))].member
 			m.SetDown(true)
 			return func() { m.SetDown(false) }
-		}, 4 * time.Second},
+		}, 4 * time.Second, false},
 		{"primary down", func() func() {
 			m := h.groups[random.IntN(len(h.groups))].CurrentPrimary()
 			m.SetDown(true)
 			return func() { m.SetDown(false) }
-		}, 4 * time.Second},
+		}, 4 * time.Second, false},
 	}
 }
 
@@ -89,11 +91,13 @@
 		h.logEvent(fmt.Sprintf("store unavailable for %s, then restored from a copy that is %s old", outage.Round(time.Millisecond), age.Round(time.Millisecond)))
 		copiedAt := time.Now().Add(-age)
 		h.history.addDisturbance()
+		endFault := h.history.addFault()
 		h.store.SetUnavailable(true)
 		time.Sleep(outage)
 		h.store.Restore(copiedAt)
 		h.store.SetUnavailable(false)
 		h.history.addDisturbance()
+		endFault()
 	}
 }
 
@@ -113,6 +117,10 @@
 		duration := time.Duration(random.Int64N(int64(f.maxDuration)))
 		h.logEvent(fmt.Sprintf("%s for %s", f.name, duration.Round(time.Millisecond)))
 		h.history.addDisturbance()
+		endFault := func() {}
+		if !f.planned {
+			endFault = h.history.addFault()
+		}
 		revert := f.inject()
 		select {
 		case <-stop:
@@ -120,5 +128,6 @@
 		}
 		revert()
 		h.history.addDisturbance()
+		endFault()
 	}
 }
--- a/soak/history.go
+++ b/soak/history.go
@@ -78,6 +78,8 @@
 	disturbances []time.Time
 	// successCount counts reads and acknowledged writes.
 	successCount int
+	// lossRecord holds what the check for unanswered statements needs.
+	lossRecord
 }
 
 func newHistory() *history {
@@ -123,7 +125,8 @@
 // returns the violations of the guarantees. Each starts with the name of the guarantee:
 //
 //   - TWICE: no write is committed more than once.
-//   - LOST: every acknowledged write was committed.
+//   - LOST: every acknowledged write was committed, and around a termination no statement
+//     that the daemon took is left unanswered, see checkUnanswered.
 //   - REFUSED: no write that was reported as not applied was committed.
 //   - ONE: no write is acknowledged that was committed at a replaced primary, except
 //     shortly after a disturbance, and fencing tokens never decrease.
@@ -146,6 +149,7 @@
 		}
 	}
 	c.checkWrites()
+	c.checkUnanswered(groups)
 	for _, read := range h.reads {
 		c.checkRead(read)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -36,6 +36,10 @@
 	Daemons, Callers, FaultInjectors int
 	// Restores has the store restored from older copies, beside the other faults.
 	Restores bool
+	// PlannedStopsOnly has all daemons terminated and restarted in series instead of
+	// injecting faults, with callers that run long transactions at slower targets.
+	// FaultInjectors and Restores are ignored.
+	PlannedStopsOnly bool
 	// FaultLog receives a line with the time of each fault.
 	FaultLog io.Writer
 }
@@ -46,6 +50,14 @@
 	slotsPerTarget       = 3
 	connectionsPerTarget = 16
 	replicaLag           = 40 * time.Millisecond
+	// plannedSlotsPerTarget and plannedConnectionsPerTarget replace the values above in a
+	// run with planned stops only, where statements and transactions take longer.
+	plannedSlotsPerTarget       = 8
+	plannedConnectionsPerTarget = 24
+	// meanExecutionTime and maxExecutionTime are the execution times of statements in a
+	// run with planned stops only.
+	meanExecutionTime = 25 * time.Millisecond
+	maxExecutionTime  = 400 * time.Millisecond
 	// registrationInterval is the interval at which targets' entries in the store are
 	// updated.
 	registrationInterval = 150 * time.Millisecond
@@ -62,6 +74,7 @@
 	groups           []*platformtest.Group
 	targets          []target
 	daemons          []*daemon
+	balancer         *balancer
 	ports            portAllocator
 	startedAt        time.Time
 
@@ -81,16 +94,23 @@
 	incarnation int64
 }
 
-// Run executes one run and returns the violations that were found, or an error if the
-// environment could not be started.
-func Run(o Options) ([]string, error) {
+// Report is the result of a run.
+type Report struct {
+	Violations []string
+	// Summary counts the statements that were not answered or were refused.
+	Summary string
+}
+
+// Run executes one run and returns its result, or an error if the environment could not be
+// started.
+func Run(o Options) (Report, error) {
 	h := &harness{options: o, history: newHistory(), startedAt: time.Now()}
 	defer h.close()
 	if err := h.build(); err != nil {
-		return nil, err
+		return Report{}, err
 	}
 	h.run()
-	return append(h.history.check(h.groups), h.harnessErrors...), nil
+	return Report{append(h.history.check(h.groups), h.harnessErrors...), h.history.summary(h.groups)}, nil
 }
 
 // logEvent writes a line with the time since the start of the run to the fault log.
@@ -135,11 +155,15 @@
 	if h.store, err = platformtest.StartStore(); err != nil {
 		return err
 	}
-	for _, service := range []string{"ledger", "orders"} {
-		g, err := platformtest.StartGroup(service, groupSize, slotsPerTarget, connectionsPerTarget, replicaLag)
+	for i, service := range []string{"ledger", "orders"} {
+		slots, connections := h.targetSize()
+		g, err := platformtest.StartGroup(service, groupSize, slots, connections, replicaLag)
 		if err != nil {
 			return err
 		}
+		if h.options.PlannedStopsOnly {
+			g.SetExecutionTimes(platformtest.NewExecutionTimes(meanExecutionTime, maxExecutionTime, rand.NewPCG(h.options.Seed, executionTimesSource+uint64(i))))
+		}
 		h.groups = append(h.groups, g)
 		for _, m := range g.Members() {
 			proxy, err := StartFaultProxy(m.Address())
@@ -165,11 +189,25 @@
 
 // putConfiguration writes the configuration with the given customers to the store.
 func (h *harness) putConfiguration(version int, customers []platformtest.Customer) error {
-	return h.store.PutConfiguration(version, allDatabases(), map[string]int{"ledger": connectionsPerTarget, "orders": connectionsPerTarget}, customers)
+	return h.store.PutConfiguration(version, allDatabases(), h.serviceConnections(), customers)
+}
+
+// targetSize returns the numbers of execution slots and connections of a target.
+func (h *harness) targetSize() (slots, connections int) {
+	if h.options.PlannedStopsOnly {
+		return plannedSlotsPerTarget, plannedConnectionsPerTarget
+	}
+	return slotsPerTarget, connectionsPerTarget
+}
+
+// serviceConnections returns the number of connections of a target for each service.
+func (h *harness) serviceConnections() map[string]int {
+	_, connections := h.targetSize()
+	return map[string]int{"ledger": connections, "orders": connections}
 }
 
 // startDaemon starts an entry daemon whose connections to the store go through a proxy of
-// its own. Daemons are spread over three failure domains.
+// its own.
 func (h *harness) startDaemon(number int) error {
 	proxy, err := StartFaultProxy(h.store.Address())
 	if err != nil {
@@ -179,7 +217,7 @@
 	if number%2 == 1 && h.options.OtherProgram != "" {
 		program = h.options.OtherProgram
 	}
-	d, err := newDaemon(program, h.options.Directory, fmt.Sprintf("edge-%d", number+1), fmt.Sprintf("z%d", number%3+1), proxy, h.promotionService.Address(), &h.ports)
+	d, err := newDaemon(program, h.options.Directory, number, proxy, h.promotionService.Address(), &h.ports)
 	if err != nil {
 		return err
 	}
@@ -194,20 +232,15 @@
 	stopCallers, stopFaults, stopRegistration := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	var callers, injectors, registration sync.WaitGroup
 	registration.Go(func() { h.registerTargets(stopRegistration) })
+	h.balancer = newBalancer(h.daemons)
+	registration.Go(func() { h.balancer.run(stopRegistration) })
 	for i := range h.options.Callers {
 		c := h.newCaller(i)
 		callers.Go(func() { c.run(stopCallers) })
 	}
 	h.awaitSuccesses()
 	h.logEvent("serving")
-	for injector := range h.options.FaultInjectors {
-		random := rand.New(rand.NewPCG(h.options.Seed, uint64(injector)))
-		injectors.Go(func() { h.injectFaults(random, stopFaults) })
-	}
-	if h.options.Restores {
-		random := rand.New(rand.NewPCG(h.options.Seed, restoreSource))
-		injectors.Go(func() { h.restoreStore(random, stopFaults) })
-	}
+	h.startInjectors(&injectors, stopFaults)
 	time.Sleep(h.options.FaultDuration / 2)
 	h.withdrawKey()
 	time.Sleep(h.options.FaultDuration / 2)
@@ -225,6 +258,21 @@
 	registration.Wait()
 }
 
+// startInjectors starts what disturbs the run until stop is closed.
+func (h *harness) startInjectors(injectors *sync.WaitGroup, stop <-chan struct{}) {
+	source := func(number uint64) *rand.Rand { return rand.New(rand.NewPCG(h.options.Seed, number)) }
+	if h.options.PlannedStopsOnly {
+		injectors.Go(func() { h.stopInSeries(source(plannedStopsSource), stop) })
+		return
+	}
+	for injector := range h.options.FaultInjectors {
+		injectors.Go(func() { h.injectFaults(source(uint64(injector)), stop) })
+	}
+	if h.options.Restores {
+		injectors.Go(func() { h.restoreStore(source(restoreSource), stop) })
+	}
+}
+
 // restoreSource is the random source of the restores, apart from those of the fault
 // injectors and the callers.
 const restoreSource = 500
@@ -235,8 +283,14 @@
 	databases := allDatabases()
 	c := &caller{history: h.history, random: rand.New(rand.NewPCG(h.options.Seed, uint64(1000+number))), number: number,
 		customer: customers[number%len(customers)], database: databases[number%len(databases)], item: fmt.Sprintf("item-%d", number)}
+	var all []int
 	for _, d := range h.daemons {
 		c.addresses = append(c.addresses, d.callerAddress)
+		all = append(all, d.number)
+	}
+	c.patient, c.rotation = h.options.PlannedStopsOnly, func() []int { return all }
+	if c.patient {
+		c.rotation = h.balancer.rotation
 	}
 	return c
 }
@@ -265,8 +319,7 @@
 // changes for old ones, such as after a restore of the store, never does.
 func (h *harness) changeRoutes() {
 	added := platformtest.Route{Host: "added", Service: "ledger", Type: string(levelPrimary)}
-	h.recordError(h.store.PutConfiguration(3, append(allDatabases(), added),
-		map[string]int{"ledger": connectionsPerTarget, "orders": connectionsPerTarget}, customers[:withdrawnCustomerIndex]))
+	h.recordError(h.store.PutConfiguration(3, append(allDatabases(), added), h.serviceConnections(), customers[:withdrawnCustomerIndex]))
 	deadline := time.Now().Add(routeDeadline)
 	for i, d := range h.daemons {
 		for number := 0; !h.serves(d, added, fmt.Sprintf("route.%d.%d", i, number)); number++ {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,22 +35,29 @@
 	for name, options := range soakCases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var faultLog bytes.Buffer
-			options.Program, options.Directory, options.FaultLog = program, t.TempDir(), &faultLog
-			violations, err := Run(options)
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, violation := range violations {
-				t.Error(violation)
-			}
-			if t.Failed() {
-				t.Log(faultLog.String())
-			}
+			runSoak(t, program, options)
 		})
 	}
 }
 
+// runSoak makes one run and fails the test for each violation.
+func runSoak(t *testing.T, program string, options Options) {
+	t.Helper()
+	var faultLog bytes.Buffer
+	options.Program, options.Directory, options.FaultLog = program, t.TempDir(), &faultLog
+	report, err := Run(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, violation := range report.Violations {
+		t.Error(violation)
+	}
+	t.Log(report.Summary)
+	if t.Failed() {
+		t.Log(faultLog.String())
+	}
+}
+
 // The group commits d1 twice, and d2 and d3 under the ID of the statement that writes d1.
 // The history contradicts it: d2 was reported as not applied, d4 was acknowledged, and a
 // read returned d2 although d3 had been acknowledged before. The checker must report
