--- a/soak/soak.go
+++ b/soak/soak.go
@@ -52,8 +52,8 @@
 	replicaLag           = 40 * time.Millisecond
 	// plannedSlotsPerTarget and plannedConnectionsPerTarget replace the values above in a
 	// run with planned stops only, where statements and transactions take longer.
-	plannedSlotsPerTarget       = 8
-	plannedConnectionsPerTarget = 24
+	plannedSlotsPerTarget       = 24
+	plannedConnectionsPerTarget = 128
 	// meanExecutionTime and maxExecutionTime are the execution times of statements in a
 	// run with planned stops only.
 	meanExecutionTime = 25 * time.Millisecond
