Run a statement during a shutdown only if it can be complete in time

Cause: the shutdown bounded its own time but not that of the work that it went on accepting. Statements of open transactions were read and passed on until 0.5 s before the end of the grace period; then the process exited with whatever ran.

Now a shutdown has a schedule. A statement is run only if its route's timeout ends before the process does; otherwise its caller gets ABORTED (the transaction is rolled back, at once also if the caller rests) or BUSY. What still runs at the end gets the response that is true without its result. Owners decline statements of other instances by the same schedule. A wait that a shutdown interrupts no longer expires a transaction before its time (ABORTED "the transaction rested too long", seen in the soak).

--- a/edge/caller_conn.go
+++ b/edge/caller_conn.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"net"
 	"sync"
 	"time"
 
@@ -14,21 +15,6 @@
 	conns  map[*callerConn]struct{}
 }
 
-// callerConn is an open caller connection.
-type callerConn struct {
-	codec CallerCodec
-	// mu guards the fields below.
-	mu sync.Mutex
-	// idle reports that no statement is running or pending and no transaction open.
-	idle bool
-	// closing marks the connection for closing as soon as it is idle.
-	closing bool
-	// running is the statement that was read and has no result yet, since runningSince; nil
-	// between statements.
-	running      *statement.Statement
-	runningSince time.Time
-}
-
 // add adds a connection and returns a unique ID for its session.
 func (c *callerConns) add(conn *callerConn) uint64 {
 	c.mu.Lock()
@@ -65,47 +51,145 @@
 	return conns
 }
 
-// closeWhenIdle has the connection closed as soon as it is idle. If it is idle now, its
-// pending read is interrupted.
+// callerConn is an open caller connection. Its session's goroutine waits for a statement,
+// runs it and responds, in turn; a shutdown interrupts the wait, or responds in its place.
+type callerConn struct {
+	codec CallerCodec
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// waiting is set while the next statement is read. idle says that no transaction is
+	// open meanwhile and that nothing of a statement has arrived.
+	waiting, idle bool
+	// hasDeadline is set while the reads have a deadline.
+	hasDeadline bool
+	// closing marks the connection for closing as soon as it is idle.
+	closing bool
+	// running is the statement that was read and has no response yet, nil between
+	// statements.
+	running *runningStatement
+	// writing is set while a response is written.
+	writing bool
+}
+
+// runningStatement is a statement that was read and has no response yet.
+type runningStatement struct {
+	id    string
+	kind  statement.Kind
+	since time.Time
+	// unfinished is the response if the process exits before the statement's result is known.
+	unfinished statement.Response
+}
+
+// closeWhenIdle has the connection closed as soon as it is idle.
 func (c *callerConn) closeWhenIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = true
-	if c.idle {
-		_ = c.codec.SetReadDeadline(time.Now()) // fails only if the connection is closed already
+	if c.waiting && c.idle {
+		c.interruptWait()
 	}
 }
 
-// setIdle records whether the connection is idle, and reports whether it is to be
-// closed now.
-func (c *callerConn) setIdle(idle bool) bool {
+// wake has a session that waits for a statement determine again how long it may.
+func (c *callerConn) wake() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = idle
-	return idle && c.closing
+	if c.waiting {
+		c.interruptWait()
+	}
 }
 
-// begin records that a statement was read and is run now.
-func (c *callerConn) begin(st *statement.Statement) {
+// interruptWait interrupts the pending read. The caller holds c.mu.
+func (c *callerConn) interruptWait() {
+	c.hasDeadline = true
+	_ = c.codec.SetReadDeadline(time.Now()) // fails only if the connection is closed already
+}
+
+// awaitStatement prepares the read of the next statement, until a deadline if that is not
+// zero. It reports whether the connection is to be closed instead. The deadline is
+// determined under the lock, so that a later wake interrupts the read.
+func (c *callerConn) awaitStatement(idle bool, deadline func() time.Time) (toClose bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.running, c.runningSince = st, time.Now()
+	c.idle = idle && !c.codec.Pending()
+	if c.idle && c.closing {
+		return true, nil
+	}
+	c.waiting = true
+	end := deadline()
+	if end.IsZero() && !c.hasDeadline {
+		return false, nil
+	}
+	c.hasDeadline = !end.IsZero()
+	return false, c.codec.SetReadDeadline(end)
 }
 
-// end records that the running statement has a result.
-func (c *callerConn) end() {
+// endWait records that the read of a statement has ended.
+func (c *callerConn) endWait() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.running = nil
+	c.waiting, c.idle = false, false
 }
 
-// runningStatement returns the ID and the kind of the running statement and the time since
-// it was read.
-func (c *callerConn) runningStatement() (id string, kind statement.Kind, age time.Duration, running bool) {
+// begin records that a statement was read and is run now.
+func (c *callerConn) begin(st statement.Statement, session callerSession) {
+	running := &runningStatement{id: st.ID, kind: st.Kind, since: time.Now(), unfinished: unfinishedResponse(st, session)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.running = running
+}
+
+// unfinishedResponse returns the response to a statement whose result is not known when the
+// process exits. Without COMMIT, the target rolls a transaction back when it loses the
+// connection; a COMMIT and a write outside of a transaction are in doubt.
+func unfinishedResponse(st statement.Statement, session callerSession) statement.Response {
+	response := statement.Response{Detail: reasonShutdown, State: statement.Idle}
+	switch inTransaction := session.State() != statement.Idle; {
+	case st.Kind == statement.Commit, !inTransaction && session.MayWrite(st):
+		response.Code = statement.InDoubt
+	case inTransaction:
+		response.Code, response.State = statement.Aborted, statement.Failed
+	default:
+		response.Code = statement.Busy
+	}
+	return response
+}
+
+// respond writes the response to the running statement, unless respondUnfinished has done
+// so. The connection is closed then.
+func (c *callerConn) respond(response statement.Response) error {
+	c.mu.Lock()
 	if c.running == nil {
-		return "", statement.Invalid, 0, false
+		c.mu.Unlock()
+		return net.ErrClosed
+	}
+	c.running, c.writing = nil, true
+	c.mu.Unlock()
+	err := c.codec.WriteResponse(response)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+	return err
+}
+
+// respondUnfinished responds to the running statement, if there is one, in place of its
+// session, and returns the statement.
+func (c *callerConn) respondUnfinished() *runningStatement {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	running := c.running
+	if running == nil {
+		return nil
 	}
-	return c.running.ID, c.running.Kind, time.Since(c.runningSince), true
+	c.running = nil
+	_ = c.codec.WriteResponse(running.unfinished) // the process exits in any case
+	return running
+}
+
+// active reports whether a statement is running, and whether its response is being written.
+func (c *callerConn) active() (running, writing bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.running != nil, c.writing
 }
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -11,7 +11,6 @@
 	"samphirehitch.example/samphirehitch/process/event"
 	"samphirehitch.example/samphirehitch/process/statement"
 	"samphirehitch.example/samphirehitch/process/topology"
-	"samphirehitch.example/samphirehitch/request/engine"
 )
 
 var (
@@ -81,63 +80,100 @@
 	}
 }
 
+// callerSession runs the statements of one caller. engine.Session implements it.
+type callerSession interface {
+	Run(st statement.Statement) statement.Response
+	// Refuse reports a statement that is not run.
+	Refuse(st statement.Statement, code statement.Code, reason string) statement.Response
+	State() statement.TransactionState
+	HoldsConnection() bool
+	MayWrite(st statement.Statement) bool
+	// StatementTimeout returns the timeout of the session's statements.
+	StatementTimeout() time.Duration
+	// ExpireTransaction rolls back an open transaction. The caller receives the reason with
+	// its next statement.
+	ExpireTransaction(reason string)
+}
+
 // runStatements reads and runs a session's statements until the connection is to be
 // closed.
-func (d *Daemon) runStatements(conn *callerConn, session *engine.Session) error {
+func (d *Daemon) runStatements(conn *callerConn, session callerSession) error {
 	for {
 		st, err := d.nextStatement(conn, session)
 		if err != nil || st == nil {
 			return err
 		}
-		conn.begin(st)
-		response := session.Run(*st)
-		conn.end()
-		if err := conn.codec.WriteResponse(response); err != nil {
+		conn.begin(*st, session)
+		response := d.runStatement(session, *st)
+		if err := conn.respond(response); err != nil {
 			return err
 		}
 	}
 }
 
+// runStatement runs a statement. During a shutdown, a statement that may not be complete
+// before the process exits is refused.
+func (d *Daemon) runStatement(session callerSession, st statement.Statement) statement.Response {
+	if !st.Kind.UsesTarget() || d.admitsStatement(session.StatementTimeout()) {
+		return session.Run(st)
+	}
+	if session.State() == statement.Idle {
+		return session.Refuse(st, statement.Busy, reasonShutdown)
+	}
+	session.ExpireTransaction(reasonShutdown)
+	return session.Run(st)
+}
+
 // nextStatement reads the next statement. It returns nil when the connection is to be
 // closed: the caller has closed it, or it is idle and marked for closing. A transaction
-// that holds a target connection expires when the caller idles for longer than the
-// configuration allows.
-func (d *Daemon) nextStatement(conn *callerConn, session *engine.Session) (*statement.Statement, error) {
-	holdsConnection := session.HoldsConnection()
-	if holdsConnection {
-		limit := d.engine.Catalog().TransactionIdleTimeout
-		if limit > 0 {
-			if err := conn.codec.SetReadDeadline(time.Now().Add(limit)); err != nil {
-				return nil, err
-			}
-		}
-	}
-	if conn.setIdle(session.State() == statement.Idle && !conn.codec.Pending()) {
-		return nil, nil
+// expires when it holds a target connection and the caller idles for longer than the
+// configuration allows, or when its statements are no longer admitted by a shutdown.
+func (d *Daemon) nextStatement(conn *callerConn, session callerSession) (*statement.Statement, error) {
+	var idleEnd time.Time
+	if limit := d.transactionIdleTimeout(); limit > 0 && session.HoldsConnection() {
+		idleEnd = time.Now().Add(limit)
 	}
-	st, err := conn.codec.ReadStatement()
-	for errors.Is(err, os.ErrDeadlineExceeded) {
-		if conn.setIdle(session.State() == statement.Idle && !conn.codec.Pending()) {
-			return nil, nil
+	for {
+		toClose, err := conn.awaitStatement(session.State() == statement.Idle, func() time.Time {
+			return earliest(idleEnd, d.transactionEnd(session))
+		})
+		if err != nil || toClose {
+			return nil, err
 		}
-		session.ExpireTransaction()
-		if err := conn.codec.SetReadDeadline(time.Time{}); err != nil {
+		st, err := conn.codec.ReadStatement()
+		conn.endWait()
+		switch now := time.Now(); {
+		case err == nil:
+			return &st, nil
+		case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed):
+			return nil, nil
+		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
+		case reached(idleEnd, now):
+			session.ExpireTransaction("the transaction rested too long")
+			idleEnd = time.Time{}
+		case reached(d.transactionEnd(session), now):
+			session.ExpireTransaction(reasonShutdown)
 		}
-		holdsConnection = false
-		st, err = conn.codec.ReadStatement()
 	}
-	conn.setIdle(false)
-	switch {
-	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed):
-		return nil, nil
-	case err != nil:
-		return nil, err
+}
+
+// transactionIdleTimeout returns how long a transaction that holds a target connection may
+// idle, zero for no limit.
+func (d *Daemon) transactionIdleTimeout() time.Duration {
+	if c := d.engine.Catalog(); c != nil {
+		return c.TransactionIdleTimeout
 	}
-	if holdsConnection {
-		if err := conn.codec.SetReadDeadline(time.Time{}); err != nil {
-			return nil, err
-		}
+	return 0
+}
+
+// earliest returns the earlier of two times, of which zero ones are ignored.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
 	}
-	return &st, nil
+	return a
 }
+
+// reached reports whether a time that is not zero has come.
+func reached(t, now time.Time) bool { return !t.IsZero() && !now.Before(t) }
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -108,8 +108,9 @@
 	// ctx is canceled when the daemon stops.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// stopping is set from the start of a shutdown.
+	// stopping is set from the start of a shutdown, whose schedule shutdown holds.
 	stopping atomic.Bool
+	shutdown atomic.Pointer[shutdownPlan]
 	// renewalRequested has the registration renewed before it is due.
 	renewalRequested atomic.Bool
 	// storeUnavailable reports that the last call to the store failed.
@@ -232,7 +233,7 @@
 	d.mesh = peer.New(peer.Config{Instance: o.Settings.Instance, FailureDomain: o.Settings.FailureDomain,
 		Address: o.Settings.PeerAddress, Dial: o.Adapter.DialPeer}, o.Log)
 	d.relay = relay.New(relay.Dependencies{Self: o.Settings.Instance, Incarnation: d.incarnation, Engine: d.engine, Link: d.mesh,
-		Clock: d.clock, Log: o.Log, Stopping: d.stopping.Load, Ready: d.canRunRequests, OnConfigurationConfirmed: d.observePeerConfirmation,
+		Clock: d.clock, Log: o.Log, Stopping: d.stopping.Load, AdmitsStatement: d.admitsStatement, Ready: d.canRunRequests, OnConfigurationConfirmed: d.observePeerConfirmation,
 		Configuration: d.configurationInForce, OnConfiguration: d.applyPeerConfiguration, OnDemand: d.observeDemand,
 		Registrations: d.registrationChanges, OnFollowed: d.observeFollowed,
 		OnRoutingOutdated: func() { notify(d.ownerWake) }})
--- a/edge/shutdown.go
+++ b/edge/shutdown.go
@@ -4,28 +4,18 @@
 	"context"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/event"
+	"samphirehitch.example/samphirehitch/process/statement"
 	"samphirehitch.example/samphirehitch/process/store"
 )
 
 var (
 	eventShutdownStep = event.Define(1314, event.Info, "step of the shutdown completed")
-	eventUnanswered   = event.Define(1315, event.Warning, "statement gets no response because the process exits")
-)
-
-// Parts of the grace period of a shutdown.
-const (
-	// readinessDelay is how long callers may still connect after the instance has become
-	// unready: until the load balancer has probed it twice, a second apart, and a margin.
-	readinessDelay = 2300 * time.Millisecond
-	// closeSpread is the time over which the closing of idle connections is spread, so
-	// that their callers do not all reconnect to other instances at the same time.
-	closeSpread = 1200 * time.Millisecond
-	// exitMargin is reserved at the end of the grace period for the process to exit.
-	exitMargin = 500 * time.Millisecond
+	eventUnfinished   = event.Define(1315, event.Warning, "statement gets a response without its result because the process exits")
 )
 
 // waitForSignal shuts the daemon down gracefully on SIGTERM or SIGINT.
@@ -43,53 +33,70 @@
 	return errStopped
 }
 
-// drain stops serving within the grace period: it marks the registration as leaving and
-// the readiness probe as not ready, so that no more requests are sent here, resigns the
-// leadership, closes callers' connections as they become idle, waits for requests
-// forwarded from other instances, and unregisters.
+// reasonShutdown is the detail of responses to statements that a shutdown does not run or
+// ends.
+const reasonShutdown = "the instance is shutting down"
+
+// drain stops serving within the grace period. It marks the registration as leaving and the
+// readiness probe as not ready, so that no more requests are sent here, resigns the
+// leadership, closes callers' connections as they become idle, and waits for requests
+// forwarded from other instances. Statements are refused once they may not be complete in
+// time, and those that are still running at the end get a response before the process exits.
 func (d *Daemon) drain(a *acceptor) {
-	started := time.Now()
-	deadline := started.Add(d.settings.TerminationGrace - exitMargin)
+	plan := newShutdownPlan(time.Now(), d.settings.TerminationGrace)
+	d.shutdown.Store(&plan)
 	d.stopping.Store(true)
-	d.announceLeaving()
-	d.resignLeadership()
-	sleep(d.ctx, readinessDelay)
-	d.logShutdown(started, "unready")
+	for _, conn := range d.callers.snapshot() {
+		conn.wake()
+	}
+	go d.leave()
+	sleep(d.ctx, time.Until(plan.idleCloseStart))
+	d.logShutdown(plan, "unready")
 	conns := d.callers.snapshot()
 	for i, conn := range conns {
 		conn.closeWhenIdle()
-		if wait := time.Until(started.Add(readinessDelay + closeSpread*time.Duration(i)/time.Duration(len(conns)))); wait > 0 {
-			sleep(d.ctx, wait)
-		}
+		sleep(d.ctx, time.Until(plan.idleCloseAt(i, len(conns))))
 	}
-	d.logShutdown(started, "idle sessions closed")
-	d.finishCallers(a, deadline)
-	d.logShutdown(started, "waited for sessions")
-	d.logUnanswered()
+	d.logShutdown(plan, "idle sessions closed")
+	d.finishCallers(a, plan.responseEnd)
+	d.logShutdown(plan, "waited for sessions")
+	d.respondToUnfinished()
 	d.unregister()
 }
 
-// logShutdown logs what a step of the shutdown leaves open.
-func (d *Daemon) logShutdown(started time.Time, step string) {
-	conns, running := d.callers.snapshot(), 0
-	for _, conn := range conns {
-		if _, _, _, isRunning := conn.runningStatement(); isRunning {
-			running++
-		}
+// leave tells the other instances that this one is shutting down.
+func (d *Daemon) leave() {
+	d.announceLeaving()
+	d.resignLeadership()
+}
+
+// admitsStatement reports whether a statement with a timeout may be run: always, unless a
+// shutdown is in progress and the statement may not be complete before the process exits.
+func (d *Daemon) admitsStatement(timeout time.Duration) bool {
+	plan := d.shutdown.Load()
+	return plan == nil || time.Now().Before(plan.lastStart(timeout))
+}
+
+// transactionEnd returns when the open transaction of a session expires because its
+// statements are no longer admitted, zero without a transaction or a shutdown.
+func (d *Daemon) transactionEnd(session callerSession) time.Time {
+	plan := d.shutdown.Load()
+	if plan == nil || session.State() != statement.Open {
+		return time.Time{}
 	}
-	eventShutdownStep.Log(d.log, "step", step, "elapsed_ms", time.Since(started).Milliseconds(),
-		"sessions", len(conns), "running", running, "remote_operations", d.relay.HasRemoteOperations())
+	return plan.lastStart(session.StatementTimeout())
 }
 
-// logUnanswered logs the statements whose callers get no response because the process
-// exits. The relay logs which of them other instances run.
-func (d *Daemon) logUnanswered() {
-	for _, conn := range d.callers.snapshot() {
-		if id, kind, age, running := conn.runningStatement(); running {
-			eventUnanswered.Log(d.log, "request", id, "kind", kind.String(), "age_ms", age.Milliseconds())
+// logShutdown logs what a step of the shutdown leaves open.
+func (d *Daemon) logShutdown(plan shutdownPlan, step string) {
+	conns, runningCount := d.callers.snapshot(), 0
+	for _, conn := range conns {
+		if running, _ := conn.active(); running {
+			runningCount++
 		}
 	}
-	d.relay.LogPending()
+	eventShutdownStep.Log(d.log, "step", step, "elapsed_ms", time.Since(plan.startedAt).Milliseconds(),
+		"sessions", len(conns), "running", runningCount, "remote_operations", d.relay.HasRemoteOperations())
 }
 
 // finishCallers accepts no more connections and waits, until the deadline, until the
@@ -101,10 +108,35 @@
 		for _, conn := range d.callers.snapshot() {
 			conn.closeWhenIdle()
 		}
-		sleep(d.ctx, 20*time.Millisecond)
+		sleep(d.ctx, drainPollInterval)
 	}
 }
 
+// respondToUnfinished responds to the statements that are still running, and waits until
+// responses that are being written are complete. The relay logs which of the statements
+// other instances run.
+func (d *Daemon) respondToUnfinished() {
+	for _, conn := range d.callers.snapshot() {
+		if running := conn.respondUnfinished(); running != nil {
+			eventUnfinished.Log(d.log, "request", running.id, "kind", running.kind.String(),
+				"age_ms", time.Since(running.since).Milliseconds(), "code", running.unfinished.Code.String())
+		}
+	}
+	d.relay.LogPending()
+	deadline := time.Now().Add(responseWriteMargin)
+	for d.writesResponses() && time.Now().Before(deadline) {
+		sleep(d.ctx, drainPollInterval)
+	}
+}
+
+// writesResponses reports whether a response to a caller is being written.
+func (d *Daemon) writesResponses() bool {
+	return slices.ContainsFunc(d.callers.snapshot(), func(c *callerConn) bool {
+		_, writing := c.active()
+		return writing
+	})
+}
+
 // resignLeadership gives up the leadership if this instance holds it, so that another
 // instance can acquire it immediately.
 func (d *Daemon) resignLeadership() {
--- a/process/statement/statement.go
+++ b/process/statement/statement.go
@@ -42,6 +42,17 @@
 // String returns the name of the kind for logs.
 func (k Kind) String() string { return kindNames[k] }
 
+// UsesTarget reports whether a caller's statement of the kind runs on a target, now or with
+// the statements that follow it.
+func (k Kind) UsesTarget() bool {
+	switch k {
+	case Begin, BeginReadOnly, Commit, Read, Write, Execute:
+		return true
+	default:
+		return false
+	}
+}
+
 // Statement is one statement of a session. Fields that do not apply to its Kind
 // are left zero. It is CBOR-encoded when one instance forwards it to another.
 type Statement struct {
--- a/request/engine/engine_test.go
+++ b/request/engine/engine_test.go
@@ -285,7 +285,7 @@
 	session := h.session(1, "strict")
 	h.mustRun(session, begin, statement.OK)
 	h.mustRun(session, writeA, statement.OK)
-	session.ExpireTransaction()
+	session.ExpireTransaction("the transaction rested too long")
 	h.mustRun(session, readA, statement.Aborted)
 	h.mustRun(session, readA, statement.Malformed)
 	h.mustRun(session, newStatement(statement.Rollback, "ROLLBACK"), statement.OK)
--- a/request/engine/operation.go
+++ b/request/engine/operation.go
@@ -120,6 +120,15 @@
 	return RouteInfo{Service: op.service.id, Customer: op.customer, StatementTimeout: op.route.StatementTimeout}, nil
 }
 
+// statementTimeout returns the timeout of a session's statements, zero while its route is
+// not known: its statements are refused without being run.
+func (e *Engine) statementTimeout(s *client.Session) time.Duration {
+	if c := e.catalog.Load(); c != nil {
+		return c.Routes[s.Database].StatementTimeout
+	}
+	return 0
+}
+
 // CanRun reports whether this instance can run a session's operation as far as the
 // primary is concerned. It returns false only when another instance may be able to:
 // the operation needs the primary, and this instance lacks the authority to use it
--- a/request/engine/session.go
+++ b/request/engine/session.go
@@ -45,12 +45,16 @@
 	// failed is set while tx has failed and the caller has not ended it yet,
 	// failureReported once the caller has received an error for that.
 	failed, failureReported bool
+	// expiry is the reason why tx has expired, empty unless ExpireTransaction has failed it.
+	expiry string
+	// statementTimeout returns the timeout of the session's statements.
+	statementTimeout func() time.Duration
 }
 
 // NewSession returns a session whose operations the runner runs. Outcomes go to the
 // engine's log and metrics.
 func (e *Engine) NewSession(s *client.Session, runner Runner) *Session {
-	return &Session{Client: s, runner: runner, now: e.Clock, report: func(o Outcome) {
+	return &Session{Client: s, runner: runner, now: e.Clock, statementTimeout: func() time.Duration { return e.statementTimeout(s) }, report: func(o Outcome) {
 		e.Observer.StatementCompleted(o)
 		o.log(e.Log)
 	}}
@@ -98,7 +102,7 @@
 	if s.failed && st.Kind != statement.Commit && st.Kind != statement.Rollback {
 		if !s.failureReported {
 			s.failureReported = true
-			return statement.Response{Code: statement.Aborted, Detail: "the transaction rested too long", State: statement.Failed}
+			return statement.Response{Code: statement.Aborted, Detail: s.expiry, State: statement.Failed}
 		}
 		return statement.Response{Code: statement.Malformed, Detail: "the transaction has failed", State: statement.Failed}
 	}
@@ -174,12 +178,26 @@
 	s.tx, s.failed = nil, false
 }
 
-// ExpireTransaction fails and rolls back a transaction that was idle for too long. The
-// caller receives the error with its next statement.
-func (s *Session) ExpireTransaction() {
+// ExpireTransaction fails and rolls back an open transaction, such as one that was idle for
+// too long. The caller receives the reason with its next statement.
+func (s *Session) ExpireTransaction(reason string) {
 	if s.tx == nil || s.failed {
 		return
 	}
 	s.tx.Rollback()
-	s.failed, s.failureReported = true, false
+	s.failed, s.failureReported, s.expiry = true, false, reason
 }
+
+// Refuse reports a statement that is not run and returns the response. The state of the
+// session does not change.
+func (s *Session) Refuse(st statement.Statement, code statement.Code, reason string) statement.Response {
+	s.report(Outcome{StatementID: st.ID, Kind: st.Kind, Code: code, Reason: reason, FloorAge: -1})
+	return statement.Response{Code: code, Detail: reason, State: s.State(), LogEnd: s.Client.Floor}
+}
+
+// MayWrite reports whether a statement may write.
+func (s *Session) MayWrite(st statement.Statement) bool { return s.Client.MayWrite(st) }
+
+// StatementTimeout returns the timeout of the session's statements, zero while its route is
+// not known.
+func (s *Session) StatementTimeout() time.Duration { return s.statementTimeout() }
--- a/request/relay/harness_test.go
+++ b/request/relay/harness_test.go
@@ -212,7 +212,7 @@
 func (f *fleet) start(id topology.InstanceID) {
 	eng := f.newEngine(f.targets[id])
 	r := New(Dependencies{Self: id, Incarnation: 1, Engine: eng, Link: networkLink{f.network, id}, Clock: eng.Clock, Log: logr.Discard(),
-		Stopping: func() bool { return false },
+		Stopping: func() bool { return false }, AdmitsStatement: func(time.Duration) bool { return true },
 		Ready: func() bool {
 			f.network.mu.Lock()
 			defer f.network.mu.Unlock()
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -72,6 +72,9 @@
 	// Stopping reports whether this instance is shutting down and accepts no more
 	// operations of other instances.
 	Stopping func() bool
+	// AdmitsStatement reports whether a statement with a timeout may be run. During a
+	// shutdown, one that may not be complete before the process exits may not.
+	AdmitsStatement func(timeout time.Duration) bool
 	// Ready reports whether this instance's authority and configuration were confirmed
 	// recently enough to run operations itself.
 	Ready func() bool
@@ -332,7 +335,7 @@
 		}
 	}
 	r.mu.Unlock()
-	r.server.abortIdle(now)
+	r.server.abortExpired(now)
 	for _, id := range silenced {
 		eventOwnerSilent.Log(r.Log, "peer", id)
 		r.failPendingReads(id)
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -220,11 +220,11 @@
 	session := f.newSession()
 	f.mustRun(session, statement.Begin, statement.OK)
 	f.mustRun(session, statement.Write, statement.OK)
-	owner.server.abortIdle(owner.Clock() + 3*time.Second)
+	owner.server.abortExpired(owner.Clock() + 3*time.Second)
 	if !owner.HasRemoteOperations() {
 		t.Fatal("the transaction was rolled back too early")
 	}
-	owner.server.abortIdle(owner.Clock() + 5*time.Second)
+	owner.server.abortExpired(owner.Clock() + 5*time.Second)
 	for owner.HasRemoteOperations() {
 		time.Sleep(time.Millisecond) // until the rollback, in its own goroutine, is done
 	}
--- a/request/relay/server.go
+++ b/request/relay/server.go
@@ -48,27 +48,32 @@
 // covers abort messages that were lost or overtaken by a request.
 const idleMargin = time.Second
 
-// abortIdle rolls back transactions that have been idle for longer than their instance
-// would allow.
-func (s *server) abortIdle(now time.Duration) {
-	c := s.relay.Engine.Catalog()
-	if c == nil || c.TransactionIdleTimeout <= 0 {
-		return
-	}
-	limit := c.TransactionIdleTimeout + idleMargin
+// abortExpired rolls back transactions that have been idle for longer than their instance
+// would allow, and those whose statements are no longer admitted by a shutdown.
+func (s *server) abortExpired(now time.Duration) {
+	var limit time.Duration
+	if c := s.relay.Engine.Catalog(); c != nil && c.TransactionIdleTimeout > 0 {
+		limit = c.TransactionIdleTimeout + idleMargin
+	}
+	stopping := s.relay.Stopping()
 	s.mu.Lock()
-	var idle []remoteSessionID
+	var expired []remoteSessionID
 	for id, remote := range s.transactions {
-		if now-remote.lastRequest > limit {
-			idle = append(idle, id)
+		if limit > 0 && now-remote.lastRequest > limit || stopping && !s.admits(remote) {
+			expired = append(expired, id)
 		}
 	}
 	s.mu.Unlock()
-	for _, id := range idle {
+	for _, id := range expired {
 		go s.abort(id)
 	}
 }
 
+// admits reports whether a statement of a session may be run.
+func (s *server) admits(remote *remoteSession) bool {
+	return s.relay.AdmitsStatement(remote.session.StatementTimeout())
+}
+
 // firstRemoteNumber is above the session numbers of this instance's own callers.
 const firstRemoteNumber = 1 << 40
 
@@ -151,17 +156,18 @@
 }
 
 // sessionFor returns the session in which the request runs, or false when this
-// instance cannot run it: the transaction is not open here, the instance is shutting
-// down or not ready, or its configuration is older than the request's.
+// instance cannot run it: the transaction is not open here or no longer admitted, the
+// instance is shutting down or not ready, or its configuration is older than the request's.
 func (s *server) sessionFor(id remoteSessionID, req *forwardRequest) (*remoteSession, bool) {
 	if req.InTransaction {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		remote, open := s.transactions[id]
-		if open {
-			remote.lastRequest = s.relay.Clock()
+		if !open || !s.admits(remote) {
+			return nil, false
 		}
-		return remote, open
+		remote.lastRequest = s.relay.Clock()
+		return remote, true
 	}
 	if s.relay.Stopping() || !s.relay.awaitConfiguration(id.instance, req.ConfigVersion) || !s.relay.Ready() {
 		return nil, false
