Keep following the store when a value in it cannot be read

What callers see: one entry whose value is not base64, anywhere in the store, and the instance learns no later change of a target, a record or the configuration; started again, it never serves.

Cause: the client of the store decoded each value and returned the first failure as that of the whole listing, watch or conflict. The loops of package edge try again from the same revision, for ever. The same holds for a value that is no text in the store's envelope, and, as package json refuses a text that is nested 10,000 deep as a whole, for a deep one.

A value that cannot be read now makes its entry malformed: the entry has its key, revision and a reason, and no value, so that it replaces a readable one of before.

--- a/process/store/store.go
+++ b/process/store/store.go
@@ -38,6 +38,9 @@
 	Value    []byte   `json:"value,omitempty"`
 	Revision Revision `json:"revision"`
 	Lease    LeaseID  `json:"lease,omitempty"`
+	// Malformed is why the value that the service returned cannot be read, empty if it can.
+	// Value is then empty.
+	Malformed string `json:"-"`
 }
 
 // Change is one change of a key as a watch reports it. For a deletion, Deleted is
