Choose targets by cost without an overflow for a large capacity

Cause: the cost of a target is the product of latency and slots, divided by the slots. The product overflows from about 2^39 slots on. The bound on overdue statements, four for each slot, overflows as well: none was released, and the target counted as full for good.

The latency is now added to its share for statements in flight, which gives the same numbers for any capacity above zero without the product, and the count of overdue statements is divided instead.

Evidence: TestHugeCapacityDoesNotAttractRequests, before: "the read went to target "huge"" for 2^40, MaxInt/2 and MaxInt; TestOverdueStatementsOfAHugeTargetAreReleased: "1 in flight, 0 overdue".

--- a/process/dispatch/overdue.go
+++ b/process/dispatch/overdue.go
@@ -53,11 +53,11 @@
 		if l.overdue || l.Conn == nil || now-l.statementStart < t.overdueAge(now) {
 			continue
 		}
-		limit := max(t.Slots, 1)
+		overdue := t.overdue
 		if t.latencyAt > l.statementStart {
-			limit *= maxOverduePerSlot
+			overdue /= maxOverduePerSlot
 		}
-		if t.overdue >= limit {
+		if overdue >= max(t.Slots, 1) {
 			continue
 		}
 		l.overdue = true
--- a/process/dispatch/placement.go
+++ b/process/dispatch/placement.go
@@ -47,7 +47,9 @@
 		return candidate{}, false
 	}
 	c := candidate{target: t, pooled: t.idleConn(r)}
-	c.cost = t.expectedLatency(now) * time.Duration(t.Slots+t.inFlight) / time.Duration(max(t.Slots, 1))
+	// Any number of slots may be listed: the product of latency and slots overflows.
+	latency := t.expectedLatency(now)
+	c.cost = latency + latency*time.Duration(t.inFlight)/time.Duration(max(t.Slots, 1))
 	if c.pooled == nil {
 		c.cost += handshakeCost
 		if len(t.pool)+t.opening >= d.connectionsAllowed(now, t) {
