Decode an unreadable entry once per revision, and count it

What callers see: nothing with a few small odd entries; with many large ones the instance is slow.

Cause: each change of any target, several a second, had every odd entry decoded again; up to a mebibyte each. What was known of odd entries was never forgotten. An unreadable record of a primary was logged at each step of the failover leader instead of once.

One place now notes unreadable entries, whatever their key: they are logged (2105, now with the revision) and counted (samphirehitch_unreadable_entries_total) once for each revision, are not decoded again and are forgotten when they are gone.

Evidence: TestOddEntryIsDecodedAndLoggedOncePerRevision, before: "decoded 32 times and logged 3 times, want 3", "0 counted, want 3", "2 unreadable entries are remembered after their deletion"; TestUnreadableRecordIsLoggedOncePerRevision: "logged 21 times, want once". Both pass now.

TestOddEntryDoesNotEndFollowingOthers has a daemon and the stand-in of the store: odd entries arrive by watch, by a listing of the prefix and by one of all keys, and later changes are still followed. TestOddRegistrationsLeaveServicesTheirOwners covers our own keys; nothing was wrong there.

--- a/edge/carried_registrations.go
+++ b/edge/carried_registrations.go
@@ -68,7 +68,7 @@
 		}
 		var r registration
 		if err := json.Unmarshal(entry.Value, &r); err != nil {
-			eventEntryUnreadable.LogError(d.log, err, "key", entry.Key)
+			d.noteUnreadable(entry, err)
 			return
 		}
 		registered[id] = r
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -171,9 +171,9 @@
 	storeReturnedAt    time.Duration
 	recomputeTargetsAt []time.Duration
 	records            map[topology.ServiceID]storedRecord
-	// unreadableTargets are the revisions of targets' entries that could not be decoded,
-	// by key, so that each is logged once.
-	unreadableTargets map[string]store.Revision
+	// unreadable are the revisions of entries that could not be decoded, by key, so that
+	// each is logged once.
+	unreadable map[string]store.Revision
 	// ownerCounts is the number of owners of each service.
 	ownerCounts map[topology.ServiceID]int
 	// usedServices are the services whose primaries this instance is to use, and
@@ -217,7 +217,7 @@
 		sharesWake: make(chan struct{}, 1), usageWake: make(chan struct{}, 1), serving: make(chan struct{}),
 		roleWake: make(chan struct{}, 1), ownerWake: make(chan struct{}, 1), followWake: make(chan struct{}, 1), demands: make(map[topology.InstanceID]share.Demands), excesses: make(map[topology.InstanceID]map[topology.CustomerID]float64),
 		mirror: mirror.New(), records: make(map[topology.ServiceID]storedRecord),
-		targets: make(map[topology.ServiceID]targetMap), knownTargets: make(map[topology.TargetID]knownTarget), unreadableTargets: make(map[string]store.Revision),
+		targets: make(map[topology.ServiceID]targetMap), knownTargets: make(map[topology.TargetID]knownTarget), unreadable: make(map[string]store.Revision),
 		lastLogged: make(map[string]string), ownRevisions: make(map[string]store.Revision),
 	}
 	d.store.probeInterval = func() time.Duration { return upkeep.For(d.role()).ProbeInterval }
--- a/edge/failover.go
+++ b/edge/failover.go
@@ -190,7 +190,7 @@
 	if entry.Revision != 0 {
 		record, err := failover.DecodeRecord(entry.Value)
 		if err != nil {
-			eventEntryUnreadable.LogError(d.log, err, "key", entry.Key)
+			d.noteUnreadable(entry, err)
 			return failover.View{}
 		}
 		view.Record = record
--- a/edge/known_records.go
+++ b/edge/known_records.go
@@ -44,7 +44,7 @@
 	d.mirror.ForEach(prefixKnown, func(entry store.Entry) {
 		var known knownRecords
 		if err := json.Unmarshal(entry.Value, &known); err != nil {
-			eventEntryUnreadable.LogError(d.log, err, "key", entry.Key)
+			d.noteUnreadable(entry, err)
 			return
 		}
 		if record, knows := known.Records[service]; knows && known.Era == d.era.number {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -22,6 +22,8 @@
 	storeFailures  *prometheus.CounterVec
 	storeCalls     *prometheus.CounterVec
 	ignoredEntries prometheus.Counter
+	// unreadableEntries counts each revision of an entry once.
+	unreadableEntries prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -41,7 +43,9 @@
 		Help: "Calls to the platform's store by purpose, kind and outcome; status 0 means no response."}, []string{"purpose", "call", "status"})
 	m.ignoredEntries = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "ignored_entries_total",
 		Help: "Entries of the platform's store that were ignored because a later revision of their key is known."})
-	m.registry.MustRegister(m.ignoredEntries, m.statements, m.latency, m.connectionWait, m.storeFailures, m.storeCalls, collectors.NewGoCollector())
+	m.unreadableEntries = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "unreadable_entries_total",
+		Help: "Entries of the platform's store that were ignored because they cannot be decoded, each revision once."})
+	m.registry.MustRegister(m.ignoredEntries, m.unreadableEntries, m.statements, m.latency, m.connectionWait, m.storeFailures, m.storeCalls, collectors.NewGoCollector())
 	return m
 }
 
--- a/edge/store_changes.go
+++ b/edge/store_changes.go
@@ -130,7 +130,7 @@
 	d.mirror.ForEach(prefixRecords, func(entry store.Entry) {
 		record, err := decodeStoredRecord(entry)
 		if err != nil {
-			eventEntryUnreadable.LogError(d.log, err, "key", entry.Key)
+			d.noteUnreadable(entry, err)
 			return
 		}
 		service := topology.ServiceID(strings.TrimPrefix(entry.Key, prefixRecords))
--- a/edge/targets.go
+++ b/edge/targets.go
@@ -92,16 +92,18 @@
 
 // decodeTargets returns the mirrored targets. The caller holds d.mu.
 func (d *Daemon) decodeTargets() map[topology.TargetID]directory.Target {
+	d.forgetUnreadable()
 	targets := make(map[topology.TargetID]directory.Target)
 	d.mirror.ForEach(d.adapter.TargetPrefix, func(entry store.Entry) {
+		if d.isUnreadable(entry) {
+			return
+		}
 		t, err := d.adapter.DecodeTarget(entry)
-		switch {
-		case err == nil:
-			targets[t.ID] = t
-		case d.unreadableTargets[entry.Key] != entry.Revision:
-			d.unreadableTargets[entry.Key] = entry.Revision
-			eventEntryUnreadable.LogError(d.log, err, "key", entry.Key)
+		if err != nil {
+			d.noteUnreadable(entry, err)
+			return
 		}
+		targets[t.ID] = t
 	})
 	return targets
 }
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -16,7 +16,6 @@
 	eventStoreUnavailable      = event.Define(2100, event.Warning, "store unavailable")
 	eventStoreAvailable        = event.Define(2101, event.Info, "store available again")
 	eventWatchHistoryDiscarded = event.Define(2102, event.Warning, "store discarded the history that the watch needs, listing all keys")
-	eventEntryUnreadable       = event.Define(2105, event.Warning, "cannot decode entry of the store, it is ignored")
 	eventRecordChanged         = event.Define(4100, event.Info, "record of a primary changed")
 )
 
