Do not bridge a target whose entry is there and unreadable

Cause: soon after the store's return, targets that are not listed are still used, as their entries may have expired. Whether the entry is missing or cannot be read was not told apart. PROTOCOL.md: such an entry "names no database to use".

Evidence: TestUnreadableEntryIsNotBridged, before: "targets a@ unknown, b@ unknown are used, want b alone". It passes now, and so do the tests of package edge with the race detector.

--- a/edge/odd_entry_test.go
+++ b/edge/odd_entry_test.go
@@ -121,6 +121,20 @@
 	}
 }
 
+// Soon after the store's return, targets without an entry are still used. One whose entry
+// another writer has replaced is not missing, and names no target to use.
+func TestUnreadableEntryIsNotBridged(t *testing.T) {
+	d, now := newDaemonWithTargets(t)
+	d.applyChanges([]store.Change{{Entry: targetEntry(t, "a", 1, false, store.NewRevision(1, 4))}, {Entry: targetEntry(t, "b", 1, false, store.NewRevision(1, 5))}})
+	d.storeUnavailable.Store(true)
+	*now += missingTargetGrace
+	d.storeResponded()
+	d.replaceMirrored("", store.Listing{Revision: store.NewRevision(1, 9), Entries: []store.Entry{{Key: "target/a", Value: []byte("{"), Revision: store.NewRevision(1, 8)}}})
+	if used := d.usedTargets["s"]; len(used) != 1 || used["b"].ID != "b" {
+		t.Fatalf("targets %v are used, want b alone", used)
+	}
+}
+
 // Every change of a target had each odd entry decoded again. With many of a mebibyte each,
 // several times a second, that takes all processor time.
 func TestOddEntryIsDecodedAndLoggedOncePerRevision(t *testing.T) {
--- a/edge/targets.go
+++ b/edge/targets.go
@@ -42,12 +42,14 @@
 	}
 	d.mu.Lock()
 	now := d.clock()
+	current := d.currentTargets(now)
 	if now < d.storeReturnedAt+missingTargetGrace {
 		for id := range used {
 			maps.Copy(used[id], d.usedTargets[id])
+			maps.DeleteFunc(used[id], d.hasUnreadableEntry)
 		}
 	}
-	for _, t := range d.currentTargets(now) {
+	for _, t := range current {
 		if _, known := listed[t.Service]; known {
 			listed[t.Service][t.ID], used[t.Service][t.ID] = t, t
 		}
@@ -60,6 +62,13 @@
 	}
 }
 
+// hasUnreadableEntry reports whether a target's entry is there and cannot be decoded, so that
+// it is not missing. The caller holds d.mu.
+func (d *Daemon) hasUnreadableEntry(id topology.TargetID, _ directory.Target) bool {
+	entry := d.mirror.Get(d.adapter.TargetPrefix + string(id))
+	return entry.Revision != 0 && d.isUnreadable(entry)
+}
+
 // currentTargets returns the listed targets. Soon after a restore of the store, an entry
 // that is older than the latest known one of its target does not count. Entries that cannot
 // be decoded are logged once and left out. The caller holds d.mu.
