--- a/soak/soak.go
+++ b/soak/soak.go
@@ -267,16 +267,25 @@
 	added := platformtest.Route{Host: "added", Service: "ledger", Type: string(levelPrimary)}
 	h.recordError(h.store.PutConfiguration(3, append(allDatabases(), added),
 		map[string]int{"ledger": connectionsPerTarget, "orders": connectionsPerTarget}, customers[:withdrawnCustomerIndex]))
+	for _, err := range h.awaitRoute(added) {
+		h.recordError(err)
+	}
+}
+
+// awaitRoute waits until every daemon serves a route that was added last. It returns an
+// error for each that does not by the deadline.
+func (h *harness) awaitRoute(added platformtest.Route) (failures []error) {
 	deadline := time.Now().Add(routeDeadline)
 	for i, d := range h.daemons {
-		for number := 0; !h.serves(d, added, fmt.Sprintf("route.%d.%d", i, number)); number++ {
+		for number := 0; !h.serves(d, added, fmt.Sprintf("%s.%d.%d", added.Host, i, number)); number++ {
 			if time.Now().After(deadline) {
-				h.recordError(eris.Errorf("CONFIG: the route added last is not served by daemon %d", i+1))
+				failures = append(failures, eris.Errorf("CONFIG: the route added last is not served by daemon %d", i+1))
 				break
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
+	return failures
 }
 
 // serves reports whether a daemon runs a read over a route.
