Give each forwarded transaction a number, so that none runs in another's place

Cause: an owner knew a forwarded transaction by its session alone. A request that had found the transaction could be overtaken by its abort and then ran outside of it; a late request that opens a transaction replaced a later one. The aborts of a stopping owner make this more likely.

Requests and aborts now carry the number of the transaction, which the forwarding instance counts. The owner finds a transaction by session and number, declines a request that opens one which was aborted or followed by a later one, and a request that waited for the session's lock while the transaction was aborted. Instances of earlier versions send no number and are served as before.

--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -205,14 +205,16 @@
 		return r.Engine.Begin(s, readOnly, o)
 	}
 	o.Reason, o.Service, o.Customer = "deferred to the first statement", route.Service, route.Customer
-	return &transaction{relay: r, session: s, route: route, readOnly: readOnly}, statement.Response{State: statement.Open}
+	return &transaction{relay: r, session: s, number: r.lastTransaction.Add(1), route: route, readOnly: readOnly}, statement.Response{State: statement.Open}
 }
 
 // transaction is a transaction of a caller here. Its first statement decides whether
 // another instance runs it or this one.
 type transaction struct {
-	relay    *Relay
-	session  *client.Session
+	relay   *Relay
+	session *client.Session
+	// number is the transaction's number, which its requests and aborts carry.
+	number   uint64
 	route    engine.RouteInfo
 	readOnly bool
 	// owner is the instance that runs the transaction, empty before its first
@@ -275,7 +277,7 @@
 		if to == r.Self {
 			return statement.Response{}, false
 		}
-		req := r.newRequest(t.session, st)
+		req := t.newRequest(st)
 		req.Begin = beginReadWrite
 		if t.readOnly {
 			req.Begin = beginReadOnly
@@ -305,7 +307,7 @@
 
 // forwardLater forwards a statement to the owner that runs the transaction.
 func (t *transaction) forwardLater(st statement.Statement, o *engine.Outcome) statement.Response {
-	req := t.relay.newRequest(t.session, st)
+	req := t.newRequest(st)
 	req.InTransaction = true
 	response, outcome := t.relay.forward(t.owner, t.session, req, t.route.StatementTimeout, o)
 	switch outcome {
@@ -353,7 +355,14 @@
 
 // sendAbort has an instance roll back the session's transaction. It does not wait.
 func (t *transaction) sendAbort(to topology.InstanceID) {
-	t.relay.send(to, &message{Abort: &sessionID{Incarnation: t.relay.Incarnation, Number: t.session.Number}})
+	t.relay.send(to, &message{Abort: &sessionID{Incarnation: t.relay.Incarnation, Number: t.session.Number, Transaction: t.number}})
+}
+
+// newRequest returns a request to run a statement of the transaction.
+func (t *transaction) newRequest(st statement.Statement) *forwardRequest {
+	req := t.relay.newRequest(t.session, st)
+	req.Session.Transaction = t.number
+	return req
 }
 
 // HoldsConnection implements the engine's Transaction.
--- a/request/relay/message.go
+++ b/request/relay/message.go
@@ -20,7 +20,7 @@
 type message struct {
 	Request  *forwardRequest  `cbor:"1,keyasint,omitempty"`
 	Response *forwardResponse `cbor:"2,keyasint,omitempty"`
-	// Abort rolls back the open transaction of a session.
+	// Abort rolls back a transaction of a session.
 	Abort *sessionID `cbor:"3,keyasint,omitempty"`
 	// Ping requests a Pong with the same number.
 	Ping uint64 `cbor:"4,keyasint,omitempty"`
@@ -104,6 +104,10 @@
 type sessionID struct {
 	Incarnation int64  `cbor:"1,keyasint"`
 	Number      uint64 `cbor:"2,keyasint"`
+	// Transaction is the number of the transaction that a request or an abort belongs to. It
+	// grows within a session. It is zero outside of transactions, and always from instances of
+	// earlier versions.
+	Transaction uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // beginMode says whether a request opens a transaction before its statement.
@@ -119,7 +123,7 @@
 type forwardRequest struct {
 	ID      uint64    `cbor:"1,keyasint"`
 	Session sessionID `cbor:"2,keyasint"`
-	// InTransaction says that the statement belongs to the session's open transaction.
+	// InTransaction says that the statement belongs to a transaction that is open.
 	InTransaction bool      `cbor:"3,keyasint,omitempty"`
 	Begin         beginMode `cbor:"4,keyasint,omitempty"`
 	// ConfigVersion is the newest version of a configuration under which operations of
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -117,6 +117,8 @@
 	// number, so that late responses to an earlier process of this instance match no
 	// request.
 	lastID atomic.Uint64
+	// lastTransaction is the number of the last transaction that a caller here has begun.
+	lastTransaction atomic.Uint64
 	// newestConfigVersion is the newest version of a configuration under which a
 	// caller's operation was decided.
 	newestConfigVersion atomic.Uint64
--- a/request/relay/server.go
+++ b/request/relay/server.go
@@ -10,12 +10,24 @@
 	"samphirehitch.example/samphirehitch/request/engine"
 )
 
-// remoteSessionID identifies a session of a caller of another instance.
+// remoteSessionID identifies a session of a caller of another instance, or one of its
+// transactions.
 type remoteSessionID struct {
 	instance topology.InstanceID
 	id       sessionID
 }
 
+// session returns the ID of the session without a transaction.
+func (id remoteSessionID) session() remoteSessionID {
+	return id.withTransaction(0)
+}
+
+// withTransaction returns the ID of a transaction of the session.
+func (id remoteSessionID) withTransaction(number uint64) remoteSessionID {
+	id.id.Transaction = number
+	return id
+}
+
 // server runs operations that other instances forward, with this instance's engine. It
 // is safe for concurrent use.
 type server struct {
@@ -25,6 +37,9 @@
 	// transactions holds the sessions with an open transaction here, or with a request
 	// that opens one.
 	transactions map[remoteSessionID]*remoteSession
+	// latest holds the highest number of a transaction of each session that was begun or
+	// aborted here.
+	latest map[remoteSessionID]uint64
 	// running is the number of requests in progress.
 	running int
 	// sessionNumbers holds the numbers by which the engine knows other instances'
@@ -39,6 +54,9 @@
 	// mu is held while a statement or a rollback runs.
 	mu      sync.Mutex
 	session *engine.Session
+	// aborted is set once the transaction was aborted from here, guarded by mu. A request
+	// that was received before must not run then.
+	aborted bool
 	// lastRequest is when the last request was received, guarded by the server's lock.
 	lastRequest time.Duration
 }
@@ -81,12 +99,13 @@
 const maxSessionNumbers = 8192
 
 func newServer(r *Relay) *server {
-	return &server{relay: r, transactions: make(map[remoteSessionID]*remoteSession), sessionNumbers: make(map[remoteSessionID]uint64), lastNumber: firstRemoteNumber}
+	return &server{relay: r, transactions: make(map[remoteSessionID]*remoteSession), latest: make(map[remoteSessionID]uint64), sessionNumbers: make(map[remoteSessionID]uint64), lastNumber: firstRemoteNumber}
 }
 
 // sessionNumber returns the engine's number for a session. It is the same for all
 // requests of the session, unless the table was full and cleared in between.
 func (s *server) sessionNumber(id remoteSessionID) uint64 {
+	id = id.session()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if n, known := s.sessionNumbers[id]; known {
@@ -123,9 +142,17 @@
 	if !ok {
 		return &forwardResponse{ID: req.ID, Declined: true}
 	}
+	return s.runIn(remote, id, req)
+}
+
+// runIn runs a request in a session, unless its transaction has ended meanwhile.
+func (s *server) runIn(remote *remoteSession, id remoteSessionID, req *forwardRequest) *forwardResponse {
 	remote.mu.Lock()
 	defer remote.mu.Unlock()
 	session := remote.session
+	if remote.aborted || req.InTransaction && session.State() == statement.Idle {
+		return &forwardResponse{ID: req.ID, Declined: true}
+	}
 	callerSession := session.Client
 	callerSession.Values = req.Values
 	if req.Prepared != nil {
@@ -174,16 +201,45 @@
 	}
 	callerSession := client.NewSession(s.sessionNumber(id), req.Database, req.Key)
 	remote := &remoteSession{session: s.relay.Engine.NewSession(callerSession, s.relay.Engine)}
-	if req.Begin != beginNone {
-		s.abort(id) // a session opens a transaction only after its earlier one has ended
-		s.mu.Lock()
-		remote.lastRequest = s.relay.Clock()
-		s.transactions[id] = remote
-		s.mu.Unlock()
+	if req.Begin != beginNone && !s.addTransaction(id, remote) {
+		return nil, false
 	}
 	return remote, true
 }
 
+// addTransaction adds a transaction that a request opens, and aborts the session's earlier
+// one: a session opens a transaction only after that has ended. It returns false if the request
+// is late: the transaction was aborted, or a later one of the session was begun.
+func (s *server) addTransaction(id remoteSessionID, remote *remoteSession) bool {
+	s.mu.Lock()
+	earlier := id.withTransaction(s.latest[id.session()])
+	if number := id.id.Transaction; number != 0 && !s.advanceLatest(id, number) {
+		s.mu.Unlock()
+		return false
+	}
+	s.mu.Unlock()
+	s.abort(earlier)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	remote.lastRequest = s.relay.Clock()
+	s.transactions[id] = remote
+	return true
+}
+
+// advanceLatest records the number of a transaction that is begun or aborted. It returns
+// false if it is not above the latest one. The caller holds s.mu.
+func (s *server) advanceLatest(id remoteSessionID, number uint64) bool {
+	session := id.session()
+	if number <= s.latest[session] {
+		return false
+	}
+	if len(s.latest) >= maxSessionNumbers {
+		clear(s.latest)
+	}
+	s.latest[session] = number
+	return true
+}
+
 // begin opens the transaction that a request opens, if any, and reports whether the
 // statement may run. After a refusal the caller has a failed transaction.
 func (s *server) begin(session *engine.Session, req *forwardRequest) (statement.Response, bool) {
@@ -216,11 +272,13 @@
 	}
 }
 
-// abort rolls back the open transaction of a session, after the statement in progress.
+// abort rolls back a transaction of a session, after the statement in progress. Requests of
+// the transaction that were received and did not run yet, or arrive later, are declined.
 func (s *server) abort(id remoteSessionID) {
 	s.mu.Lock()
 	remote := s.transactions[id]
 	delete(s.transactions, id)
+	s.advanceLatest(id, id.id.Transaction)
 	s.mu.Unlock()
 	if remote == nil {
 		return
@@ -228,6 +286,7 @@
 	remote.mu.Lock()
 	defer remote.mu.Unlock()
 	remote.session.Rollback()
+	remote.aborted = true
 }
 
 // abortAll rolls back all transactions of an instance.
