Limit the time of each page of a listing instead of the whole listing

Cause: a listing had 2.7 s in all at the start and 0.9 s when targets are listed again. One that takes longer is read from its start again and again, so that the instance never follows the store (the report of other operators). The stand-in made it worse: it sent all in one page of 27 MB, where the service sends at most 500 items or about 1 MB.

--- a/edge/watch.go
+++ b/edge/watch.go
@@ -204,8 +204,7 @@
 // also confirms the configuration and the records that it contains.
 func (d *Daemon) loadMirror(ctx context.Context) (store.Revision, error) {
 	requestedAt := d.clock()
-	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
-	defer cancel()
+	ctx = store.WithPageTimeout(ctx, 3*callTimeout)
 	listing, err := d.store.List(store.WithPurpose(ctx, purposeLoad), "")
 	if err != nil {
 		return 0, err
@@ -255,9 +254,7 @@
 		if len(d.declaredUsage()) == 0 {
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		listing, err := d.store.List(store.WithPurpose(callCtx, purposeRelist), d.adapter.TargetPrefix)
-		cancel()
+		listing, err := d.store.List(store.WithPurpose(store.WithPageTimeout(ctx, callTimeout), purposeRelist), d.adapter.TargetPrefix)
 		if err != nil {
 			d.storeFailed("list targets", err)
 			continue
