End callers' connections with their last response in a shutdown

Cause: the exit still ended what had not been ended before. Now a connection ends in one step, after which no statement runs on it; the last responses are written side by side until a deadline of the plan, the links are flushed, and the plan includes the end of the registration. A refusal marks its connection for closing.

--- a/cmd/samphirehitch-edge/main.go
+++ b/cmd/samphirehitch-edge/main.go
@@ -71,7 +71,9 @@
 		CountCalls: storeClient.CountCalls,
 		ObserveEra: storeClient.ObserveEra,
 	})
-	go reloadOnHangup(daemon, settingsPath)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // before serving, or SIGHUP would end the process
+	go reloadOnHangup(daemon, settingsPath, hangups)
 	if err := daemon.Run(); err != nil {
 		logger.Error(err, "entry daemon failed")
 		return exitRun
@@ -80,9 +82,7 @@
 }
 
 // reloadOnHangup reloads the settings file on each SIGHUP.
-func reloadOnHangup(daemon *edge.Daemon, settingsPath string) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func reloadOnHangup(daemon *edge.Daemon, settingsPath string, hangups <-chan os.Signal) {
 	for range hangups {
 		settings, err := platform.LoadSettings(settingsPath)
 		if err != nil {
--- a/edge/caller_conn.go
+++ b/edge/caller_conn.go
@@ -63,13 +63,12 @@
 	waiting, idle bool
 	// hasDeadline is set while the reads have a deadline.
 	hasDeadline bool
-	// closing marks the connection for closing as soon as it is idle.
-	closing bool
+	// closing marks the connection for closing as soon as it is idle, and ended for closing
+	// at once: no statement is run on it any more.
+	closing, ended bool
 	// running is the statement that was read and has no response yet, nil between
 	// statements.
 	running *runningStatement
-	// writing is set while a response is written.
-	writing bool
 }
 
 // runningStatement is a statement that was read and has no response yet.
@@ -113,7 +112,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = idle && !c.codec.Pending()
-	if c.idle && c.closing {
+	if c.ended || c.idle && c.closing {
 		return true, nil
 	}
 	c.waiting = true
@@ -132,12 +131,17 @@
 	c.waiting, c.idle = false, false
 }
 
-// begin records that a statement was read and is run now.
-func (c *callerConn) begin(st statement.Statement, session callerSession) {
+// begin records that a statement was read and is run now. It returns false if the statement
+// must not run because the connection has ended.
+func (c *callerConn) begin(st statement.Statement, session callerSession) bool {
 	running := &runningStatement{id: st.ID, kind: st.Kind, since: time.Now(), unfinished: unfinishedResponse(st, session)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ended {
+		return false
+	}
 	c.running = running
+	return true
 }
 
 // unfinishedResponse returns the response to a statement whose result is not known when the
@@ -156,40 +160,34 @@
 	return response
 }
 
-// respond writes the response to the running statement, unless respondUnfinished has done
-// so. The connection is closed then.
+// respond writes the response to the running statement, unless end has done so.
 func (c *callerConn) respond(response statement.Response) error {
 	c.mu.Lock()
-	if c.running == nil {
+	if c.ended {
 		c.mu.Unlock()
 		return net.ErrClosed
 	}
-	c.running, c.writing = nil, true
+	c.running = nil
 	c.mu.Unlock()
-	err := c.codec.WriteResponse(response)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writing = false
-	return err
+	return c.codec.WriteResponse(response)
 }
 
-// respondUnfinished responds to the running statement, if there is one, in place of its
-// session, and returns the statement.
-func (c *callerConn) respondUnfinished() *runningStatement {
+// end ends the connection, so that no statement is run on it any more. It returns the
+// running statement, if there is one, whose response is then the caller's to write.
+func (c *callerConn) end() *runningStatement {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	running := c.running
-	if running == nil {
-		return nil
+	c.running, c.ended = nil, true
+	if c.waiting {
+		c.interruptWait()
 	}
-	c.running = nil
-	_ = c.codec.WriteResponse(running.unfinished) // the process exits in any case
 	return running
 }
 
-// active reports whether a statement is running, and whether its response is being written.
-func (c *callerConn) active() (running, writing bool) {
+// isRunning reports whether a statement is running.
+func (c *callerConn) isRunning() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.running != nil, c.writing
+	return c.running != nil
 }
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -64,18 +64,19 @@
 	}
 	session := d.engine.NewSession(clientSession, d.relay)
 	defer session.Rollback()
-	if err := d.runStatements(conn, session); err != nil {
+	if err := d.runStatements(conn, session); err != nil && !errors.Is(err, net.ErrClosed) {
 		eventSessionFailed.Log(d.log, "database", database, "error", err.Error())
 	}
 }
 
 // awaitServing waits until the daemon has become able to serve, or servingTimeout has
-// passed.
+// passed, or the daemon shuts down.
 func (d *Daemon) awaitServing() {
 	timer := time.NewTimer(servingTimeout)
 	defer timer.Stop()
 	select {
 	case <-d.serving:
+	case <-d.draining:
 	case <-timer.C:
 	}
 }
@@ -103,8 +104,10 @@
 		if err != nil || st == nil {
 			return err
 		}
-		conn.begin(*st, session)
-		response := d.runStatement(session, *st)
+		if !conn.begin(*st, session) {
+			return conn.codec.WriteResponse(session.Refuse(*st, statement.Busy, reasonShutdown))
+		}
+		response := d.runStatement(conn, session, *st)
 		if err := conn.respond(response); err != nil {
 			return err
 		}
@@ -112,11 +115,12 @@
 }
 
 // runStatement runs a statement. During a shutdown, a statement that may not be complete
-// before the process exits is refused.
-func (d *Daemon) runStatement(session callerSession, st statement.Statement) statement.Response {
+// before the process exits is refused. Its session ends, so that the caller repeats it elsewhere.
+func (d *Daemon) runStatement(conn *callerConn, session callerSession, st statement.Statement) statement.Response {
 	if !st.Kind.UsesTarget() || d.admitsStatement(session.StatementTimeout()) {
 		return session.Run(st)
 	}
+	conn.closeWhenIdle()
 	if session.State() == statement.Idle {
 		return session.Refuse(st, statement.Busy, reasonShutdown)
 	}
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -108,8 +108,10 @@
 	// ctx is canceled when the daemon stops.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// stopping is set from the start of a shutdown, whose schedule shutdown holds.
+	// stopping is set and draining closed from the start of a shutdown, whose schedule
+	// shutdown holds.
 	stopping atomic.Bool
+	draining chan struct{}
 	shutdown atomic.Pointer[shutdownPlan]
 	// renewalRequested has the registration renewed before it is due.
 	renewalRequested atomic.Bool
@@ -215,7 +217,7 @@
 		authority:   authority.New(o.Settings.MaxRevocationDelay - keyMargin),
 		incarnation: time.Now().UnixNano(),
 		confirmWake: make(chan struct{}, 1), failoverWake: make(chan struct{}, 1),
-		sharesWake: make(chan struct{}, 1), usageWake: make(chan struct{}, 1), serving: make(chan struct{}),
+		sharesWake: make(chan struct{}, 1), usageWake: make(chan struct{}, 1), serving: make(chan struct{}), draining: make(chan struct{}),
 		roleWake: make(chan struct{}, 1), ownerWake: make(chan struct{}, 1), followWake: make(chan struct{}, 1), demands: make(map[topology.InstanceID]share.Demands), excesses: make(map[topology.InstanceID]map[topology.CustomerID]float64),
 		mirror: mirror.New(), records: make(map[topology.ServiceID]storedRecord),
 		targets: make(map[topology.ServiceID]targetMap), knownTargets: make(map[topology.TargetID]knownTarget), unreadable: make(map[string]store.Revision),
--- a/edge/shutdown.go
+++ b/edge/shutdown.go
@@ -4,7 +4,6 @@
 	"context"
 	"os"
 	"os/signal"
-	"slices"
 	"syscall"
 	"time"
 
@@ -46,22 +45,24 @@
 	plan := newShutdownPlan(time.Now(), d.settings.TerminationGrace)
 	d.shutdown.Store(&plan)
 	d.stopping.Store(true)
+	close(d.draining)
 	for _, conn := range d.callers.snapshot() {
 		conn.wake()
 	}
 	go d.leave()
-	sleep(d.ctx, time.Until(plan.idleCloseStart))
+	time.Sleep(time.Until(plan.idleCloseStart))
 	d.logShutdown(plan, "unready")
 	conns := d.callers.snapshot()
 	for i, conn := range conns {
 		conn.closeWhenIdle()
-		sleep(d.ctx, time.Until(plan.idleCloseAt(i, len(conns))))
+		time.Sleep(time.Until(plan.idleCloseAt(i, len(conns))))
 	}
 	d.logShutdown(plan, "idle sessions closed")
 	d.finishCallers(a, plan.responseEnd)
 	d.logShutdown(plan, "waited for sessions")
-	d.respondToUnfinished()
-	d.unregister()
+	d.endCallers(plan.writeEnd)
+	d.mesh.Flush(plan.writeEnd)
+	d.unregister(plan.unregisterEnd)
 }
 
 // leave tells the other instances that this one is shutting down.
@@ -91,7 +92,7 @@
 func (d *Daemon) logShutdown(plan shutdownPlan, step string) {
 	conns, runningCount := d.callers.snapshot(), 0
 	for _, conn := range conns {
-		if running, _ := conn.active(); running {
+		if conn.isRunning() {
 			runningCount++
 		}
 	}
@@ -108,35 +109,34 @@
 		for _, conn := range d.callers.snapshot() {
 			conn.closeWhenIdle()
 		}
-		sleep(d.ctx, drainPollInterval)
+		time.Sleep(drainPollInterval)
 	}
 }
 
-// respondToUnfinished responds to the statements that are still running, and waits until
-// responses that are being written are complete. The relay logs which of the statements
-// other instances run.
-func (d *Daemon) respondToUnfinished() {
+// endCallers ends the remaining connections: it responds to the statements that are still
+// running and waits, until the deadline, until all responses are written. A caller that does
+// not read keeps no other one from its response. The relay logs which of the statements other
+// instances run.
+func (d *Daemon) endCallers(deadline time.Time) {
 	for _, conn := range d.callers.snapshot() {
-		if running := conn.respondUnfinished(); running != nil {
-			eventUnfinished.Log(d.log, "request", running.id, "kind", running.kind.String(),
-				"age_ms", time.Since(running.since).Milliseconds(), "code", running.unfinished.Code.String())
+		running := conn.end()
+		if running == nil {
+			continue
 		}
+		eventUnfinished.Log(d.log, "request", running.id, "kind", running.kind.String(),
+			"age_ms", time.Since(running.since).Milliseconds(), "code", running.unfinished.Code.String())
+		go func() {
+			_ = conn.codec.WriteResponse(running.unfinished) // the connection ends in any case
+			_ = conn.codec.Close()
+			d.callers.remove(conn)
+		}()
 	}
 	d.relay.LogPending()
-	deadline := time.Now().Add(responseWriteMargin)
-	for d.writesResponses() && time.Now().Before(deadline) {
-		sleep(d.ctx, drainPollInterval)
+	for d.callers.count() > 0 && time.Now().Before(deadline) {
+		time.Sleep(drainPollInterval)
 	}
 }
 
-// writesResponses reports whether a response to a caller is being written.
-func (d *Daemon) writesResponses() bool {
-	return slices.ContainsFunc(d.callers.snapshot(), func(c *callerConn) bool {
-		_, writing := c.active()
-		return writing
-	})
-}
-
 // resignLeadership gives up the leadership if this instance holds it, so that another
 // instance can acquire it immediately.
 func (d *Daemon) resignLeadership() {
@@ -150,7 +150,7 @@
 
 // unregister removes the registration, so that other instances need not wait until it
 // expires.
-func (d *Daemon) unregister() {
+func (d *Daemon) unregister(deadline time.Time) {
 	d.mu.Lock()
 	lease := d.lease.id
 	d.mu.Unlock()
@@ -158,7 +158,7 @@
 	if lease == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(store.WithPurpose(d.ctx, purposeRegister), exitMargin/2)
+	ctx, cancel := context.WithDeadline(store.WithPurpose(d.ctx, purposeRegister), deadline)
 	defer cancel()
 	if err := d.store.Revoke(ctx, lease); err != nil {
 		d.storeFailed("unregister", err)
--- a/edge/shutdown_test.go
+++ b/edge/shutdown_test.go
@@ -81,17 +81,26 @@
 	s := &stoppingDaemon{Daemon: d, acceptor: newAcceptor(listener), ended: make(chan error, 1),
 		session: &scriptedSession{state: state, finish: make(chan struct{}), expired: make(chan string, 1)}}
 	go d.accept(s.acceptor)
+	s.caller = s.connect(t, s.session)
+	return s
+}
+
+// connect connects a caller whose statements a session runs.
+func (s *stoppingDaemon) connect(t *testing.T, session callerSession) net.Conn {
+	t.Helper()
 	daemonEnd, callerEnd := net.Pipe()
-	s.caller = callerEnd
 	conn := &callerConn{codec: byteCodec{slowCodec{Conn: daemonEnd}}}
-	d.callers.add(conn)
+	s.callers.add(conn)
 	go func() {
-		defer d.callers.remove(conn)
+		defer s.callers.remove(conn)
 		defer daemonEnd.Close()
-		s.ended <- d.runStatements(conn, s.session)
+		err := s.runStatements(conn, session)
+		if session == callerSession(s.session) {
+			s.ended <- err
+		}
 	}()
 	t.Cleanup(func() { _ = callerEnd.Close() })
-	return s
+	return callerEnd
 }
 
 // send sends a statement.
@@ -216,14 +225,14 @@
 func TestShutdownPlanFitsTheGracePeriod(t *testing.T) {
 	now := time.Now()
 	for _, c := range []struct {
-		grace, timeout                      time.Duration
-		unready, closed, lastStart, respond time.Duration
+		grace, timeout                            time.Duration
+		unready, closed, lastStart, respond, over time.Duration
 	}{
-		{6 * time.Second, time.Second, 2300 * time.Millisecond, 3500 * time.Millisecond, 4100 * time.Millisecond, 5500 * time.Millisecond},
-		{6 * time.Second, 2 * time.Second, 2300 * time.Millisecond, 3500 * time.Millisecond, 3100 * time.Millisecond, 5500 * time.Millisecond},
-		{6 * time.Second, 8 * time.Second, 2300 * time.Millisecond, 3500 * time.Millisecond, 3 * time.Second, 5500 * time.Millisecond},
-		{30 * time.Second, time.Second, 2300 * time.Millisecond, 3500 * time.Millisecond, 28100 * time.Millisecond, 29500 * time.Millisecond},
-		{time.Second, time.Second, 400 * time.Millisecond, 600 * time.Millisecond, 500 * time.Millisecond, 900 * time.Millisecond},
+		{6 * time.Second, time.Second, 2300 * time.Millisecond, 3500 * time.Millisecond, 4100 * time.Millisecond, 5500 * time.Millisecond, 5900 * time.Millisecond},
+		{6 * time.Second, 2 * time.Second, 2300 * time.Millisecond, 3500 * time.Millisecond, 3100 * time.Millisecond, 5500 * time.Millisecond, 5900 * time.Millisecond},
+		{6 * time.Second, 8 * time.Second, 2300 * time.Millisecond, 3500 * time.Millisecond, 3 * time.Second, 5500 * time.Millisecond, 5900 * time.Millisecond},
+		{30 * time.Second, time.Second, 2300 * time.Millisecond, 3500 * time.Millisecond, 28100 * time.Millisecond, 29500 * time.Millisecond, 29900 * time.Millisecond},
+		{time.Second, time.Second, 400 * time.Millisecond, 600 * time.Millisecond, 500 * time.Millisecond, 900 * time.Millisecond, 980 * time.Millisecond},
 	} {
 		p := newShutdownPlan(now, c.grace)
 		for name, step := range map[string]struct{ at, want time.Duration }{
@@ -231,6 +240,7 @@
 			"idle connections are closed until": {p.idleCloseAt(1, 1).Sub(now), c.closed},
 			"statements are run until":          {p.lastStart(c.timeout).Sub(now), c.lastStart},
 			"statements are complete by":        {p.responseEnd.Sub(now), c.respond},
+			"everything is over by":             {p.unregisterEnd.Sub(now), c.over},
 		} {
 			if step.at != step.want {
 				t.Errorf("grace period %s, timeout %s: %s %s, want %s", c.grace, c.timeout, name, step.at, step.want)
@@ -238,3 +248,39 @@
 		}
 	}
 }
+
+// A caller repeats a refused statement on its connection. While its session still ran the first
+// one, nobody read the second, and the process exited.
+func TestConnectionEndsWithTheResponseToItsUnfinishedStatement(t *testing.T) {
+	d := newStoppingDaemon(t, 200*time.Millisecond, statement.Idle)
+	d.send(t, statement.Read)
+	go d.drain(d.acceptor)
+	if code, _ := d.awaitResponse(t); code != statement.Busy {
+		t.Errorf("response %s", code)
+	}
+	if _, err := d.caller.Read(make([]byte, 1)); err == nil {
+		t.Error("a second response")
+	}
+	close(d.session.finish)
+}
+
+// A caller that does not read blocked the responses to all others.
+func TestCallerThatDoesNotReadKeepsNoOtherFromItsResponse(t *testing.T) {
+	d := newStoppingDaemon(t, 200*time.Millisecond, statement.Idle)
+	callers := []net.Conn{d.caller}
+	for range 7 {
+		callers = append(callers, d.connect(t, &scriptedSession{state: statement.Idle, finish: make(chan struct{})}))
+	}
+	for _, caller := range callers {
+		if _, err := caller.Write([]byte{byte(statement.Read)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	go d.drain(d.acceptor)
+	for _, caller := range callers[1:] {
+		if _, err := io.ReadFull(caller, make([]byte, 2)); err != nil {
+			t.Errorf("no response: %v", err)
+		}
+	}
+	close(d.session.finish)
+}
--- a/process/peer/link.go
+++ b/process/peer/link.go
@@ -31,6 +31,8 @@
 	// dropped.
 	queue    chan []byte
 	counters *Counters
+	// unwritten counts the frames that are queued or being written.
+	unwritten atomic.Int64
 	// frameCount counts the frames in both directions.
 	frameCount atomic.Uint64
 	// keepIdle reports whether the link is kept open without traffic.
@@ -46,9 +48,11 @@
 
 // enqueue queues a frame for writing, or drops it if the queue is full.
 func (l *link) enqueue(data []byte) {
+	l.unwritten.Add(1)
 	select {
 	case l.queue <- data:
 	default:
+		l.unwritten.Add(-1)
 		l.counters.Dropped.Add(1)
 	}
 }
@@ -82,7 +86,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case data := <-l.queue:
-			if err := l.writeFrame(ctx, data); err != nil {
+			err := l.writeFrame(ctx, data)
+			l.unwritten.Add(-1)
+			if err != nil {
 				return err
 			}
 		}
--- a/process/peer/mesh.go
+++ b/process/peer/mesh.go
@@ -26,6 +26,8 @@
 	writeTimeout    = 2 * time.Second
 	redialInterval  = 250 * time.Millisecond
 	sendQueueFrames = 512
+	// flushPollInterval is the interval between checks whether all frames are written.
+	flushPollInterval = 2 * time.Millisecond
 	// fullMeshInstances is the largest fleet in which every pair of instances
 	// keeps a link. In a larger fleet a link is opened when there is a message
 	// to send, and closed after linkIdleTimeout without traffic.
@@ -176,6 +178,26 @@
 	l.enqueue(data)
 }
 
+// Flush waits until all frames that were sent before are written, or until the deadline.
+// Frames to peers whose links are down are not waited for.
+func (m *Mesh) Flush(deadline time.Time) {
+	for m.hasUnwritten() && time.Now().Before(deadline) {
+		time.Sleep(flushPollInterval)
+	}
+}
+
+// hasUnwritten reports whether frames are queued or being written.
+func (m *Mesh) hasUnwritten() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, links := range m.mu.links {
+		if slices.ContainsFunc(links, func(l *link) bool { return l.unwritten.Load() > 0 }) {
+			return true
+		}
+	}
+	return false
+}
+
 // newestLink returns the newest link to a peer, or nil.
 func (m *Mesh) newestLink(id topology.InstanceID) *link {
 	m.mu.RLock()
