Dismiss idle callers of a stopping instance with an error instead of a close

Cause: an idle connection was closed while the caller's next statement was on the way.

Now the instance sends an error while no statement is outstanding, upon which the protocol has the caller close. A statement that crosses with it is not run: the error is its response, which READY completes, and BUSY is true.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -141,9 +141,12 @@
 		toClose, err := conn.awaitStatement(session.State() == statement.Idle, func() time.Time {
 			return earliest(idleEnd, d.transactionEnd(session))
 		})
-		if err != nil || toClose {
+		if err != nil {
 			return nil, err
 		}
+		if toClose {
+			return nil, d.dismiss(conn)
+		}
 		st, err := conn.codec.ReadStatement()
 		conn.endWait()
 		switch now := time.Now(); {
