--- a/edge/callers.go
+++ b/edge/callers.go
@@ -5,14 +5,12 @@
 	"io"
 	"net"
 	"os"
-	"sync"
 	"time"
 
 	"samphirehitch.example/samphirehitch/connection/client"
 	"samphirehitch.example/samphirehitch/process/event"
 	"samphirehitch.example/samphirehitch/process/statement"
 	"samphirehitch.example/samphirehitch/process/topology"
-	"samphirehitch.example/samphirehitch/request/engine"
 )
 
 var (
@@ -44,80 +42,6 @@
 // AcceptFunc returns the codec of an accepted connection.
 type AcceptFunc func(net.Conn) CallerCodec
 
-// callerConns is the set of open caller connections. It is safe for concurrent use.
-type callerConns struct {
-	mu     sync.Mutex
-	lastID uint64
-	conns  map[*callerConn]struct{}
-}
-
-// callerConn is an open caller connection.
-type callerConn struct {
-	codec CallerCodec
-	// mu guards the fields below.
-	mu sync.Mutex
-	// idle reports that no statement is running or pending and no transaction open.
-	idle bool
-	// closing marks the connection for closing as soon as it is idle.
-	closing bool
-}
-
-// add adds a connection and returns a unique ID for its session.
-func (c *callerConns) add(conn *callerConn) uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conns == nil {
-		c.conns = make(map[*callerConn]struct{})
-	}
-	c.conns[conn] = struct{}{}
-	c.lastID++
-	return c.lastID
-}
-
-func (c *callerConns) remove(conn *callerConn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.conns, conn)
-}
-
-// count returns the number of open connections.
-func (c *callerConns) count() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.conns)
-}
-
-// snapshot returns the open connections.
-func (c *callerConns) snapshot() []*callerConn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	conns := make([]*callerConn, 0, len(c.conns))
-	for conn := range c.conns {
-		conns = append(conns, conn)
-	}
-	return conns
-}
-
-// closeWhenIdle has the connection closed as soon as it is idle. If it is idle now, its
-// pending read is interrupted.
-func (c *callerConn) closeWhenIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closing = true
-	if c.idle {
-		_ = c.codec.SetReadDeadline(time.Now()) // fails only if the connection is closed already
-	}
-}
-
-// setIdle records whether the connection is idle, and reports whether it is to be
-// closed now.
-func (c *callerConn) setIdle(idle bool) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.idle = idle
-	return idle && c.closing
-}
-
 // serveCaller serves an accepted connection, whose session has the given ID, until it is
 // closed.
 func (d *Daemon) serveCaller(conn *callerConn, id uint64) {
@@ -140,76 +64,123 @@
 	}
 	session := d.engine.NewSession(clientSession, d.relay)
 	defer session.Rollback()
-	if err := d.runStatements(conn, session); err != nil {
+	if err := d.runStatements(conn, session); err != nil && !errors.Is(err, net.ErrClosed) {
 		eventSessionFailed.Log(d.log, "database", database, "error", err.Error())
 	}
 }
 
 // awaitServing waits until the daemon has become able to serve, or servingTimeout has
-// passed.
+// passed, or the daemon shuts down.
 func (d *Daemon) awaitServing() {
 	timer := time.NewTimer(servingTimeout)
 	defer timer.Stop()
 	select {
 	case <-d.serving:
+	case <-d.draining:
 	case <-timer.C:
 	}
 }
 
+// callerSession runs the statements of one caller. engine.Session implements it.
+type callerSession interface {
+	Run(st statement.Statement) statement.Response
+	// Refuse reports a statement that is not run.
+	Refuse(st statement.Statement, code statement.Code, reason string) statement.Response
+	State() statement.TransactionState
+	HoldsConnection() bool
+	MayWrite(st statement.Statement) bool
+	// StatementTimeout returns the timeout of the session's statements.
+	StatementTimeout() time.Duration
+	// ExpireTransaction rolls back an open transaction. The caller receives the reason with
+	// its next statement.
+	ExpireTransaction(reason string)
+}
+
 // runStatements reads and runs a session's statements until the connection is to be
 // closed.
-func (d *Daemon) runStatements(conn *callerConn, session *engine.Session) error {
+func (d *Daemon) runStatements(conn *callerConn, session callerSession) error {
 	for {
 		st, err := d.nextStatement(conn, session)
 		if err != nil || st == nil {
 			return err
 		}
-		if err := conn.codec.WriteResponse(session.Run(*st)); err != nil {
+		if !conn.begin(*st, session) {
+			return conn.codec.WriteResponse(session.Refuse(*st, statement.Busy, reasonShutdown))
+		}
+		response := d.runStatement(conn, session, *st)
+		if err := conn.respond(response); err != nil {
 			return err
 		}
 	}
 }
 
+// runStatement runs a statement. During a shutdown, a statement that may not be complete
+// before the process exits is refused. Its session ends, so that the caller repeats it elsewhere.
+func (d *Daemon) runStatement(conn *callerConn, session callerSession, st statement.Statement) statement.Response {
+	if !st.Kind.UsesTarget() || d.admitsStatement(session.StatementTimeout()) {
+		return session.Run(st)
+	}
+	conn.closeWhenIdle()
+	if session.State() == statement.Idle {
+		return session.Refuse(st, statement.Busy, reasonShutdown)
+	}
+	session.ExpireTransaction(reasonShutdown)
+	return session.Run(st)
+}
+
 // nextStatement reads the next statement. It returns nil when the connection is to be
 // closed: the caller has closed it, or it is idle and marked for closing. A transaction
-// that holds a target connection expires when the caller idles for longer than the
-// configuration allows.
-func (d *Daemon) nextStatement(conn *callerConn, session *engine.Session) (*statement.Statement, error) {
-	holdsConnection := session.HoldsConnection()
-	if holdsConnection {
-		limit := d.engine.Catalog().TransactionIdleTimeout
-		if limit > 0 {
-			if err := conn.codec.SetReadDeadline(time.Now().Add(limit)); err != nil {
-				return nil, err
-			}
-		}
-	}
-	if conn.setIdle(session.State() == statement.Idle && !conn.codec.Pending()) {
-		return nil, nil
+// expires when it holds a target connection and the caller idles for longer than the
+// configuration allows, or when its statements are no longer admitted by a shutdown.
+func (d *Daemon) nextStatement(conn *callerConn, session callerSession) (*statement.Statement, error) {
+	var idleEnd time.Time
+	if limit := d.transactionIdleTimeout(); limit > 0 && session.HoldsConnection() {
+		idleEnd = time.Now().Add(limit)
 	}
-	st, err := conn.codec.ReadStatement()
-	for errors.Is(err, os.ErrDeadlineExceeded) {
-		if conn.setIdle(session.State() == statement.Idle && !conn.codec.Pending()) {
-			return nil, nil
+	for {
+		toClose, err := conn.awaitStatement(session.State() == statement.Idle, func() time.Time {
+			return earliest(idleEnd, d.transactionEnd(session))
+		})
+		if err != nil {
+			return nil, err
+		}
+		if toClose {
+			return nil, d.dismiss(conn)
 		}
-		session.ExpireTransaction()
-		if err := conn.codec.SetReadDeadline(time.Time{}); err != nil {
+		st, err := conn.codec.ReadStatement()
+		conn.endWait()
+		switch now := time.Now(); {
+		case err == nil:
+			return &st, nil
+		case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed):
+			return nil, nil
+		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
+		case reached(idleEnd, now):
+			session.ExpireTransaction("the transaction rested too long")
+			idleEnd = time.Time{}
+		case reached(d.transactionEnd(session), now):
+			session.ExpireTransaction(reasonShutdown)
 		}
-		holdsConnection = false
-		st, err = conn.codec.ReadStatement()
 	}
-	conn.setIdle(false)
-	switch {
-	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed):
-		return nil, nil
-	case err != nil:
-		return nil, err
+}
+
+// transactionIdleTimeout returns how long a transaction that holds a target connection may
+// idle, zero for no limit.
+func (d *Daemon) transactionIdleTimeout() time.Duration {
+	if c := d.engine.Catalog(); c != nil {
+		return c.TransactionIdleTimeout
 	}
-	if holdsConnection {
-		if err := conn.codec.SetReadDeadline(time.Time{}); err != nil {
-			return nil, err
-		}
+	return 0
+}
+
+// earliest returns the earlier of two times, of which zero ones are ignored.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
 	}
-	return &st, nil
+	return a
 }
+
+// reached reports whether a time that is not zero has come.
+func reached(t, now time.Time) bool { return !t.IsZero() && !now.Before(t) }
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -108,8 +108,11 @@
 	// ctx is canceled when the daemon stops.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// stopping is set from the start of a shutdown.
+	// stopping is set and draining closed from the start of a shutdown, whose schedule
+	// shutdown holds.
 	stopping atomic.Bool
+	draining chan struct{}
+	shutdown atomic.Pointer[shutdownPlan]
 	// renewalRequested has the registration renewed before it is due.
 	renewalRequested atomic.Bool
 	// storeUnavailable reports that the last call to the store failed.
@@ -171,9 +174,9 @@
 	storeReturnedAt    time.Duration
 	recomputeTargetsAt []time.Duration
 	records            map[topology.ServiceID]storedRecord
-	// unreadableTargets are the revisions of targets' entries that could not be decoded,
-	// by key, so that each is logged once.
-	unreadableTargets map[string]store.Revision
+	// unreadable are the revisions of entries that could not be decoded, by key, so that
+	// each is logged once.
+	unreadable map[string]store.Revision
 	// ownerCounts is the number of owners of each service.
 	ownerCounts map[topology.ServiceID]int
 	// usedServices are the services whose primaries this instance is to use, and
@@ -214,10 +217,10 @@
 		authority:   authority.New(o.Settings.MaxRevocationDelay - keyMargin),
 		incarnation: time.Now().UnixNano(),
 		confirmWake: make(chan struct{}, 1), failoverWake: make(chan struct{}, 1),
-		sharesWake: make(chan struct{}, 1), usageWake: make(chan struct{}, 1), serving: make(chan struct{}),
+		sharesWake: make(chan struct{}, 1), usageWake: make(chan struct{}, 1), serving: make(chan struct{}), draining: make(chan struct{}),
 		roleWake: make(chan struct{}, 1), ownerWake: make(chan struct{}, 1), followWake: make(chan struct{}, 1), demands: make(map[topology.InstanceID]share.Demands), excesses: make(map[topology.InstanceID]map[topology.CustomerID]float64),
 		mirror: mirror.New(), records: make(map[topology.ServiceID]storedRecord),
-		targets: make(map[topology.ServiceID]targetMap), knownTargets: make(map[topology.TargetID]knownTarget), unreadableTargets: make(map[string]store.Revision),
+		targets: make(map[topology.ServiceID]targetMap), knownTargets: make(map[topology.TargetID]knownTarget), unreadable: make(map[string]store.Revision),
 		lastLogged: make(map[string]string), ownRevisions: make(map[string]store.Revision),
 	}
 	d.store.probeInterval = func() time.Duration { return upkeep.For(d.role()).ProbeInterval }
@@ -232,7 +235,7 @@
 	d.mesh = peer.New(peer.Config{Instance: o.Settings.Instance, FailureDomain: o.Settings.FailureDomain,
 		Address: o.Settings.PeerAddress, Dial: o.Adapter.DialPeer}, o.Log)
 	d.relay = relay.New(relay.Dependencies{Self: o.Settings.Instance, Incarnation: d.incarnation, Engine: d.engine, Link: d.mesh,
-		Clock: d.clock, Log: o.Log, Stopping: d.stopping.Load, Ready: d.canRunRequests, OnConfigurationConfirmed: d.observePeerConfirmation,
+		Clock: d.clock, Log: o.Log, Stopping: d.stopping.Load, AdmitsStatement: d.admitsStatement, Ready: d.canRunRequests, OnConfigurationConfirmed: d.observePeerConfirmation,
 		Configuration: d.configurationInForce, OnConfiguration: d.applyPeerConfiguration, OnDemand: d.observeDemand,
 		Registrations: d.registrationChanges, OnFollowed: d.observeFollowed,
 		OnRoutingOutdated: func() { notify(d.ownerWake) }})
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -16,7 +16,6 @@
 	eventStoreUnavailable      = event.Define(2100, event.Warning, "store unavailable")
 	eventStoreAvailable        = event.Define(2101, event.Info, "store available again")
 	eventWatchHistoryDiscarded = event.Define(2102, event.Warning, "store discarded the history that the watch needs, listing all keys")
-	eventEntryUnreadable       = event.Define(2105, event.Warning, "cannot decode entry of the store, it is ignored")
 	eventRecordChanged         = event.Define(4100, event.Info, "record of a primary changed")
 )
 
@@ -205,8 +204,7 @@
 // also confirms the configuration and the records that it contains.
 func (d *Daemon) loadMirror(ctx context.Context) (store.Revision, error) {
 	requestedAt := d.clock()
-	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
-	defer cancel()
+	ctx = store.WithPageTimeout(ctx, 3*callTimeout)
 	listing, err := d.store.List(store.WithPurpose(ctx, purposeLoad), "")
 	if err != nil {
 		return 0, err
@@ -256,9 +254,7 @@
 		if len(d.declaredUsage()) == 0 {
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		listing, err := d.store.List(store.WithPurpose(callCtx, purposeRelist), d.adapter.TargetPrefix)
-		cancel()
+		listing, err := d.store.List(store.WithPurpose(store.WithPageTimeout(ctx, callTimeout), purposeRelist), d.adapter.TargetPrefix)
 		if err != nil {
 			d.storeFailed("list targets", err)
 			continue
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -72,6 +72,9 @@
 	// Stopping reports whether this instance is shutting down and accepts no more
 	// operations of other instances.
 	Stopping func() bool
+	// AdmitsStatement reports whether a statement with a timeout may be run. During a
+	// shutdown, one that may not be complete before the process exits may not.
+	AdmitsStatement func(timeout time.Duration) bool
 	// Ready reports whether this instance's authority and configuration were confirmed
 	// recently enough to run operations itself.
 	Ready func() bool
@@ -114,6 +117,8 @@
 	// number, so that late responses to an earlier process of this instance match no
 	// request.
 	lastID atomic.Uint64
+	// lastTransaction is the number of the last transaction that a caller here has begun.
+	lastTransaction atomic.Uint64
 	// newestConfigVersion is the newest version of a configuration under which a
 	// caller's operation was decided.
 	newestConfigVersion atomic.Uint64
@@ -154,6 +159,8 @@
 type pendingRequest struct {
 	to     topology.InstanceID
 	sentAt time.Duration
+	// statementID is the caller's ID of the forwarded statement, for the log.
+	statementID string
 	// readOnly says that the request only reads, so that another instance may run it
 	// too.
 	readOnly bool
@@ -330,7 +337,7 @@
 		}
 	}
 	r.mu.Unlock()
-	r.server.abortIdle(now)
+	r.server.abortExpired(now)
 	for _, id := range silenced {
 		eventOwnerSilent.Log(r.Log, "peer", id)
 		r.failPendingReads(id)
