End open transactions when their key is withdrawn

Cause: the key was checked only when an operation was admitted. Statements of an open transaction and its COMMIT were checked for the authority to use the primary alone, on the daemon of the session and on the owner that runs it, so that neither a known withdrawal nor a daemon out of touch with the store ended them.

Now each statement of a session is checked for its transaction's key first: under the configuration of the session's daemon, and under that of the owner. A transaction whose key no longer belongs to the customer that began it is rolled back and fails: the next statement or COMMIT gets ABORTED, which is true as COMMIT was not sent, and the state is E until ROLLBACK; then the session gets AUTHFAIL. A new configuration wakes sessions that wait in a transaction, and owners check theirs on each tick, so that locks go with the key also if the caller rests. Whatever runs on a target also needs the authority to accept keys, as for a new operation and from the same moment; a lapse that is over before the next statement ends nothing. Transactions on open routes have no key. The route of a transaction stays the one with which it began.

--- a/edge/caller_conn.go
+++ b/edge/caller_conn.go
@@ -99,6 +99,15 @@
 	}
 }
 
+// wakeInTransaction wakes a session that waits for a statement of an open transaction.
+func (c *callerConn) wakeInTransaction() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting && !c.idle {
+		c.interruptWait()
+	}
+}
+
 // interruptWait interrupts the pending read. The caller holds c.mu.
 func (c *callerConn) interruptWait() {
 	c.hasDeadline = true
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -89,6 +89,12 @@
 	State() statement.TransactionState
 	HoldsConnection() bool
 	MayWrite(st statement.Statement) bool
+	// KeyWithdrawn reports whether the key of an open transaction is known to have been
+	// withdrawn.
+	KeyWithdrawn() bool
+	// ExpireWithdrawn rolls back an open transaction if its key is known to have been
+	// withdrawn. The caller learns of it with its next statement.
+	ExpireWithdrawn()
 	// StatementTimeout returns the timeout of the session's statements.
 	StatementTimeout() time.Duration
 	// ExpireTransaction rolls back an open transaction. The caller receives the reason with
@@ -131,7 +137,8 @@
 // nextStatement reads the next statement. It returns nil when the connection is to be
 // closed: the caller has closed it, or it is idle and marked for closing. A transaction
 // expires when it holds a target connection and the caller idles for longer than the
-// configuration allows, or when its statements are no longer admitted by a shutdown.
+// configuration allows, when its key is withdrawn, or when its statements are no longer
+// admitted by a shutdown.
 func (d *Daemon) nextStatement(conn *callerConn, session callerSession) (*statement.Statement, error) {
 	var idleEnd time.Time
 	if limit := d.transactionIdleTimeout(); limit > 0 && session.HoldsConnection() {
@@ -156,6 +163,8 @@
 			return nil, nil
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
+		case session.KeyWithdrawn():
+			session.ExpireWithdrawn()
 		case reached(idleEnd, now):
 			session.ExpireTransaction("the transaction rested too long")
 			idleEnd = time.Time{}
--- a/edge/configuration.go
+++ b/edge/configuration.go
@@ -58,6 +58,9 @@
 	if d.engine.SetCatalog(config) {
 		eventConfigApplied.Log(d.log, "version", config.Version, "revision", config.Revision.String(),
 			"routes", len(config.Routes), "customers", len(config.Customers), "keys", len(config.Keys))
+		for _, conn := range d.callers.snapshot() {
+			conn.wakeInTransaction() // its key may have been withdrawn
+		}
 	} else if inForce := d.engine.Catalog(); inForce.Version != config.Version {
 		eventConfigIgnored.Log(d.log, "version", config.Version, "revision", config.Revision.String(),
 			"version_in_force", inForce.Version, "revision_in_force", inForce.Revision.String())
--- a/edge/shutdown.go
+++ b/edge/shutdown.go
@@ -78,9 +78,13 @@
 	return plan == nil || time.Now().Before(plan.lastStart(timeout))
 }
 
-// transactionEnd returns when the open transaction of a session expires because its
-// statements are no longer admitted, zero without a transaction or a shutdown.
+// transactionEnd returns when the open transaction of a session expires because its key was
+// withdrawn, which is in the past, or its statements are no longer admitted by a shutdown. It
+// is zero without either, or without a transaction.
 func (d *Daemon) transactionEnd(session callerSession) time.Time {
+	if session.KeyWithdrawn() {
+		return time.Unix(0, 0)
+	}
 	plan := d.shutdown.Load()
 	if plan == nil || session.State() != statement.Open {
 		return time.Time{}
--- a/edge/shutdown_test.go
+++ b/edge/shutdown_test.go
@@ -35,6 +35,8 @@
 	timeout time.Duration
 	finish  chan struct{}
 	expired chan string
+	// withdrawn reports whether the session's key was withdrawn; nil means false.
+	withdrawn func() bool
 }
 
 func (s *scriptedSession) Run(statement.Statement) statement.Response {
@@ -52,6 +54,14 @@
 func (s *scriptedSession) HoldsConnection() bool                { return false }
 func (s *scriptedSession) MayWrite(st statement.Statement) bool { return st.Kind == statement.Write }
 func (s *scriptedSession) StatementTimeout() time.Duration      { return s.timeout }
+func (s *scriptedSession) KeyWithdrawn() bool {
+	return s.state == statement.Open && s.withdrawn != nil && s.withdrawn()
+}
+func (s *scriptedSession) ExpireWithdrawn() {
+	if s.KeyWithdrawn() {
+		s.ExpireTransaction("withdrawn")
+	}
+}
 func (s *scriptedSession) ExpireTransaction(reason string) {
 	if s.state == statement.Open {
 		s.state = statement.Failed
--- a/request/engine/harness_test.go
+++ b/request/engine/harness_test.go
@@ -56,6 +56,12 @@
 	f.primary = valid
 }
 
+func (f *fakeAuthority) setKeys(valid bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.keys = valid
+}
+
 // receivedStatement is a statement as a target received it.
 type receivedStatement struct {
 	target   topology.TargetID
--- a/request/engine/operation.go
+++ b/request/engine/operation.go
@@ -51,6 +51,9 @@
 	reason string
 }
 
+// reasonUnconfirmed is the reason why no key is accepted.
+const reasonUnconfirmed = "configuration not confirmed lately"
+
 // authorize resolves the route and the customer of a session. Unless the route is
 // open, it requires the authority to accept keys, that is a recently confirmed
 // configuration.
@@ -60,7 +63,7 @@
 	case e.catalog.Load() == nil || e.Authority.MayAcceptKeys(now) || refused == nil && op.route.Open:
 		return op, refused
 	default:
-		return operation{}, &refusal{statement.Busy, "configuration not confirmed lately"}
+		return operation{}, &refusal{statement.Busy, reasonUnconfirmed}
 	}
 }
 
@@ -89,6 +92,17 @@
 	return op, nil
 }
 
+// KeyWithdrawn reports whether the configuration in force no longer gives a session's key
+// to the customer of an operation. Operations on open routes have no customer and need no
+// key.
+func (e *Engine) KeyWithdrawn(s *client.Session, customer topology.CustomerID) bool {
+	if customer == "" {
+		return false
+	}
+	c := e.catalog.Load()
+	return c == nil || c.Keys[s.Key] != customer
+}
+
 // RouteInfo is what the forwarding of a session's operation depends on.
 type RouteInfo struct {
 	Service          topology.ServiceID
--- a/request/engine/session.go
+++ b/request/engine/session.go
@@ -31,6 +31,9 @@
 	// HoldsConnection reports whether the transaction occupies a connection to a
 	// target.
 	HoldsConnection() bool
+	// KeyWithdrawn reports whether the key with which the transaction began is known to
+	// have been withdrawn since.
+	KeyWithdrawn() bool
 }
 
 // Session runs the statements of one caller's session and tracks the state of
@@ -82,6 +85,21 @@
 	return s.tx != nil && !s.failed && s.tx.HoldsConnection()
 }
 
+// reasonKeyWithdrawn is the detail of responses to statements of transactions whose key was
+// withdrawn.
+const reasonKeyWithdrawn = "the key was withdrawn"
+
+// KeyWithdrawn reports whether the key of an open transaction is known to have been withdrawn.
+func (s *Session) KeyWithdrawn() bool { return s.State() == statement.Open && s.tx.KeyWithdrawn() }
+
+// ExpireWithdrawn fails and rolls back an open transaction if its key is known to have been
+// withdrawn. The caller learns of it with its next statement.
+func (s *Session) ExpireWithdrawn() {
+	if s.KeyWithdrawn() {
+		s.ExpireTransaction(reasonKeyWithdrawn)
+	}
+}
+
 // Run runs one statement, reports its outcome and returns its complete response.
 func (s *Session) Run(st statement.Statement) statement.Response {
 	start := s.now()
@@ -99,6 +117,7 @@
 }
 
 func (s *Session) run(st statement.Statement, o *Outcome) statement.Response {
+	s.ExpireWithdrawn()
 	if s.failed && st.Kind != statement.Commit && st.Kind != statement.Rollback {
 		if !s.failureReported {
 			s.failureReported = true
@@ -164,6 +183,9 @@
 func (s *Session) commit(st statement.Statement, o *Outcome) statement.Response {
 	tx, failed := s.tx, s.failed
 	s.tx, s.failed = nil, false
+	if failed && !s.failureReported {
+		return statement.Response{Code: statement.Aborted, Detail: s.expiry, State: statement.Idle}
+	}
 	if failed {
 		return statement.Response{Code: statement.Aborted, Detail: "the transaction has failed", State: statement.Idle}
 	}
--- a/request/engine/transaction.go
+++ b/request/engine/transaction.go
@@ -44,10 +44,27 @@
 // HoldsConnection implements Transaction.
 func (t *transaction) HoldsConnection() bool { return t.conn != nil }
 
+// KeyWithdrawn implements Transaction.
+func (t *transaction) KeyWithdrawn() bool { return t.engine.KeyWithdrawn(t.session, t.op.customer) }
+
+// mayRun reports whether a statement may be run. As for a new operation, it may not while
+// the configuration is not confirmed, since the key may have been withdrawn.
+func (t *transaction) mayRun() bool {
+	return t.op.route.Open || t.engine.Authority.MayAcceptKeys(t.engine.Clock())
+}
+
+// abortUnconfirmed rolls the transaction back when a statement may not be run.
+func (t *transaction) abortUnconfirmed() statement.Response {
+	return t.fail(statement.Response{Code: statement.Aborted, Detail: reasonUnconfirmed})
+}
+
 // Run implements Transaction.
 func (t *transaction) Run(st statement.Statement, o *Outcome) statement.Response {
 	e := t.engine
 	o.recordOperation(&t.op)
+	if !t.mayRun() {
+		return t.abortUnconfirmed()
+	}
 	deadline := e.Clock() + t.op.route.StatementTimeout
 	if t.conn == nil {
 		if response := t.openAtTarget(o, deadline); response.Code != statement.OK {
@@ -237,6 +254,11 @@
 func (t *transaction) Commit(st statement.Statement, o *Outcome) statement.Response {
 	e := t.engine
 	o.recordOperation(&t.op)
+	if !t.mayRun() {
+		response := t.abortUnconfirmed()
+		response.State = statement.Idle
+		return response
+	}
 	deadline := e.Clock() + t.op.route.StatementTimeout
 	if t.conn == nil {
 		if response := t.openAtTarget(o, deadline); response.Code != statement.OK {
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -365,6 +365,15 @@
 	return req
 }
 
+// KeyWithdrawn implements the engine's Transaction. The owner decides in addition under its
+// own configuration.
+func (t *transaction) KeyWithdrawn() bool {
+	if t.local != nil {
+		return t.local.KeyWithdrawn()
+	}
+	return t.relay.Engine.KeyWithdrawn(t.session, t.route.Customer)
+}
+
 // HoldsConnection implements the engine's Transaction.
 func (t *transaction) HoldsConnection() bool {
 	return t.owner != "" || t.local != nil && t.local.HoldsConnection()
--- a/request/relay/server.go
+++ b/request/relay/server.go
@@ -61,13 +61,24 @@
 	lastRequest time.Duration
 }
 
+// keyWithdrawn reports whether the key of the open transaction was withdrawn. While a
+// statement or a rollback runs it returns false.
+func (r *remoteSession) keyWithdrawn() bool {
+	if !r.mu.TryLock() {
+		return false
+	}
+	defer r.mu.Unlock()
+	return r.session.KeyWithdrawn()
+}
+
 // idleMargin is added to the callers' limit on idle transactions before a transaction
 // of another instance is rolled back here. That instance aborts it at the limit; this
 // covers abort messages that were lost or overtaken by a request.
 const idleMargin = time.Second
 
 // abortExpired rolls back transactions that have been idle for longer than their instance
-// would allow, and those whose statements are no longer admitted by a shutdown.
+// would allow, those whose key was withdrawn, and those whose statements are no longer
+// admitted by a shutdown.
 func (s *server) abortExpired(now time.Duration) {
 	var limit time.Duration
 	if c := s.relay.Engine.Catalog(); c != nil && c.TransactionIdleTimeout > 0 {
@@ -77,7 +88,7 @@
 	s.mu.Lock()
 	var expired []remoteSessionID
 	for id, remote := range s.transactions {
-		if limit > 0 && now-remote.lastRequest > limit || stopping && !s.admits(remote) {
+		if limit > 0 && now-remote.lastRequest > limit || stopping && !s.admits(remote) || remote.keyWithdrawn() {
 			expired = append(expired, id)
 		}
 	}
