Soak: transactions that outlive the withdrawal of their key

The CONFIG check of the soak sees any statement of a withdrawn key, but no caller had a transaction open for as long as it takes to break the rule: in the ordinary mode they have no pauses, in the planned-stops mode they last for 4 s and a little more, and a withdrawn key may be accepted for 5 s.

In the ordinary mode, four more callers with the key that is withdrawn now run transactions of 12 statements with pauses of 0.7 to 0.9 s. They have random sources of their own; the draws of faults and of the other callers do not change.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -38,6 +38,9 @@
 	// patient callers run transactions with pauses and keep their connections until these
 	// end.
 	patient bool
+	// lingering callers run transactions that last for longer than a withdrawn key may be
+	// accepted.
+	lingering bool
 
 	conn                 *platformtest.Caller
 	daemon               int
@@ -104,6 +107,9 @@
 	if c.patient {
 		return c.runPatientOperation()
 	}
+	if c.lingering {
+		return c.runTransaction(false, false)
+	}
 	if c.connectionOperations++; c.connectionOperations > maxConnectionOperations {
 		return false
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -238,6 +238,12 @@
 		c := h.newCaller(i)
 		callers.Go(func() { c.run(stopCallers) })
 	}
+	if !h.options.PlannedStopsOnly {
+		for i := range lingeringCallers {
+			c := h.newLingeringCaller(i)
+			callers.Go(func() { c.run(stopCallers) })
+		}
+	}
 	h.awaitSuccesses()
 	h.logEvent("serving")
 	h.startInjectors(&injectors, stopFaults)
@@ -295,6 +301,21 @@
 	return c
 }
 
+const (
+	// lingeringCallers is the number of lingering callers in a run with faults.
+	lingeringCallers = 4
+	// lingeringSource is the first random source of these callers, apart from all others.
+	lingeringSource = 700
+)
+
+// newLingeringCaller returns a caller with the key that is withdrawn during the run.
+func (h *harness) newLingeringCaller(number int) *caller {
+	c := h.newCaller(h.options.Callers + number)
+	c.random = rand.New(rand.NewPCG(h.options.Seed, uint64(lingeringSource+number)))
+	c.customer, c.lingering = customers[withdrawnCustomerIndex], true
+	return c
+}
+
 // awaitSuccesses waits until as many more operations have succeeded as there are callers.
 func (h *harness) awaitSuccesses() {
 	for before := h.history.successes(); h.history.successes() < before+h.options.Callers; {
--- a/soak/transactions.go
+++ b/soak/transactions.go
@@ -70,15 +70,11 @@
 // runTransactionStatements runs the statements between the first and the last one of a
 // transaction, up to the first that fails. It returns the values that were written and the
 // outcome of the last statement. A read has to see what was acknowledged before the
-// transaction, which is in read. Every other transaction is slow and lasts for several
-// seconds.
+// transaction, which is in read.
 func (c *caller) runTransactionStatements(read readResult, readOnly bool) (values []string, response platformtest.Response, ok bool) {
-	minPause, count := time.Duration(0), 1+c.random.IntN(maxTransactionStatements)
-	if c.random.IntN(2) == 0 {
-		minPause, count = maxTransactionPause/2, maxTransactionStatements
-	}
-	pause := func() { time.Sleep(minPause + below(c.random, maxTransactionPause-minPause)) }
-	for range count {
+	shape := c.drawShape()
+	pause := func() { time.Sleep(shape.minPause + below(c.random, shape.maxPause-shape.minPause)) }
+	for range shape.statements {
 		pause()
 		text := platformtest.ReadText(c.item)
 		if !readOnly && c.random.IntN(2) == 0 {
@@ -97,6 +93,30 @@
 	return values, response, ok
 }
 
+// transactionShape is the number of statements of a transaction, without the first and the
+// last one, and the range of the pauses around them.
+type transactionShape struct {
+	statements         int
+	minPause, maxPause time.Duration
+}
+
+// lingeringShape is the shape of the transactions of lingering callers, which outlive the time
+// for which a withdrawn key may still be accepted.
+var lingeringShape = transactionShape{maxTransactionStatements, 700 * time.Millisecond, 900 * time.Millisecond}
+
+// drawShape returns the shape of the next transaction. Without lingering, every other one is
+// slow and lasts for several seconds.
+func (c *caller) drawShape() transactionShape {
+	if c.lingering {
+		return lingeringShape
+	}
+	shape := transactionShape{1 + c.random.IntN(maxTransactionStatements), 0, maxTransactionPause}
+	if c.random.IntN(2) == 0 {
+		shape.statements, shape.minPause = maxTransactionStatements, maxTransactionPause/2
+	}
+	return shape
+}
+
 // executeUnlessEnded executes a statement unless the daemon has closed the connection.
 func (c *caller) executeUnlessEnded(text string) (platformtest.Response, bool) {
 	if c.endedInTransaction() {
