Decide on a route with one look at the configuration

What callers could see: the daemon ends (by reading in the review; not seen in a run).

Cause: when a session was refused, ResolveRoute checked the refusal again with a confirmed configuration, and on success looked the route up a third time without looking at the result. If a configuration took the route away between the second and the third look, the operation had no service, and its ID was read through a nil pointer.

Now the operation that the second look authorized is used.

--- a/request/engine/operation.go
+++ b/request/engine/operation.go
@@ -126,10 +126,9 @@
 func (e *Engine) ResolveRoute(s *client.Session) (RouteInfo, *Refusal) {
 	op, refused := e.resolve(e.Clock(), s)
 	if refused != nil {
-		if refused = e.confirmRefusal(s); refused != nil {
+		if op, refused = e.confirmRefusal(s); refused != nil {
 			return RouteInfo{}, &Refusal{*refused}
 		}
-		op, _ = e.resolve(e.Clock(), s)
 	}
 	return RouteInfo{Service: op.service.id, Customer: op.customer, StatementTimeout: op.route.StatementTimeout}, nil
 }
@@ -179,14 +178,13 @@
 const maxRefusalConfirmationAge = 2600 * time.Millisecond
 
 // confirmRefusal evaluates a refused session again, after confirming the
-// configuration if its last confirmation is too old. It returns nil when the session
-// is no longer refused.
-func (e *Engine) confirmRefusal(s *client.Session) *refusal {
+// configuration if its last confirmation is too old. It returns the operation when the
+// session is no longer refused.
+func (e *Engine) confirmRefusal(s *client.Session) (operation, *refusal) {
 	if age := e.Authority.ConfirmationAge(e.Clock()); e.ConfirmConfiguration != nil && (age < 0 || age > maxRefusalConfirmationAge) {
 		e.ConfirmConfiguration()
 	}
-	_, refused := e.authorize(e.Clock(), s)
-	return refused
+	return e.authorize(e.Clock(), s)
 }
 
 // admit authorizes a new operation, waits for a token of its customer's rate and
