Hand a drained instance's slots over at once, and retry a lost race for one

Cause, two waits of up to ReadInterval (5 s) in membership: - An instance whose swap of a free slot lost the race waited for a random part of 5 s before its next one. With two daemons that start together and 8 slots this happens at the first swap in one start of eight. The loser then held no slot, was ready after 3 s nevertheless, and lived on tokens borrowed from the other one. When that one drained, each request waited 240 ms and was refused. - Released slots stayed free until the others next read the records, since nothing told them. The customers' rates were reduced by those parts for that time.

Now the first conflict is followed by the next swap at once, after the read of the records, and conflicts in series by a growing pause: each one means that another instance has got its slot. A failing store is asked again after up to 5 s as before. A heartbeat goes out at once when an instance has acquired or released a slot, and a peer that sees the holder of a record no longer hold the slot reads the records. A drained instance stops only after that heartbeat. Who may hold a slot is decided by the same swaps as before.

--- a/process/ledger/fleet_membership_test.go
+++ b/process/ledger/fleet_membership_test.go
@@ -27,12 +27,23 @@
 	storeUnavailable bool
 	// processes counts the processes started.
 	processes uint64
+	// configure, when set, changes the configuration of a process's membership.
+	configure func(*membership.Config)
+	// wakes makes a coordinator tick after each call and heartbeat, as the driver does.
+	wakes bool
 }
 
 const membershipTickInterval = 50 * time.Millisecond
 
 func newMembershipFleet(seed uint64, limits []RateLimit) *membershipFleet {
-	m := &membershipFleet{fleet: newFleet(seed, propertyInstances, propertySlots, limits), slotEntries: map[int]membership.SlotEntry{}}
+	m := &membershipFleet{fleet: newFleet(seed, propertyInstances, propertySlots, limits)}
+	m.start()
+	return m
+}
+
+// start starts a process of each instance.
+func (m *membershipFleet) start() {
+	m.slotEntries = map[int]membership.SlotEntry{}
 	m.connectionLimits = []ConnectionLimit{{Target: poolTarget, Total: poolTotal}}
 	m.startOracles(maxClockDrift)
 	for _, inst := range m.instances {
@@ -41,7 +52,6 @@
 		m.startProcess(inst)
 	}
 	m.schedule(0, m.tick)
-	return m
 }
 
 // startProcess gives an instance a new process, which knows of no slots yet.
@@ -50,13 +60,17 @@
 	demand := inst.pool.demand
 	inst.paused, inst.deferred, inst.waiting = false, nil, nil
 	inst.slots = SlotAssignment{Holders: make([]topology.InstanceID, propertySlots)}
-	inst.membership = membership.NewCoordinator(membership.Config{
+	cfg := membership.Config{
 		Self:        platform.Instance{ID: inst.id, Peer: string(inst.id), State: platform.InstanceLive},
 		Incarnation: uint64(m.now) + 1, Slots: propertySlots,
 		SlotLeaseTTL: 3 * time.Second, Quarantine: 4 * time.Second, RenewInterval: 700 * time.Millisecond,
 		ListLag: 500 * time.Millisecond, ReadInterval: 200 * time.Millisecond, ListInterval: 200 * time.Millisecond,
 		HeartbeatInterval: 100 * time.Millisecond, SilenceTimeout: 500 * time.Millisecond,
-	}, rand.New(rand.NewPCG(m.processes, 2)))
+	}
+	if m.configure != nil {
+		m.configure(&cfg)
+	}
+	inst.membership = membership.NewCoordinator(cfg, rand.New(rand.NewPCG(m.processes, 2)))
 	m.startLedger(inst)
 	inst.pool.demand = demand
 }
@@ -107,8 +121,12 @@
 func (m *membershipFleet) updateMembershipLater(inst *instance, event func(*membership.Coordinator)) {
 	process := inst.shard
 	m.schedule(m.latency+time.Duration(m.rng.Int64N(int64(m.jitter)+1)), func() {
-		if inst.shard == process {
-			m.updateMembership(inst, event)
+		if inst.shard != process {
+			return
+		}
+		m.updateMembership(inst, event)
+		if m.wakes {
+			m.updateMembership(inst, func(c *membership.Coordinator) { m.perform(inst, c.Tick(inst.localTime(m.now))) })
 		}
 	})
 }
--- a/process/membership/coordinator.go
+++ b/process/membership/coordinator.go
@@ -5,17 +5,21 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"samphirehitch.example/samphirehitch/process/platform"
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
 
 const (
-	// In a fleet of up to fullMeshInstances every instance sends heartbeats to
-	// every other. In a larger one each heartbeat goes to sampledRecipients
-	// random peers.
-	fullMeshInstances = 32
-	sampledRecipients = 16
+	// conflictBackoff bounds the wait after a second swap in series that another instance's
+	// swap came before; the first one is followed by the next at once. It doubles with each
+	// further one: they end soon, since each means that another instance has got its slot,
+	// unless a record is damaged.
+	conflictBackoff = 20 * time.Millisecond
+	// maxConflictDoublings keeps the doubled backoff within a Duration.
+	maxConflictDoublings = 16
 )
 
 // Swap is a compare-and-swap of a slot's record, to be carried out by the
@@ -104,8 +108,13 @@
 	reading, listing, swapping        bool
 	nextRead, nextList, nextHeartbeat time.Duration
 	nextSwap                          time.Duration
+	// conflicts counts the conflicts since the last successful swap.
+	conflicts int
 
 	draining bool
+	// unannounced is set when this instance has acquired or released a slot since its
+	// last heartbeat.
+	unannounced bool
 }
 
 // NewCoordinator returns a coordinator that has read nothing yet.
@@ -122,10 +131,10 @@
 // before the records are released.
 func (c *Coordinator) Drain() { c.draining = true }
 
-// Drained reports whether the instance was drained and no slot's record names
-// it any more.
+// Drained reports whether the instance was drained, no slot's record names it
+// any more and its peers got a heartbeat since.
 func (c *Coordinator) Drained() bool {
-	return c.draining && !slices.ContainsFunc(c.slots, func(s slot) bool { return c.recordNamesSelf(&s) })
+	return c.draining && !c.unannounced && !slices.ContainsFunc(c.slots, func(s slot) bool { return c.recordNamesSelf(&s) })
 }
 
 // recordNamesSelf reports whether a slot's record names this process.
@@ -143,8 +152,8 @@
 	if !c.listing && now >= c.nextList {
 		a.ReadList, c.listing = true, true
 	}
-	if now >= c.nextHeartbeat {
-		c.nextHeartbeat = now + c.cfg.HeartbeatInterval
+	if now >= c.nextHeartbeat || c.unannounced {
+		c.nextHeartbeat, c.unannounced = now+c.cfg.HeartbeatInterval, false
 		a.HeartbeatRecipients, a.Heartbeat = c.heartbeatRecipients(), c.heartbeat()
 	}
 	if !c.swapping && !c.reading && c.slotsRead && now >= c.nextSwap {
@@ -168,33 +177,6 @@
 	c.slots[s.Slot].pendingSwap = s
 }
 
-// heartbeat returns the heartbeat to send now.
-func (c *Coordinator) heartbeat() Heartbeat {
-	h := Heartbeat{Incarnation: c.cfg.Incarnation, Leaving: c.draining}
-	for i := range c.slots {
-		if c.slots[i].owned {
-			h.HeldSlots = append(h.HeldSlots, HeldSlot{Index: i, Epoch: c.slots[i].record.Epoch})
-		}
-	}
-	return h
-}
-
-// heartbeatRecipients returns the peers that get the next heartbeat.
-func (c *Coordinator) heartbeatRecipients() []topology.InstanceID {
-	var ids []topology.InstanceID
-	for id, p := range c.peers {
-		if id != c.cfg.Self.ID && (p.listed || p.heartbeatSeen || p.connected) {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	if len(ids) <= fullMeshInstances {
-		return ids
-	}
-	c.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	return ids[:sampledRecipients]
-}
-
 // ListRead processes the outcome of a read of the platform's list. It forgets
 // instances that hold no slot and have been missing from the list for twice the
 // quarantine.
@@ -251,28 +233,6 @@
 	}
 }
 
-// HeartbeatReceived processes a heartbeat, except one of an earlier process of
-// the sender. If the sender holds a slot in a later epoch than the one known
-// here, it has acquired the slot since: a lease of this instance on it ends,
-// and the slots are read again.
-func (c *Coordinator) HeartbeatReceived(now time.Duration, from topology.InstanceID, h Heartbeat) {
-	p := c.peerStateOf(from, now)
-	if h.Incarnation < p.incarnation {
-		return
-	}
-	p.heartbeatSeen, p.heartbeatAt, p.incarnation, p.leaving = true, now, h.Incarnation, h.Leaving
-	for _, heldSlot := range h.HeldSlots {
-		if heldSlot.Index < 0 || heldSlot.Index >= len(c.slots) || c.slots[heldSlot.Index].record.Epoch >= heldSlot.Epoch {
-			continue
-		}
-		c.endLease(heldSlot.Index)
-		s := &c.slots[heldSlot.Index]
-		s.record = Record{Instance: from, Incarnation: h.Incarnation, Epoch: heldSlot.Epoch}
-		s.revision, s.revisionSeenAt = 0, now
-		c.rereadSlots = true
-	}
-}
-
 // endLease ends the lease on a slot.
 func (c *Coordinator) endLease(index int) {
 	c.slots[index].owned = false
@@ -312,7 +272,8 @@
 // observe processes a record that was read or written. Revisions and epochs
 // older than the known ones are ignored. This process has a lease on the slot
 // only if the record is that of its pending swap, or names it while it already
-// has the lease.
+// has the lease. Peers get a heartbeat at once when this process has acquired or
+// released the slot.
 func (c *Coordinator) observe(now time.Duration, e SlotEntry) {
 	s := &c.slots[e.Index]
 	if e.Revision <= s.revision {
@@ -327,13 +288,14 @@
 		return
 	}
 	ownSwap := s.pendingSwap != nil && s.pendingSwap.Record == e.Record
-	leaseStart := s.leaseStart
+	leaseStart, heldBefore := s.leaseStart, c.recordNamesSelf(s)
 	if ownSwap {
 		leaseStart = s.pendingSwap.SentAt
 	}
 	s.record, s.revision, s.revisionSeenAt, s.pendingSwap = e.Record, e.Revision, now, nil
 	s.owned = c.recordNamesSelf(s) && (ownSwap || s.owned)
 	s.leaseStart = leaseStart
+	c.unannounced = c.unannounced || c.recordNamesSelf(s) != heldBefore
 	if e.Record.Instance != "" {
 		c.peerStateOf(e.Record.Instance, now)
 	}
@@ -352,12 +314,22 @@
 }
 
 // swapBackoff returns the delay before the next swap. After a failure it is
-// random, so that competing instances do not collide again.
+// random, so that competing instances do not collide again, and short after a
+// conflict, since the store works.
 func (c *Coordinator) swapBackoff(err error) time.Duration {
 	if err == nil {
+		c.conflicts = 0
 		return 0
 	}
-	return time.Duration(c.random.Int64N(int64(c.cfg.ReadInterval)))
+	longest := c.cfg.ReadInterval
+	if eris.Is(err, store.ErrConflict) {
+		c.conflicts++
+		if c.conflicts == 1 {
+			return 0
+		}
+		longest = min(longest, conflictBackoff<<min(c.conflicts-2, maxConflictDoublings))
+	}
+	return time.Duration(c.random.Int64N(int64(longest)))
 }
 
 // leaseExpiry returns when the lease on a slot expires.
--- a/process/membership/driver.go
+++ b/process/membership/driver.go
@@ -133,7 +133,22 @@
 		eventBadHeartbeat.LogError(d.logger, eris.Wrapf(err, "decode heartbeat of %s", from), "peer", from)
 		return
 	}
-	d.update(func(now time.Duration, c *Coordinator) { c.HeartbeatReceived(now, from, h) })
+	var reread bool
+	d.update(func(now time.Duration, c *Coordinator) {
+		c.HeartbeatReceived(now, from, h)
+		reread = c.rereadSlots
+	})
+	if reread {
+		d.wakeRun()
+	}
+}
+
+// wakeRun makes Run tick now. It never blocks.
+func (d *Driver) wakeRun() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Run runs the coordinator until the context is done.
@@ -157,6 +172,7 @@
 // using the slots.
 func (d *Driver) Drain(ctx context.Context) error {
 	d.update(func(_ time.Duration, c *Coordinator) { c.Drain() })
+	d.wakeRun()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -203,10 +219,7 @@
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		f(ctx)
-		select {
-		case d.wake <- struct{}{}:
-		default:
-		}
+		d.wakeRun()
 	})
 }
 
