Answer every statement that was read before a drain's time ends

When the drain timeout ended, the daemon closed the sockets of all sessions that were left: with reads, writes and commits running, with open transactions whose callers rested, in COPY FROM STDIN. None of them got a response, and statements of open transactions were taken on until that moment.

Cause: the drain bounded its own time but not that of the work that it went on accepting, and ended what was left by closing the connections.

To this end a session can give up its commits (Session.Abandon), whose waits no end of a request's context interrupts. An idempotent write whose earlier attempt may have taken effect no longer ends with "not run" when its session ends (this concerned withdrawn keys too). The termination of a session also interrupts the read of a part of a request and of COPY data.

--- a/connection/caller/connection.go
+++ b/connection/caller/connection.go
@@ -51,7 +51,7 @@
 var errTransactionIdle = &FatalError{Code: sqlstate.IdleInTransactionTimeout, Message: "the transaction was idle for too long and is rolled back; not run"}
 
 // terminate closes the session as soon as possible: it cancels the context of the
-// running request, or interrupts the wait for the next one.
+// running request, and interrupts the read of the next one or of the data of a COPY.
 func (c *connection) terminate(reason *FatalError) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -60,9 +60,7 @@
 	}
 	c.mu.terminationError = reason
 	c.cancel(reason)
-	if c.mu.waitingForRequest {
-		c.interruptRead()
-	}
+	c.interruptRead()
 }
 
 // drain closes the session at its next transaction boundary, which is now if it
@@ -91,7 +89,7 @@
 		}
 		batch, err := c.conn.readBatch(c.server.config.MaxBatchBytes)
 		if err != nil {
-			c.sendFatal(c.classifyReadError(err))
+			c.sendFatal(c.readFailure(err))
 			return
 		}
 		c.writeDuration = 0
@@ -163,6 +161,26 @@
 	return nil
 }
 
+// readFailure returns the error to send to the caller after a request could not be
+// read: the reason of the termination, if that interrupted the read.
+func (c *connection) readFailure(err error) *FatalError {
+	if fatal := c.interruption(err); fatal != nil {
+		return fatal
+	}
+	return c.classifyReadError(err)
+}
+
+// interruption returns the reason of the termination if that interrupted the read that
+// failed with err, else nil. What was being read has not run.
+func (c *connection) interruption(err error) *FatalError {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return c.mu.terminationError
+}
+
 // classifyReadError logs a protocol violation in a request and returns the error
 // to send to the caller. It returns nil when the caller has disconnected.
 func (c *connection) classifyReadError(err error) *FatalError {
@@ -211,8 +229,14 @@
 	return n, err
 }
 
-// Receive returns the caller's next message.
+// Receive returns the caller's next message. Its error is a *FatalError when the
+// session has been terminated.
 func (s *requestStream) Receive() (pgproto3.FrontendMessage, error) {
 	message, _, err := s.conn.receive()
+	if err != nil {
+		if fatal := (*connection)(s).interruption(err); fatal != nil {
+			return nil, fatal
+		}
+	}
 	return message, err
 }
--- a/connection/caller/handler.go
+++ b/connection/caller/handler.go
@@ -28,6 +28,10 @@
 	// Cancel sends a cancel request to the target that is running the session's
 	// request, if there is one. It is safe for concurrent use.
 	Cancel(ctx context.Context)
+	// Abandon ends the wait for the outcome of a commit, which the context of Run does
+	// not end: Run then responds that the outcome is unknown. It is safe for
+	// concurrent use.
+	Abandon()
 	// Close rolls back an open transaction and releases what the session holds.
 	Close()
 }
--- a/connection/caller/harness_test.go
+++ b/connection/caller/harness_test.go
@@ -99,6 +99,7 @@
 
 func (e *customerEchoSession) InTransaction() bool    { return e.inTransaction }
 func (e *customerEchoSession) Cancel(context.Context) {}
+func (e *customerEchoSession) Abandon()               {}
 func (e *customerEchoSession) Close()                 {}
 
 func newTestServer(t testing.TB, config Config) (*Server, *testDirectory) {
--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/rotisserie/eris"
 
 	"samphirehitch.example/samphirehitch/connection/auth"
 	"samphirehitch.example/samphirehitch/connection/session"
@@ -250,26 +249,6 @@
 	})
 }
 
-// Drain closes the listeners, closes idle sessions immediately and the others at
-// their next transaction boundary. If the context is done first, Drain closes the
-// sockets of the remaining sessions and returns the context's error.
-func (s *Server) Drain(ctx context.Context) error {
-	s.closeListeners()
-	s.sessions.forEach(func(c *connection) { c.drain() })
-	done := make(chan struct{})
-	go func() {
-		s.mu.active.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-	}
-	s.sessions.forEach(func(c *connection) { _ = c.conn.socket.Close() })
-	return eris.Wrap(ctx.Err(), "drain caller connections")
-}
-
 // closeListeners starts draining: it closes the listeners, aborts the logins in
 // progress and makes startServing reject connections.
 func (s *Server) closeListeners() {
--- a/request/execute/attempt.go
+++ b/request/execute/attempt.go
@@ -78,10 +78,10 @@
 
 // detachContext bounds the use of the connection by a timeout, in place of the
 // request's context, until the returned function is called. From then on only
-// the monitor interrupts the connection.
+// the monitor and Abandon interrupt the connection.
 func (a *attempt) detachContext(timeout time.Duration) (stop func()) {
 	a.stopInterrupt()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.request.ctx), timeout)
+	ctx, cancel := context.WithTimeout(a.request.commitContext, timeout)
 	stopInterrupt := a.conn.InterruptOnDone(ctx)
 	a.stopInterrupt = func() {}
 	return func() {
--- a/request/execute/executor.go
+++ b/request/execute/executor.go
@@ -16,6 +16,7 @@
 package execute
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 
@@ -48,7 +49,9 @@
 // NewSession returns the executor of a session that has just logged in. It
 // implements caller.Handler.
 func (x *Executor) NewSession(s *session.Session) caller.Session {
-	return &sessionExecutor{executor: x, session: s, status: statusIdle}
+	e := &sessionExecutor{executor: x, session: s, status: statusIdle}
+	e.commitContext, e.abandon = context.WithCancel(context.Background())
+	return e
 }
 
 // inFlightCounts counts this instance's requests in flight on each target.
--- a/request/execute/fake_conn_test.go
+++ b/request/execute/fake_conn_test.go
@@ -98,7 +98,7 @@
 	if fault.duplicate {
 		response = append(response, response...)
 	}
-	if fault.stall {
+	if fault.stall || fault.silent {
 		var one [1]byte
 		for {
 			if _, err := c.socket.Read(one[:]); err != nil {
--- a/request/execute/fake_targets_test.go
+++ b/request/execute/fake_targets_test.go
@@ -25,6 +25,9 @@
 	// stall sends the response only after the other side has closed the
 	// connection.
 	stall bool
+	// silent does the same while the target counts as reachable, like a statement
+	// that runs for long.
+	silent bool
 	// replayConflict replaces the response by the error of a read that
 	// conflicts with the replay of the log.
 	replayConflict bool
--- a/request/execute/session.go
+++ b/request/execute/session.go
@@ -40,6 +40,10 @@
 	pinned *pinnedTransaction
 	// deferredBegin is the BEGIN of a transaction without a connection, or nil.
 	deferredBegin *deferredBegin
+	// commitContext replaces the context of a request once a COMMIT was sent, so that the
+	// end of the latter does not leave the commit in doubt. Abandon cancels it.
+	commitContext context.Context
+	abandon       context.CancelFunc
 
 	// mu guards what cancel requests access.
 	mu struct {
@@ -346,9 +350,14 @@
 	}
 }
 
+// Abandon ends the wait for the outcome of a commit. It may be called from any
+// goroutine.
+func (s *sessionExecutor) Abandon() { s.abandon() }
+
 // Close releases the connection of an open transaction without reuse, which
 // rolls the transaction back.
 func (s *sessionExecutor) Close() {
+	defer s.abandon()
 	if s.pinned == nil {
 		return
 	}
--- a/request/execute/write.go
+++ b/request/execute/write.go
@@ -6,6 +6,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"samphirehitch.example/samphirehitch/connection/caller"
 	"samphirehitch.example/samphirehitch/connection/sqlstate"
 	"samphirehitch.example/samphirehitch/process/group"
 	"samphirehitch.example/samphirehitch/process/platform"
@@ -51,10 +52,14 @@
 // maxIdempotentRuns bounds how often an idempotent write may take effect.
 const maxIdempotentRuns = 4
 
-// unknownIfUncertain replaces a refusal with the outcome "not run" by one with
-// an unknown outcome, when an earlier attempt of the same write may have taken
-// effect.
+// unknownIfUncertain replaces a refusal with the outcome "not run", or the end of
+// the session, by a refusal with an unknown outcome, when an earlier attempt of the
+// same write may have taken effect. The session ends after that response.
 func unknownIfUncertain(err error, uncertain bool) error {
+	var fatal *caller.FatalError
+	if uncertain && errors.As(err, &fatal) {
+		return refusal.New(refusal.OutcomeUnknown, refusal.StepExchange, "", fatal)
+	}
 	var refused *refusal.Refusal
 	if !uncertain || !errors.As(err, &refused) || refused.Kind.Outcome != refusal.NotRun {
 		return err
@@ -253,7 +258,7 @@
 	if commit.failure != nil {
 		return r.handleCommitError(commit)
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.ctx), r.executor.config.CommitTimeout)
+	ctx, cancel := context.WithTimeout(r.commitContext, r.executor.config.CommitTimeout)
 	defer cancel()
 	commitRef := group.Commit{Target: commit.attempt.target, Term: commit.attempt.term}
 	var cause error
@@ -264,7 +269,9 @@
 		}
 		cause = err
 	}
-	r.watcher.ReportFailure(commit.attempt.target)
+	if r.commitContext.Err() == nil {
+		r.watcher.ReportFailure(commit.attempt.target)
+	}
 	return r.resolveInDoubt(ctx, commit, commitRef, cause)
 }
 
