--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -225,6 +225,9 @@
 		return nil, err
 	}
 	s.Seeds = seeds
+	if d.Shape.DrainTimeout > 0 {
+		s.DrainTimeoutMillis = int(d.Shape.DrainTimeout.Milliseconds())
+	}
 	instance, err := daemon.New(daemon.Options{Settings: s, Platform: daemon.Dial(s), Logger: d.logger, Clock: d.clock})
 	if err != nil {
 		return nil, err
--- a/demo/shape.go
+++ b/demo/shape.go
@@ -31,6 +31,8 @@
 	// Rate and Burst are the rate limit of each customer, in requests per second and
 	// in requests.
 	Rate, Burst float64
+	// DrainTimeout is the daemons' drain timeout; zero selects the default.
+	DrainTimeout time.Duration
 	// Domains are the failure domains. Daemons and targets are spread over them in
 	// turn.
 	Domains []topology.FailureDomain
