Follow up to four lost races for a slot by the next swap at once

In a fleet of three or four the slots of a drained instance were acquired only up to 0.5 s after the drain: several instances race for a few slots, and the pause after the second conflict in series ends with a tick, up to 100 ms later. At 95 % of the rates requests were refused for that.

Swaps of a damaged record, which always conflict, stay rare: TestSwapsOfADamagedRecordAreSpacedOut fails without the doubling of the pause.

--- a/process/membership/coordinator.go
+++ b/process/membership/coordinator.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	// conflictBackoff bounds the wait after a second swap in series that another instance's
-	// swap came before; the first one is followed by the next at once. It doubles with each
-	// further one: they end soon, since each means that another instance has got its slot,
-	// unless a record is damaged.
+	// immediateSwaps is the number of swaps in series that another instance's swap may come
+	// before, each followed by the next at once: it means that the other one has its slot.
+	immediateSwaps = 4
+	// conflictBackoff bounds the wait after a further one and doubles with each, in case a
+	// record is damaged and all swaps of it conflict.
 	conflictBackoff = 20 * time.Millisecond
 	// maxConflictDoublings keeps the doubled backoff within a Duration.
 	maxConflictDoublings = 16
@@ -324,10 +325,10 @@
 	longest := c.cfg.ReadInterval
 	if eris.Is(err, store.ErrConflict) {
 		c.conflicts++
-		if c.conflicts == 1 {
+		if c.conflicts <= immediateSwaps {
 			return 0
 		}
-		longest = min(longest, conflictBackoff<<min(c.conflicts-2, maxConflictDoublings))
+		longest = min(longest, conflictBackoff<<min(c.conflicts-immediateSwaps-1, maxConflictDoublings))
 	}
 	return time.Duration(c.random.Int64N(int64(longest)))
 }
--- a/process/membership/drain_test.go
+++ b/process/membership/drain_test.go
@@ -18,6 +18,9 @@
 	entries      map[int]SlotEntry
 	coordinators map[topology.InstanceID]*Coordinator
 	ids          []topology.InstanceID
+	// damagedSlot is one whose record is not read and whose swaps conflict; -1 for none.
+	// conflicts counts the conflicts.
+	damagedSlot, conflicts int
 }
 
 const (
@@ -27,7 +30,7 @@
 )
 
 func newHandoverFleet(seed uint64, ids ...topology.InstanceID) *handoverFleet {
-	f := &handoverFleet{entries: map[int]SlotEntry{}, coordinators: map[topology.InstanceID]*Coordinator{}, ids: ids}
+	f := &handoverFleet{entries: map[int]SlotEntry{}, coordinators: map[topology.InstanceID]*Coordinator{}, ids: ids, damagedSlot: -1}
 	for i, id := range ids {
 		self := platform.Instance{ID: id, Peer: string(id), State: platform.InstanceLive}
 		f.coordinators[id] = NewCoordinator(DefaultConfig(self, 1, handoverSlots), rand.New(rand.NewPCG(seed, uint64(i))))
@@ -59,7 +62,9 @@
 			continue
 		}
 		revision, err := store.Revision(0), store.ErrConflict
-		if f.entries[swap.Slot].Revision == swap.Expect {
+		if swap.Slot == f.damagedSlot || f.entries[swap.Slot].Revision != swap.Expect {
+			f.conflicts++
+		} else {
 			f.revision++
 			revision, err = f.revision, nil
 			f.entries[swap.Slot] = SlotEntry{Index: swap.Slot, Record: swap.Record, Revision: revision}
@@ -131,3 +136,14 @@
 		}
 	}
 }
+
+// Swaps that conflict are repeated at once, but not without end: those of a record that cannot
+// be decoded always conflict.
+func TestSwapsOfADamagedRecordAreSpacedOut(t *testing.T) {
+	f := newHandoverFleet(1, "a")
+	f.damagedSlot = 3
+	f.run(time.Minute)
+	if f.held("a") != handoverSlots-1 || f.conflicts > 60 {
+		t.Errorf("a holds %d slots, %d conflicts in a minute", f.held("a"), f.conflicts)
+	}
+}
