Promote only logs that belong to the service's history

Cause: bestCandidate took the longest log of the targets that happened to respond. A replaced primary, which had committed alone while partitioned, is such a target: once both successors are silent, or one of them for one round of statuses, its log was the only one, and was promoted.

Now the record holds after which entry each of the latest 32 terms began. A log ends at an entry, which its term and position identify, since a term has one primary. If that term is earlier than the record's, the log belongs to the history exactly if the next term began at that entry or later. What is unknown (a term of which the record knows nothing, a begin from before the first record) counts as left; so does an empty log where the term began with entries. Logs of the record's term are not affected, so that a crash of the present primary is failed over as before. The record is in the store, users of a primary publish it after a restore, and a primary that comes back in its term under another ID does not move the term's begin.

Tests of the coordinator.

TestReplacedPrimaryWithAnOldTermMustBePromoted had no begins in its record, and required the promotion of what nobody can know to belong to the history. It now states where the term began, requires the same promotion where the log is part of the history, and requires that neither a promotion nor a record follows where it is not. The fixture's promoted targets keep their log. store_era_test compares records with Equal, as the begins make them incomparable with ==.

--- a/edge/known_records.go
+++ b/edge/known_records.go
@@ -56,7 +56,7 @@
 		return
 	}
 	// A user that has not seen a fence attests that nobody else has replaced the primary.
-	attested := slices.ContainsFunc(view.Known, func(r failover.Record) bool { return r == own.Record })
+	attested := slices.ContainsFunc(view.Known, func(r failover.Record) bool { return r.Equal(own.Record) })
 	view.Known = append(view.Known, own.Record)
-	view.LedThroughout = attested && view.LatestKnown() == own.Record
+	view.LedThroughout = attested && view.LatestKnown().Equal(own.Record)
 }
--- a/edge/store_era_test.go
+++ b/edge/store_era_test.go
@@ -391,7 +391,7 @@
 		t.Fatal(err)
 	}
 	var known knownRecords
-	if err := json.Unmarshal(entry.Value, &known); err != nil || known.Era != 2 || len(known.Records) != 1 || known.Records["s"] != record {
+	if err := json.Unmarshal(entry.Value, &known); err != nil || known.Era != 2 || len(known.Records) != 1 || !known.Records["s"].Equal(record) {
 		t.Fatalf("%+v, %v", known, err)
 	}
 	d.applyRecord("s", failover.Record{Primary: "b", Term: 2, FenceSequence: 1, Era: 2}, store.NewRevision(2, 40))
--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -257,22 +257,6 @@
 	return false
 }
 
-// requestStatuses requests the status of all candidates, and of the old primary,
-// which may still be alive: its log tells whether a replica has caught up.
-func (c *Coordinator) requestStatuses(now time.Duration, v View) Action {
-	var targets []directory.Target
-	for id, t := range v.Targets {
-		if id == v.Record.Primary || (!t.Draining && !c.isRejected(now, id)) {
-			targets = append(targets, t)
-		}
-	}
-	if len(targets) == 0 {
-		c.nextActionAt = now + retryInterval
-		return Action{}
-	}
-	return Action{Kind: RequestStatuses, Targets: targets, Reason: "choosing a successor"}
-}
-
 // rejectionTimeout is how long a rejected successor is excluded.
 const rejectionTimeout = time.Second
 
@@ -362,52 +346,3 @@
 	c.actionRunning = a.Kind != NoAction
 	return a
 }
-
-// firstRecord returns the publication of a service's first record. It names the
-// primary of the highest term, since a replaced primary may keep that role for a
-// while.
-func (c *Coordinator) firstRecord(v View, r Result) Action {
-	var first Action
-	for id, status := range r.Statuses {
-		if status.Role == topology.RolePrimary && status.Term > first.Record.Term {
-			first = Action{Kind: PublishRecord, Record: Record{Primary: id, Term: status.Term, TermStart: status.Received, Era: v.Era}, Reason: "first record"}
-		}
-	}
-	return first
-}
-
-// publishSuccessor returns the publication of the record that names the successor
-// and lifts the fence.
-func (c *Coordinator) publishSuccessor(v View, status TargetStatus) Action {
-	c.replaced = v.Record.Primary
-	return Action{
-		Kind: PublishRecord, Revision: v.Revision, Reason: "the successor is primary",
-		Record: Record{Primary: c.successor, Term: status.Term, TermStart: status.Received, FenceSequence: v.Record.FenceSequence, Era: v.Era},
-	}
-}
-
-// bestCandidate returns the candidate with the longest log. A target that is
-// already primary in the record's term or a later one is preferred: either a
-// promotion took effect whose response was lost, or the primary came back with its
-// log under another ID.
-func bestCandidate(v View, statuses map[topology.TargetID]TargetStatus) (topology.TargetID, TargetStatus, bool) {
-	var id topology.TargetID
-	var bestStatus TargetStatus
-	for candidate, status := range statuses {
-		t := v.Targets[candidate]
-		if t.Draining {
-			continue
-		}
-		if candidate == v.Record.Primary {
-			continue
-		}
-		if status.Role == topology.RolePrimary && status.Term >= v.Record.Term {
-			return candidate, status, true
-		}
-		comparison := status.Received.Compare(bestStatus.Received)
-		if id == "" || comparison > 0 || (comparison == 0 && candidate < id) {
-			id, bestStatus = candidate, status
-		}
-	}
-	return id, bestStatus, id != ""
-}
--- a/process/failover/coordinator_test.go
+++ b/process/failover/coordinator_test.go
@@ -78,7 +78,8 @@
 			r.Failed, r.Rejected = true, true
 			break
 		}
-		f.statuses[a.Target.ID] = TargetStatus{Role: topology.RolePrimary, Term: f.view.Record.Term + 1, Received: pointAt(1, 49)}
+		log := f.statuses[a.Target.ID].Received
+		f.statuses[a.Target.ID] = TargetStatus{Role: topology.RolePrimary, Term: f.view.Record.Term + 1, Received: log}
 	case DemoteReplaced:
 		f.demoted = append(f.demoted, a.Target.ID)
 	}
@@ -224,20 +225,29 @@
 }
 
 // Found by the soak test with seed 122: the primary of term 4 fails, and the only target
-// that responds is a replaced primary that still has that role in term 2. It must be
-// promoted before it is published as the successor.
+// that responds is a replaced primary that still has that role in term 2. If term 4 began after
+// its log, it must be promoted before it is published as the successor. If the service has left
+// its log, it must be neither.
 func TestReplacedPrimaryWithAnOldTermMustBePromoted(t *testing.T) {
-	f := newFixture(t)
-	f.view.Record = Record{Primary: "a", Term: 4, FenceSequence: 3}
-	f.view.SuspectCount, f.view.FenceAcknowledged = 2, true
-	f.statuses = map[topology.TargetID]TargetStatus{"b": {Role: topology.RolePrimary, Term: 2, Received: pointAt(2, 1768)}}
-	f.run(3 * time.Second)
+	run := func(after topology.Point) *fixture {
+		f := newFixture(t)
+		f.view.Record = Record{Primary: "a", Term: 4, FenceSequence: 3, TermStart: after, Terms: []TermBegin{{Term: 2}, {Term: 4, After: after}}}
+		f.view.SuspectCount, f.view.FenceAcknowledged = 2, true
+		f.statuses = map[topology.TargetID]TargetStatus{"b": {Role: topology.RolePrimary, Term: 2, Received: pointAt(2, 1768)}}
+		f.run(3 * time.Second)
+		return f
+	}
+	f := run(pointAt(2, 1768))
 	if record := f.view.Record; record.Term < 4 || record.Primary == "b" && len(f.promotions) == 0 {
 		t.Fatalf("record %+v, promotions %v", record, f.promotions)
 	}
 	if len(f.promotions) != 1 || f.promotions[0] != "b" || f.view.Record.Primary != "b" || f.view.Record.Term != 5 {
 		t.Fatalf("record %+v, promotions %v", f.view.Record, f.promotions)
 	}
+	f = run(pointAt(2, 1767))
+	if record := f.view.Record; record.Primary != "a" || record.Term != 4 || !record.Fenced || len(f.promotions) != 0 {
+		t.Fatalf("record %+v, promotions %v", record, f.promotions)
+	}
 }
 
 // Several targets are listed as primary when the first record is published, because
--- a/process/failover/record.go
+++ b/process/failover/record.go
@@ -74,6 +74,9 @@
 	// TermStart is the end of the primary's log when the record was published. Every
 	// log of the term extends at least to it.
 	TermStart topology.Point `json:"start"`
+	// Terms holds the begins of the latest terms, up to this one, the latest last. They tell
+	// which logs the service has left.
+	Terms []TermBegin `json:"terms,omitempty"`
 	// Fenced forbids the use of the primary until a record without a fence is
 	// published.
 	Fenced bool `json:"fenced,omitempty"`
--- /dev/null
+++ b/process/failover/successor.go
@@ -0,0 +1,76 @@
+package failover
+
+import (
+	"time"
+
+	"samphirehitch.example/samphirehitch/process/directory"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+// firstRecord returns the publication of a service's first record. It names the
+// primary of the highest term, since a replaced primary may keep that role for a
+// while.
+func (c *Coordinator) firstRecord(v View, r Result) Action {
+	var first Action
+	for id, status := range r.Statuses {
+		if status.Role == topology.RolePrimary && status.Term > first.Record.Term {
+			first = Action{Kind: PublishRecord, Reason: "first record",
+				Record: Record{Primary: id, Term: status.Term, TermStart: status.Received, Terms: []TermBegin{beginOf(status.Term, status.Received)}, Era: v.Era}}
+		}
+	}
+	return first
+}
+
+// publishSuccessor returns the publication of the record that names the successor
+// and lifts the fence.
+func (c *Coordinator) publishSuccessor(v View, status TargetStatus) Action {
+	c.replaced = v.Record.Primary
+	successor := v.Record
+	successor.Primary, successor.Fenced, successor.Era = c.successor, false, v.Era
+	successor.Terms = v.Record.extendHistory(status.Term, status.Received)
+	successor.Term, successor.TermStart = status.Term, status.Received
+	return Action{Kind: PublishRecord, Record: successor, Revision: v.Revision, Reason: "the successor is primary"}
+}
+
+// requestStatuses requests the status of all candidates, and of the old primary,
+// which may still be alive: its log tells whether a replica has caught up.
+func (c *Coordinator) requestStatuses(now time.Duration, v View) Action {
+	var targets []directory.Target
+	for id, t := range v.Targets {
+		if id == v.Record.Primary || (!t.Draining && !c.isRejected(now, id)) {
+			targets = append(targets, t)
+		}
+	}
+	if len(targets) == 0 {
+		c.nextActionAt = now + retryInterval
+		return Action{}
+	}
+	return Action{Kind: RequestStatuses, Targets: targets, Reason: "choosing a successor"}
+}
+
+// bestCandidate returns the candidate with the longest log. A target that is
+// already primary in the record's term or a later one is preferred: either a
+// promotion took effect whose response was lost, or the primary came back with its
+// log under another ID. A target whose log the service has left is no candidate until it has
+// followed the present primary, also if no other responds: its promotion would bring back
+// commits that reads have not shown since, and remove those made instead.
+func bestCandidate(v View, statuses map[topology.TargetID]TargetStatus) (topology.TargetID, TargetStatus, bool) {
+	var id topology.TargetID
+	var bestStatus TargetStatus
+	for candidate, status := range statuses {
+		if v.Targets[candidate].Draining || candidate == v.Record.Primary {
+			continue
+		}
+		if status.Role == topology.RolePrimary && status.Term >= v.Record.Term {
+			return candidate, status, true
+		}
+		if !v.Record.shareOf(status.Received).complete {
+			continue
+		}
+		comparison := status.Received.Compare(bestStatus.Received)
+		if id == "" || comparison > 0 || (comparison == 0 && candidate < id) {
+			id, bestStatus = candidate, status
+		}
+	}
+	return id, bestStatus, id != ""
+}
--- a/process/failover/verification_test.go
+++ b/process/failover/verification_test.go
@@ -170,3 +170,21 @@
 		t.Fatalf("sequence %d follows %d", next, lost)
 	}
 }
+
+// The store has lost the terms in which the service left a log. Who used the primary knows them.
+func TestHistoryThatARestoreHasLostIsPublishedAgain(t *testing.T) {
+	for _, led := range []bool{true, false} {
+		f := newRestoredFixture(t)
+		f.view.LedThroughout, f.view.PromotionsSettled = led, true
+		f.view.Known = []Record{{Primary: "b", Term: 2, TermStart: pointAt(1, 48), Terms: []TermBegin{{Term: 1}, {Term: 2, After: pointAt(1, 48)}}, FenceSequence: 1, Era: 2}}
+		f.statuses["b"] = TargetStatus{Role: topology.RolePrimary, Term: 2, Received: pointAt(2, 60)}
+		f.run(100 * time.Millisecond)
+		f.wantVerified("b", 2)
+		f.statuses = map[topology.TargetID]TargetStatus{"a": {Role: topology.RolePrimary, Term: 1, Received: pointAt(1, 50)}}
+		f.view.SuspectCount, f.view.FenceAcknowledged = 2, true
+		f.run(5 * time.Second)
+		if len(f.promotions) != 0 {
+			t.Errorf("led %t: record %+v, promotions %v", led, f.view.Record, f.promotions)
+		}
+	}
+}
