Cut the history where a later term began

A log that the service had left could still be promoted after two promotions: term 2 began after 1/11, and term 3, with a shorter log, after 1/4. The first begin after term 1 says that 1/11 is part of the history, and only that one was asked.

A begin now removes those of the terms after the one at whose entry it continues, and a log of an earlier term is compared with the begin that continues its own term.

TestLaterTermThatBeganEarlierCutsTheHistory failed before (1/11 complete) and passes.

--- a/process/failover/history.go
+++ b/process/failover/history.go
@@ -37,11 +37,14 @@
 }
 
 // extendHistory returns the history after a primary of a term was found with a log that ends
-// at received. A primary that comes back in the record's term continues it.
+// at received. A primary that comes back in the record's term continues it. A term that began
+// later than the last entry of the new primary's log is no part of the history any more.
 func (r Record) extendHistory(term topology.Term, received topology.Point) []TermBegin {
 	history := r.history()
 	if term > r.Term {
-		history = append(slices.Clone(history), beginOf(term, received))
+		begin := beginOf(term, received)
+		kept := slices.DeleteFunc(slices.Clone(history), func(b TermBegin) bool { return b.Term > begin.After.Term })
+		history = append(kept, begin)
 	}
 	return history[max(0, len(history)-maxTerms):]
 }
@@ -71,8 +74,7 @@
 	history := r.history()
 	next := slices.IndexFunc(history, func(b TermBegin) bool { return b.Term > received.Term })
 	after := history[next].After // the last begin is that of the record's term
-	recorded := next > 0 && history[next-1].Term == received.Term
-	if after.Term != received.Term && (!recorded || after.Term > received.Term || after.Position == 0) {
+	if after.Term != received.Term {
 		return share{}
 	}
 	return share{complete: received.Position <= after.Position, known: true, end: min(received.Position, after.Position)}
--- a/process/failover/history_test.go
+++ b/process/failover/history_test.go
@@ -148,6 +148,24 @@
 	}
 }
 
+// Found by TestFuzzPromotedLogs with seed 54292: term 2 began after 1/11, and then term 3
+// after 1/4, with a log that lacks the rest. What followed 1/4 in terms 1 and 2 is left.
+func TestLaterTermThatBeganEarlierCutsTheHistory(t *testing.T) {
+	record := Record{Term: 1, Terms: []TermBegin{{Term: 1}}}
+	record.Terms, record.Term = record.extendHistory(2, pointAt(1, 11)), 2
+	record.Terms, record.Term = record.extendHistory(3, pointAt(1, 4)), 3
+	for log, want := range map[topology.Point]share{
+		pointAt(1, 4):  {complete: true, known: true, end: 4},
+		pointAt(1, 11): {known: true, end: 4},
+		pointAt(2, 12): {},
+		pointAt(3, 5):  {complete: true, known: true, end: 5},
+	} {
+		if got := record.shareOf(log); got != want {
+			t.Errorf("%s: %+v, want %+v", log, got, want)
+		}
+	}
+}
+
 // A primary that comes back under another ID in its term doesn't begin a term: what left the
 // history before stays left.
 func TestReturnInTheSameTermDoesNotMoveItsBegin(t *testing.T) {
