Borrow every token of an owner that has no share yet

Cause: an instance that has started again owns no services, so that it follows a peer and hears of its own registration up to a second after the instances that watch the store. They forward to it as an owner as soon as it is registered and confirmed. It had no bucket for any customer and refused; it did not borrow either, because the division of the rates, which names the lenders, was recorded only by instances that share them. Backup owners were in the same position.

Now the division is recorded without a share, too. A token is lent from the lender's share of the window, so that the sum of what is admitted is the same in any state of the fleet. Lenders without a link are not asked, and having none to ask starts no backoff of 100 ms; missing links are requested.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
@@ -73,6 +74,10 @@
 	Dialer   target.Dialer
 	Adapter  Adapter
 	Log      logr.Logger
+	// Clock, if not nil, replaces the system's clock, and Draw the source of random numbers
+	// in [0, 1).
+	Clock clock.Clock
+	Draw  func() float64
 	// Dropped returns how many log lines were dropped; it may be nil.
 	Dropped func() uint64
 	// CountCalls, if not nil, is called with the function that counts calls to the store
@@ -93,6 +98,7 @@
 	log        logr.Logger
 	dropped    func() uint64
 	clock      clock.Clock
+	draw       func() float64
 	authority  *authority.Tracker
 	engine     *engine.Engine
 	relay      *relay.Relay
@@ -208,10 +214,16 @@
 
 // New returns a daemon, to be started by Run.
 func New(o Options) *Daemon {
+	if o.Clock == nil {
+		o.Clock = clock.BootTime()
+	}
+	if o.Draw == nil {
+		o.Draw = rand.Float64
+	}
 	d := &Daemon{
-		settings: o.Settings, adapter: o.Adapter, store: newThrottledStore(o.Store, clock.BootTime()), promoter: o.Promoter,
+		settings: o.Settings, adapter: o.Adapter, store: newThrottledStore(o.Store, o.Clock), promoter: o.Promoter,
 		prober: newProber(o.Dialer, o.Adapter.DecodeStatus),
-		log:    o.Log, dropped: o.Dropped, clock: clock.BootTime(), metrics: newMetrics(),
+		log:    o.Log, dropped: o.Dropped, clock: o.Clock, draw: o.Draw, metrics: newMetrics(),
 		authority:   authority.New(o.Settings.MaxRevocationDelay - keyMargin),
 		incarnation: time.Now().UnixNano(),
 		confirmWake: make(chan struct{}, 1), failoverWake: make(chan struct{}, 1),
@@ -228,7 +240,7 @@
 	d.engine = engine.NewEngine(engine.Dependencies{
 		FailureDomain: o.Settings.FailureDomain, RateWindow: o.Settings.RateWindow, Clock: d.clock, Authority: d.authority,
 		BorrowToken: d.borrow, ConfirmConfiguration: d.confirmNow, Dialer: o.Dialer,
-		Reachability: d.suspicions, Observer: d.metrics, Log: o.Log,
+		Reachability: d.suspicions, Observer: d.metrics, Draw: d.draw, Log: o.Log,
 	})
 	d.mesh = peer.New(peer.Config{Instance: o.Settings.Instance, FailureDomain: o.Settings.FailureDomain,
 		Address: o.Settings.PeerAddress, Dial: o.Adapter.DialPeer}, o.Log)
--- a/edge/shares.go
+++ b/edge/shares.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -175,16 +174,18 @@
 	return owner.SpreadCustomers(customers)
 }
 
-// rateShares returns this instance's share of each customer's rate.
+// rateShares returns this instance's share of each customer's rate. An instance without
+// shares records the division, too, because it borrows every token: others may forward
+// operations to it before it knows that it is an owner.
 func (d *Daemon) rateShares(config *catalog.Catalog, owners owner.Assignment, sharers []topology.InstanceID) map[topology.CustomerID]engine.RateShare {
 	shares := make(map[topology.CustomerID]engine.RateShare, len(config.Customers))
-	if !slices.Contains(sharers, d.settings.Instance) {
-		return shares
-	}
 	division := rateDivision{catalog: config, owners: owners, sharers: sharers, ownerOffsets: spreadCustomers(config)}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.division = division
+	if !slices.Contains(sharers, d.settings.Instance) {
+		return shares
+	}
 	for id := range config.Customers {
 		own := division.allocation(id, d.settings.Instance, d.demands).Fraction()
 		shares[id] = engine.RateShare{Fraction: own, Deduction: division.deduction(id, d.settings.Instance, own, d.demands, d.excesses)}
@@ -247,14 +248,11 @@
 // rate, after this instance's share is used up. It reports whether one was granted.
 func (d *Daemon) borrow(id topology.CustomerID) bool {
 	now := d.clock()
-	d.mu.Lock()
-	if d.division.catalog == nil || !d.borrowing.Allowed(now, id) {
-		d.mu.Unlock()
-		return false
+	candidates := d.lenders(now, id)
+	if len(candidates) == 0 {
+		return false // costs no message, so the next operation may try again
 	}
-	candidates := d.division.lenders(id, d.settings.Instance, d.demands)
-	d.mu.Unlock()
-	if d.relay.BorrowToken(share.ChooseLenders(candidates, rand.Float64()), id) {
+	if d.relay.BorrowToken(share.ChooseLenders(candidates, d.draw()), id) {
 		return true
 	}
 	d.mu.Lock()
@@ -262,3 +260,19 @@
 	d.borrowing.RecordRefusal(now, id)
 	return false
 }
+
+// lenders returns the instances from which a token of a customer's rate may be requested
+// now: none after a refusal, and none without a link. Missing links are opened.
+func (d *Daemon) lenders(now time.Duration, id topology.CustomerID) []share.Lender {
+	d.mu.Lock()
+	if d.division.catalog == nil || !d.borrowing.Allowed(now, id) {
+		d.mu.Unlock()
+		return nil
+	}
+	lenders := d.division.lenders(id, d.settings.Instance, d.demands)
+	d.mu.Unlock()
+	return slices.DeleteFunc(lenders, func(l share.Lender) bool {
+		d.relay.Link.RequestLink(l.Instance)
+		return !d.relay.Link.Reachable(l.Instance)
+	})
+}
--- a/request/engine/engine.go
+++ b/request/engine/engine.go
@@ -56,7 +56,9 @@
 	Dialer               target.Dialer
 	Reachability         Reachability
 	Observer             Observer
-	Log                  logr.Logger
+	// Draw returns a random number in [0, 1). It is rand.Float64 if nil.
+	Draw func() float64
+	Log  logr.Logger
 }
 
 // Engine runs callers' statements on the targets of services. It is safe for
@@ -75,10 +77,13 @@
 // NewEngine returns an engine without a catalog; it refuses every operation until
 // SetCatalog is called.
 func NewEngine(d Dependencies) *Engine {
+	if d.Draw == nil {
+		d.Draw = rand.Float64
+	}
 	return &Engine{
 		Dependencies: d,
 		services:     make(map[topology.ServiceID]*service),
-		limiter:      rateLimiter{window: d.RateWindow, buckets: make(map[topology.CustomerID]*share.Bucket), shares: make(map[topology.CustomerID]RateShare)},
+		limiter:      rateLimiter{window: d.RateWindow, draw: d.Draw, buckets: make(map[topology.CustomerID]*share.Bucket), shares: make(map[topology.CustomerID]RateShare)},
 	}
 }
 
@@ -204,6 +209,7 @@
 // rateLimiter limits customers' operations to this instance's shares of their rates.
 type rateLimiter struct {
 	window time.Duration
+	draw   func() float64
 
 	mu        sync.Mutex // guards the fields below
 	customers map[topology.CustomerID]catalog.Customer
@@ -243,7 +249,7 @@
 			bucket.Resize(now, r.limit(customer), rate.Fraction)
 			bucket.Deduct(rate.Deduction)
 		case rate.Fraction > 0:
-			r.buckets[id] = share.NewBucket(now, r.limit(customer), rate.Fraction, rand.Float64())
+			r.buckets[id] = share.NewBucket(now, r.limit(customer), rate.Fraction, r.draw())
 		}
 	}
 }
--- a/request/engine/operation.go
+++ b/request/engine/operation.go
@@ -186,9 +186,8 @@
 	}
 	if op.customer != "" {
 		maxWait := time.Duration(float64(op.route.LatencyObjective) * maxRateWaitFraction)
-		wait, ok := e.limiter.admit(now, maxWait, op.customer)
-		if !ok && e.BorrowToken != nil && e.BorrowToken(op.customer) {
-			wait, ok = 0, true
+		wait, borrowed, ok := e.AdmitRate(maxWait, op.customer)
+		if borrowed {
 			eventBorrowed.Log(e.Log, "request", op.statementID, "customer", op.customer, "version", op.configVersion,
 				"part", e.limiter.describeShare(now, op.customer))
 		}
@@ -207,6 +206,17 @@
 	return op, nil
 }
 
+// AdmitRate takes a token for one operation of a customer, from this instance's share of
+// the customer's rate or borrowed from another one's. The operation may start after wait,
+// which is at most maxWait. It reports false when there is no token.
+func (e *Engine) AdmitRate(maxWait time.Duration, customer topology.CustomerID) (wait time.Duration, borrowed, ok bool) {
+	wait, ok = e.limiter.admit(e.Clock(), maxWait, customer)
+	if ok || e.BorrowToken == nil || !e.BorrowToken(customer) {
+		return wait, false, ok
+	}
+	return 0, true, true
+}
+
 // chooseFloor sets the floor of a read: the oldest observed position that the
 // route's staleness allows, or the session's own last write if that is later and the
 // route promises session consistency. The caller holds the service's lock.
