Decline forwarded operations at an instance that does not know of its ownership

Cause: others take an instance that has started again for an owner up to a second before it does itself, and forward operations to it. By its own view it is no owner and may hold one connection to each target, for which they all waited.

Now a request asks the receiver to decline unless it knows that it is an owner or a backup owner. The forwarding instance tries the others, and only when no instance is left does it have the request run all the same.

--- a/request/engine/operation.go
+++ b/request/engine/operation.go
@@ -133,6 +133,15 @@
 	return RouteInfo{Service: op.service.id, Customer: op.customer, StatementTimeout: op.route.StatementTimeout}, nil
 }
 
+// ServiceOf returns the service of a session's route, or false while that is not known.
+func (e *Engine) ServiceOf(s *client.Session) (topology.ServiceID, bool) {
+	if c := e.catalog.Load(); c != nil {
+		route, known := c.Routes[s.Database]
+		return route.Service, known
+	}
+	return "", false
+}
+
 // statementTimeout returns the timeout of a session's statements, zero while its route is
 // not known: its statements are refused without being run.
 func (e *Engine) statementTimeout(s *client.Session) time.Duration {
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -33,7 +33,7 @@
 		if to == r.Self {
 			return r.Engine.RunStatement(s, st, o)
 		}
-		response, outcome := r.forward(to, s, r.newRequest(s, st), route.StatementTimeout, o)
+		response, outcome := r.forward(to, s, selector.prepare(r.newRequest(s, st)), route.StatementTimeout, o)
 		switch {
 		case outcome == outcomeCompleted:
 			return response
@@ -64,10 +64,13 @@
 	// outcomeNoPrimary: the instance declined the request because it cannot use the
 	// primary.
 	outcomeNoPrimary
+	// outcomeNotOwner: the instance declined the request because, as far as it knows, it
+	// does not own the service.
+	outcomeNotOwner
 )
 
 func (o forwardOutcome) String() string {
-	return [...]string{"", "replied", "declined", "unanswered", "unable"}[o]
+	return [...]string{"", "replied", "declined", "unanswered", "unable", "no owner"}[o]
 }
 
 // newRequest returns a request to run a statement of a session, with the session
@@ -110,6 +113,8 @@
 		return statement.Response{}, outcomeNoResponse
 	case resp.NoPrimary:
 		return statement.Response{}, outcomeNoPrimary
+	case resp.Declined && resp.NotOwner:
+		return statement.Response{}, outcomeNotOwner
 	case resp.Declined:
 		if !req.InTransaction {
 			r.backOffFrom(to)
@@ -282,7 +287,7 @@
 		if t.readOnly {
 			req.Begin = beginReadOnly
 		}
-		response, outcome := r.forward(to, t.session, req, t.route.StatementTimeout, o)
+		response, outcome := r.forward(to, t.session, selector.prepare(req), t.route.StatementTimeout, o)
 		switch outcome {
 		case outcomeCompleted:
 			t.owner = to
--- a/request/relay/message.go
+++ b/request/relay/message.go
@@ -138,6 +138,9 @@
 	// FloorAge is the time since the floor was observed.
 	FloorAge  time.Duration       `cbor:"11,keyasint,omitempty"`
 	Statement statement.Statement `cbor:"12,keyasint"`
+	// DeclineUnlessOwner says that an instance which, by the registrations that it knows, neither
+	// owns the service nor is a backup owner should decline: another one may be.
+	DeclineUnlessOwner bool `cbor:"13,keyasint,omitempty"`
 }
 
 // placement is the part of a statement's outcome that describes where and why it ran
--- a/request/relay/selector.go
+++ b/request/relay/selector.go
@@ -30,7 +30,11 @@
 	// excluded instances declined the operation or did not respond; withoutPrimary
 	// ones could not use the primary and are tried again until the deadline.
 	excluded, withoutPrimary []topology.InstanceID
-	deadline                 time.Duration
+	// notOwners declined the operation because they do not know that they own the service. They
+	// are tried again, to run it all the same, when no other instance is left; insists is set then.
+	notOwners []topology.InstanceID
+	insists   bool
+	deadline  time.Duration
 }
 
 func (r *Relay) newSelector(route engine.RouteInfo, st statement.Statement) *instanceSelector {
@@ -49,6 +53,8 @@
 			s.withoutPrimary = append(s.withoutPrimary, to)
 		case ok:
 			return to, true
+		case len(s.notOwners) > 0:
+			s.notOwners, s.insists = nil, true
 		case len(s.withoutPrimary) == 0 || s.relay.Clock() >= s.deadline:
 			return "", false
 		default:
@@ -60,10 +66,16 @@
 }
 
 func (s *instanceSelector) choose() (topology.InstanceID, bool) {
-	if len(s.withoutPrimary) == 0 {
+	if len(s.withoutPrimary) == 0 && len(s.notOwners) == 0 {
 		return s.relay.awaitInstance(s.route.Service, s.route.Customer, s.excluded)
 	}
-	return s.relay.choose(s.route.Service, s.route.Customer, slices.Concat(s.excluded, s.withoutPrimary))
+	return s.relay.choose(s.route.Service, s.route.Customer, slices.Concat(s.excluded, s.withoutPrimary, s.notOwners))
+}
+
+// prepare completes a request to the chosen instance.
+func (s *instanceSelector) prepare(req *forwardRequest) *forwardRequest {
+	req.DeclineUnlessOwner = !s.insists
+	return req
 }
 
 // recordFailure records and logs that an instance did not run the operation.
@@ -71,9 +83,12 @@
 	s.relay.OnRoutingOutdated()
 	eventForwardFailed.Log(s.relay.Log, "request", s.statement.ID, "home", instance, "kind", s.statement.Kind.String(),
 		"service", s.route.Service, "customer", s.route.Customer, "outcome", outcome.String())
-	if outcome == outcomeNoPrimary {
+	switch outcome {
+	case outcomeNoPrimary:
 		s.withoutPrimary = append(s.withoutPrimary, instance)
-		return
+	case outcomeNotOwner:
+		s.notOwners = append(s.notOwners, instance)
+	default:
+		s.excluded = append(s.excluded, instance)
 	}
-	s.excluded = append(s.excluded, instance)
 }
--- a/request/relay/server.go
+++ b/request/relay/server.go
@@ -149,6 +149,9 @@
 	if !req.InTransaction && s.lacksPrimary(req) {
 		return &forwardResponse{ID: req.ID, Declined: true, NoPrimary: true}
 	}
+	if req.DeclineUnlessOwner && s.ownsNot(req) {
+		return &forwardResponse{ID: req.ID, Declined: true, NotOwner: true}
+	}
 	remote, ok := s.sessionFor(id, req)
 	if !ok {
 		return &forwardResponse{ID: req.ID, Declined: true}
@@ -179,7 +182,7 @@
 	s.forgetUnlessOpen(id, remote)
 	resp := &forwardResponse{ID: req.ID, Result: response, Placement: placementOf(outcome), Floor: callerSession.Floor, FloorAge: s.relay.Clock() - callerSession.FloorSentAt, ConfigVersion: outcome.ConfigVersion}
 	resp.ConfirmedVersion, resp.ConfirmationAge = s.relay.confirmedConfiguration()
-	resp.NotOwner = outcome.Service != "" && !s.relay.routing.Load().owners.MayConnect(s.relay.Self, outcome.Service)
+	resp.NotOwner = outcome.Service != "" && !s.mayConnect(outcome.Service)
 	return resp
 }
 
@@ -218,6 +221,20 @@
 	return remote, true
 }
 
+// ownsNot reports whether this instance knows that it neither owns the request's service nor
+// is a backup owner. Others may take an instance that has just started for an owner before it
+// does itself: their operations would wait for its only connection.
+func (s *server) ownsNot(req *forwardRequest) bool {
+	service, known := s.relay.Engine.ServiceOf(client.NewSession(0, req.Database, req.Key))
+	return known && !s.mayConnect(service)
+}
+
+// mayConnect reports whether this instance owns a service or is a backup owner, by the
+// registrations that it knows.
+func (s *server) mayConnect(service topology.ServiceID) bool {
+	return s.relay.routing.Load().owners.MayConnect(s.relay.Self, service)
+}
+
 // addTransaction adds a transaction that a request opens, and aborts the session's earlier
 // one: a session opens a transaction only after that has ended. It returns false if the request
 // is late: the transaction was aborted, or a later one of the session was begun.
