--- a/soak/caller.go
+++ b/soak/caller.go
@@ -39,7 +39,8 @@
 	// end.
 	patient bool
 	// lingering callers run transactions that last for longer than a withdrawn key may be
-	// accepted.
+	// accepted. Those with odd numbers only read, for which no authority to use a primary is
+	// needed.
 	lingering bool
 
 	conn                 *platformtest.Caller
@@ -108,7 +109,7 @@
 		return c.runPatientOperation()
 	}
 	if c.lingering {
-		return c.runTransaction(false, false)
+		return c.runTransaction(false, c.number%2 == 1)
 	}
 	if c.connectionOperations++; c.connectionOperations > maxConnectionOperations {
 		return false
--- a/soak/odd_entries_test.go
+++ b/soak/odd_entries_test.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -79,20 +78,7 @@
 // Other operators' machines ended again and again, or stopped following the list, after
 // another writer had left one odd entry among those of the databases.
 func TestOddEntriesDoNotEndDaemons(t *testing.T) {
-	h := &harness{options: Options{Program: buildDaemon(t), Directory: t.TempDir(), Seed: 1, Daemons: 2, Callers: 6, FaultLog: &bytes.Buffer{}},
-		history: newHistory(), startedAt: time.Now()}
-	defer h.close()
-	if err := h.build(); err != nil {
-		t.Fatal(err)
-	}
-	stopRegistration, stopCallers := make(chan struct{}), make(chan struct{})
-	var registration, callers sync.WaitGroup
-	registration.Go(func() { h.registerTargets(stopRegistration) })
-	for i := range h.options.Callers {
-		c := h.newCaller(i)
-		callers.Go(func() { c.run(stopCallers) })
-	}
-	h.awaitSuccesses()
+	h, stopCallers := startServing(t, Options{Daemons: 2, Callers: 6}, (*harness).newCaller)
 	for id, text := range h.oddEntries() {
 		h.store.PutText("servers/"+id, text) // arrives by watch
 	}
@@ -110,10 +96,7 @@
 	for i, d := range h.daemons {
 		t.Logf("daemon %d: peak memory %s, %d successes in all", i+1, d.peakMemory(), h.history.successes())
 	}
-	close(stopCallers)
-	callers.Wait()
-	close(stopRegistration)
-	registration.Wait()
+	stopCallers()
 	for _, violation := range append(h.history.check(h.groups), h.harnessErrors...) {
 		t.Error(violation)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -58,6 +59,32 @@
 	}
 }
 
+// startServing starts the daemons and the callers of a run without faults, which the test
+// injects itself, and waits until callers are served. The callers run until stopCallers.
+func startServing(t *testing.T, options Options, newCaller func(*harness, int) *caller) (h *harness, stopCallers func()) {
+	t.Helper()
+	options.Program, options.Directory, options.Seed, options.FaultLog = buildDaemon(t), t.TempDir(), 1, &bytes.Buffer{}
+	h = &harness{options: options, history: newHistory(), startedAt: time.Now()}
+	t.Cleanup(h.close)
+	if err := h.build(); err != nil {
+		t.Fatal(err)
+	}
+	stopRegistration, stop := make(chan struct{}), make(chan struct{})
+	var registration, callers sync.WaitGroup
+	registration.Go(func() { h.registerTargets(stopRegistration) })
+	for i := range options.Callers {
+		c := newCaller(h, i)
+		callers.Go(func() { c.run(stop) })
+	}
+	h.awaitSuccesses()
+	return h, func() {
+		close(stop)
+		callers.Wait()
+		close(stopRegistration)
+		registration.Wait()
+	}
+}
+
 // The group commits d1 twice, and d2 and d3 under the ID of the statement that writes d1.
 // The history contradicts it: d2 was reported as not applied, d4 was acknowledged, and a
 // read returned d2 although d3 had been acknowledged before. The checker must report
