Hand the token buckets of a slot over when its lease is given up

Callers saw: a customer near its rate was refused with 53400 while an instance drained. The next holder of a slot started with empty buckets and refilled them only after 319 ms, when the former holder's loans had expired; the tokens of the buckets were lost.

Now an instance that gives up a lease before it has expired sends the levels of the buckets and what they have lent to the holders of the other slots. The one that acquires the slot, whose epoch is the next one, goes on from there: what was lent counts as lent until the loans have expired, nothing is refilled for the time between, and each handover is used once. A lost message costs the 319 ms as before. An older instance ignores the message.

--- a/process/ledger/driver.go
+++ b/process/ledger/driver.go
@@ -190,6 +190,10 @@
 		part := messageFor(r.Customer)
 		part.TokenRecalls = append(part.TokenRecalls, r)
 	}
+	for _, h := range m.TokenHandovers {
+		part := messageFor(h.Customer)
+		part.TokenHandovers = append(part.TokenHandovers, h)
+	}
 	return byShard
 }
 
--- a/process/ledger/fleet_membership_test.go
+++ b/process/ledger/fleet_membership_test.go
@@ -239,6 +239,7 @@
 				inst.down, inst.pool = true, fakePool{}
 			},
 			"start": func(*rapid.T) { m.startProcess(pick()) },
+			"drain": func(*rapid.T) { m.updateMembership(pick(), func(c *membership.Coordinator) { c.Drain() }) },
 		})
 	})
 }
--- a/process/ledger/message.go
+++ b/process/ledger/message.go
@@ -62,6 +62,19 @@
 	Loan     LoanID              `cbor:"3,keyasint"`
 }
 
+// TokenHandover is the state in which the holder of a slot leaves a part of a customer's rate
+// when it gives up its lease before that has expired. The sender spends and lends nothing of
+// the part any more.
+type TokenHandover struct {
+	Customer topology.CustomerID `cbor:"1,keyasint"`
+	Slot     int                 `cbor:"2,keyasint"`
+	// Epoch is that of the lease; the next holder's is one higher.
+	Epoch uint64 `cbor:"3,keyasint"`
+	// Level is the number of tokens in the bucket, Lent that of loans not yet expired.
+	Level float64 `cbor:"4,keyasint,omitempty"`
+	Lent  float64 `cbor:"5,keyasint,omitempty"`
+}
+
 // ConnectionRequest reports to the holder of a slot how many borrowed
 // connections of its share the sender keeps, and requests more. From when it is
 // sent, the sender uses no more than Kept of them and ignores grants for earlier
@@ -110,4 +123,5 @@
 	ConnectionRequests []ConnectionRequest `cbor:"4,keyasint,omitempty"`
 	ConnectionGrants   []ConnectionGrant   `cbor:"5,keyasint,omitempty"`
 	ConnectionRecalls  []ConnectionRecall  `cbor:"6,keyasint,omitempty"`
+	TokenHandovers     []TokenHandover     `cbor:"7,keyasint,omitempty"`
 }
--- a/process/ledger/rate_shard.go
+++ b/process/ledger/rate_shard.go
@@ -45,6 +45,8 @@
 	outbox  map[topology.InstanceID]*Message
 	// lastRequestID is the ID of the last token request to any slot.
 	lastRequestID uint64
+	// handovers holds the last handover of each part that arrived.
+	handovers map[partID]receivedHandover
 	// requests is a buffer that refresh reuses.
 	requests []outgoingRequest
 }
@@ -59,6 +61,7 @@
 		leases:        make(map[int]*slotLease),
 		outbox:        make(map[topology.InstanceID]*Message),
 		lastRequestID: incarnation,
+		handovers:     make(map[partID]receivedHandover),
 	}
 }
 
@@ -106,6 +109,7 @@
 	for i, holder := range slots.Holders {
 		changed = changed || s.holders[i] != holder
 	}
+	previousHolders := s.holders
 	s.holders = slots.Holders
 	leased := make(map[int]bool, len(slots.Leases))
 	for _, next := range slots.Leases {
@@ -118,8 +122,9 @@
 		s.leases[next.Index] = &slotLease{slot: next.Index, epoch: next.Epoch, expiresAt: next.ExpiresAt}
 		changed = true
 	}
-	for slot := range s.leases {
+	for slot, lease := range s.leases {
 		if !leased[slot] {
+			s.handOver(now, lease, previousHolders[slot])
 			delete(s.leases, slot)
 			changed = true
 		}
@@ -141,7 +146,9 @@
 	remote := make([]*remotePart, 0, len(slots))
 	for _, slot := range slots {
 		if lease, holding := s.leases[slot]; holding {
-			local = append(local, a.localPart(now, lease, a.limit.Rate/count, a.limit.Burst/count))
+			p := a.localPart(now, lease, a.limit.Rate/count, a.limit.Burst/count)
+			s.restorePart(now, a, p)
+			local = append(local, p)
 			continue
 		}
 		remote = append(remote, a.remotePart(slot, s.holders[slot]))
@@ -253,6 +260,9 @@
 	for i := range m.TokenGrants {
 		s.receiveGrant(now, from, &m.TokenGrants[i])
 	}
+	for i := range m.TokenHandovers {
+		s.receiveHandover(now, &m.TokenHandovers[i])
+	}
 	for i := range m.TokenRecalls {
 		s.receiveRecall(now, from, &m.TokenRecalls[i])
 	}
