Promote only logs that hold all acknowledged commits

Cause: syncReplicas was decoded and read nowhere. The longest log of the targets that responded to one round of statuses was promoted, although the replica that had acknowledged the commits was dark.

Of n databases with k synchronous replicas, k+1 hold an acknowledged commit. Any k+1 and any n-k have one in common, so a candidate's log holds all of them if it reaches the logs of n-k databases, itself among them, or the log of the record's primary (holdsAcknowledged states the proof). Of a log that the service has left, the part that is shared with the history counts. Draining targets are asked too. n is the most databases that were listed at the same time, by address. It is in the record, since the entry of a dark database expires after some seconds, and users publish it after a restore. Until enough respond, the service waits. With syncReplicas 0 nothing is asked or published in addition.

A configuration with syncReplicas below 0 or above 15 is refused with the service's name, and the last one stays in force. The number of databases is not in the configuration, and what is listed at one moment may be too few; so the check does not depend on it.

TestReplicaThatMayLackAcknowledgedCommitsWaitsForTheDarkOne failed without the rule (b, which lacks 30 entries, is promoted) and passes. TestFuzzPromotedLogs draws 2 to 5 databases, 0 to n-1 synchronous replicas and crashed, dark, deaf and partitioned databases. Two faults of the model were found and corrected: it told callers of commits under a fence, where daemons forward no response, and it took a promotion for the service's choice that no record names.

--- a/edge/failover.go
+++ b/edge/failover.go
@@ -187,6 +187,9 @@
 	entry := d.mirror.Get(recordKey(service))
 	view := failover.View{Targets: d.targets[service], Revision: entry.Revision, OwnerCount: d.ownerCounts[service],
 		Era: d.era.number, PromotionsSettled: d.settled(now, promotionSettleTime)}
+	if config := d.engine.Catalog(); config != nil {
+		view.SynchronousReplicas = config.Services[service].SynchronousReplicas
+	}
 	if entry.Revision != 0 {
 		record, err := failover.DecodeRecord(entry.Value)
 		if err != nil {
--- /dev/null
+++ b/edge/failover_view_test.go
@@ -0,0 +1,59 @@
+package edge
+
+import (
+	"encoding/json"
+	"testing"
+
+	"samphirehitch.example/samphirehitch/platform"
+	"samphirehitch.example/samphirehitch/process/failover"
+	"samphirehitch.example/samphirehitch/process/store"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+// An operator requires an impossible number of replicas to acknowledge commits. The last
+// configuration stays in force, with the number that the failovers use.
+func TestImpossibleSynchronousReplicasLeaveTheLastConfigurationInForce(t *testing.T) {
+	d, now := newDaemonInEra(t, 1)
+	d.adapter.DecodeCatalog = platform.DecodeCatalog
+	configure := func(document string, sequence uint64) {
+		entry := store.Entry{Key: "configuration", Value: []byte(document), Revision: store.NewRevision(1, sequence)}
+		d.applyChanges([]store.Change{{Entry: entry}})
+	}
+	configure(`{"version":7,"services":[{"name":"s","maxConns":16,"syncReplicas":1}]}`, 5)
+	for sequence, document := range []string{
+		`{"version":8,"services":[{"name":"s","maxConns":16,"syncReplicas":-1}]}`,
+		`{"version":9,"services":[{"name":"s","maxConns":16,"syncReplicas":1000}]}`,
+	} {
+		configure(document, uint64(6+sequence))
+		if version := d.engine.Catalog().Version; version != 7 {
+			t.Errorf("%s: version %d in force", document, version)
+		}
+	}
+	if view := d.failoverView(*now, "s"); view.SynchronousReplicas != 1 {
+		t.Fatalf("%d synchronous replicas", view.SynchronousReplicas)
+	}
+	configure(`{"version":10,"services":[{"name":"s","maxConns":16,"syncReplicas":0}]}`, 9)
+	if view := d.failoverView(*now, "s"); view.SynchronousReplicas != 0 {
+		t.Fatalf("%d synchronous replicas", view.SynchronousReplicas)
+	}
+}
+
+// The store was restored to a time before the service left a log. A user of the primary tells
+// the leader where the later terms began, and how many databases there are.
+func TestUsersTellTheLeaderWhichLogsTheServiceHasLeft(t *testing.T) {
+	user, _ := newDaemonInEra(t, 1)
+	user.declaredServices = []topology.ServiceID{"s"}
+	record := failover.Record{Primary: "b", Term: 2, TermStart: topology.Point{Term: 1, Position: 75}, Era: 1, Databases: 3,
+		Terms: []failover.TermBegin{{Term: 1}, {Term: 2, After: topology.Point{Term: 1, Position: 75}}}}
+	user.applyRecord("s", record, store.NewRevision(1, 9))
+	user.observeEra(2)
+	published := user.recordsBeforeRestore()
+
+	leader, now := newDaemonInEra(t, 2)
+	leader.put(recordKey("s"), failover.Record{Primary: "a", Term: 1, Era: 1}.Encode(), store.NewRevision(2, 3))
+	leader.put(knownKey("user"), published, store.NewRevision(2, 11))
+	view := leader.failoverView(*now, "s")
+	if latest := view.LatestKnown(); !latest.Equal(record) || !json.Valid(published) {
+		t.Fatalf("%+v, want %+v", latest, record)
+	}
+}
--- a/process/failover/action.go
+++ b/process/failover/action.go
@@ -29,6 +29,9 @@
 	PromotionsSettled bool
 	// Targets are the service's listed targets.
 	Targets map[topology.TargetID]directory.Target
+	// SynchronousReplicas is the number of replicas that must receive a commit before it is
+	// acknowledged.
+	SynchronousReplicas int
 	// InstanceCount is the number of instances that have declared the service, as
 	// they may use its primary.
 	InstanceCount int
--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -187,14 +187,24 @@
 	}
 	reason := c.replacementReason(now, v)
 	if reason == "" || !hasCandidate(v) {
-		return Action{}
+		return recordDatabases(v)
 	}
 	return publishFence(v, v.Record, reason)
 }
 
+// recordDatabases returns the publication of the number of databases if it has risen.
+func recordDatabases(v View) Action {
+	record := v.Record
+	if record.Databases = v.databasesToRecord(); record.Databases == v.Record.Databases {
+		return Action{}
+	}
+	return Action{Kind: PublishRecord, Record: record, Revision: v.Revision, Reason: "databases were added"}
+}
+
 // publishFence returns the publication of a record that fences the primary.
 func publishFence(v View, record Record, reason string) Action {
 	record.Fenced, record.FenceSequence, record.Era = true, record.NextFenceSequence(v.Era), v.Era
+	record.Databases = max(record.Databases, v.databasesToRecord())
 	return Action{Kind: PublishRecord, Record: record, Revision: v.Revision, Reason: reason}
 }
 
@@ -324,7 +334,7 @@
 	if c.phase != phaseChoosing {
 		return Action{}
 	}
-	successor, status, found := bestCandidate(v, r.Statuses)
+	successor, status, found := c.bestCandidate(now, v, r.Statuses)
 	if !found {
 		return Action{}
 	}
--- a/process/failover/record.go
+++ b/process/failover/record.go
@@ -77,6 +77,9 @@
 	// Terms holds the begins of the latest terms, up to this one, the latest last. They tell
 	// which logs the service has left.
 	Terms []TermBegin `json:"terms,omitempty"`
+	// Databases is the greatest number of databases that were listed at the same time while
+	// replicas had to acknowledge commits.
+	Databases int `json:"databases,omitempty"`
 	// Fenced forbids the use of the primary until a record without a fence is
 	// published.
 	Fenced bool `json:"fenced,omitempty"`
--- a/process/failover/successor.go
+++ b/process/failover/successor.go
@@ -15,7 +15,7 @@
 	for id, status := range r.Statuses {
 		if status.Role == topology.RolePrimary && status.Term > first.Record.Term {
 			first = Action{Kind: PublishRecord, Reason: "first record",
-				Record: Record{Primary: id, Term: status.Term, TermStart: status.Received, Terms: []TermBegin{beginOf(status.Term, status.Received)}, Era: v.Era}}
+				Record: Record{Primary: id, Term: status.Term, TermStart: status.Received, Terms: []TermBegin{beginOf(status.Term, status.Received)}, Databases: v.databasesToRecord(), Era: v.Era}}
 		}
 	}
 	return first
@@ -28,7 +28,7 @@
 	successor := v.Record
 	successor.Primary, successor.Fenced, successor.Era = c.successor, false, v.Era
 	successor.Terms = v.Record.extendHistory(status.Term, status.Received)
-	successor.Term, successor.TermStart = status.Term, status.Received
+	successor.Term, successor.TermStart, successor.Databases = status.Term, status.Received, v.databasesToRecord()
 	return Action{Kind: PublishRecord, Record: successor, Revision: v.Revision, Reason: "the successor is primary"}
 }
 
@@ -37,7 +37,8 @@
 func (c *Coordinator) requestStatuses(now time.Duration, v View) Action {
 	var targets []directory.Target
 	for id, t := range v.Targets {
-		if id == v.Record.Primary || (!t.Draining && !c.isRejected(now, id)) {
+		// A draining target is no candidate, but may hold acknowledged commits.
+		if id == v.Record.Primary || v.SynchronousReplicas > 0 || (!t.Draining && !c.isRejected(now, id)) {
 			targets = append(targets, t)
 		}
 	}
@@ -53,12 +54,14 @@
 // promotion took effect whose response was lost, or the primary came back with its
 // log under another ID. A target whose log the service has left is no candidate until it has
 // followed the present primary, also if no other responds: its promotion would bring back
-// commits that reads have not shown since, and remove those made instead.
-func bestCandidate(v View, statuses map[topology.TargetID]TargetStatus) (topology.TargetID, TargetStatus, bool) {
+// commits that reads have not shown since, and remove those made instead. Where replicas
+// acknowledge commits, the log has to hold all acknowledged ones; see holdsAcknowledged. If
+// there is no candidate, the service waits.
+func (c *Coordinator) bestCandidate(now time.Duration, v View, statuses map[topology.TargetID]TargetStatus) (topology.TargetID, TargetStatus, bool) {
 	var id topology.TargetID
 	var bestStatus TargetStatus
 	for candidate, status := range statuses {
-		if v.Targets[candidate].Draining || candidate == v.Record.Primary {
+		if v.Targets[candidate].Draining || candidate == v.Record.Primary || c.isRejected(now, candidate) {
 			continue
 		}
 		if status.Role == topology.RolePrimary && status.Term >= v.Record.Term {
@@ -72,5 +75,5 @@
 			id, bestStatus = candidate, status
 		}
 	}
-	return id, bestStatus, id != ""
+	return id, bestStatus, id != "" && holdsAcknowledged(v, bestStatus, statuses)
 }
--- a/process/failover/verification.go
+++ b/process/failover/verification.go
@@ -15,12 +15,14 @@
 
 // LatestKnown returns the latest record of the service, stored or known to a user.
 func (v View) LatestKnown() Record {
-	latest := v.Record
+	latest, databases := v.Record, v.Record.Databases
 	for _, known := range v.Known {
+		databases = max(databases, known.Databases)
 		if known.Later(latest) {
 			latest = known
 		}
 	}
+	latest.Databases = databases
 	return latest
 }
 
