Refuse callers at once with the reason while a service waits for databases

While no database may be promoted although some respond, requests for the primary waited 400 ms each and were refused with "no connection became free in time", which is not why.

The leader now publishes the reason in the fenced record once no successor has been found for 0.5 s (longer than requests wait for one), and again at most every 2 s if it changes. Instances refuse what needs the primary with it, before it queues, and do not try again. Replicas go on serving. The successor's record has no reason. The number of the fence stays, so that acknowledgements hold. If no database responds, nothing is published and requests wait as before.

TestCallersAreRefusedWithTheReasonWhileTheServiceWaits and TestCallersAreToldWhyTheServiceWaits fail without the two parts (refused as "no connection became free in time"; no reason in the record) and pass.

--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -23,6 +23,12 @@
 	promotionTimeout = 4 * time.Second
 	// retryInterval is the wait after a failed action.
 	retryInterval = 150 * time.Millisecond
+	// waitNotice is how long no successor must have been found before callers are told that
+	// the service waits. It exceeds the time for which requests wait for a primary.
+	waitNotice = 500 * time.Millisecond
+	// waitNoticeInterval is the least time between two notices: which databases respond may
+	// change with each round.
+	waitNoticeInterval = 2 * time.Second
 	// minSuspectShare is the share of instances that must suspect a primary before it
 	// is replaced, unless all owners of its service, or as many other instances,
 	// suspect it. Below this share, the failure is more likely to lie with the
@@ -69,6 +75,8 @@
 	// entryMissing is set.
 	entryMissingSince time.Duration
 	entryMissing      bool
+	// nextNoticeAt is when callers may be told again why the service waits.
+	nextNoticeAt time.Duration
 	// successor is the target selected to become primary.
 	successor topology.TargetID
 	// rejectedAt is when the platform last rejected each target as successor.
@@ -204,7 +212,7 @@
 // publishFence returns the publication of a record that fences the primary.
 func publishFence(v View, record Record, reason string) Action {
 	record.Fenced, record.FenceSequence, record.Era = true, record.NextFenceSequence(v.Era), v.Era
-	record.Databases = max(record.Databases, v.databasesToRecord())
+	record.Databases, record.Waiting = max(record.Databases, v.databasesToRecord()), ""
 	return Action{Kind: PublishRecord, Record: record, Revision: v.Revision, Reason: reason}
 }
 
@@ -336,7 +344,7 @@
 	}
 	successor, status, found := c.bestCandidate(now, v, r.Statuses)
 	if !found {
-		return Action{}
+		return c.startFollowUp(c.publishWait(now, v, r.Statuses))
 	}
 	if status.Role == topology.RolePrimary && status.Term >= v.Record.Term {
 		c.successor = successor
--- a/process/failover/history_test.go
+++ b/process/failover/history_test.go
@@ -54,6 +54,34 @@
 	}
 }
 
+// The service waits for a log of its history. Callers are told so while it does, not before, and
+// not once there is a primary again.
+func TestCallersAreToldWhyTheServiceWaits(t *testing.T) {
+	f := newForkedFixture(t)
+	f.statuses["a"], f.view.SuspectCount = TargetStatus{Role: topology.RolePrimary, Term: 1, Received: pointAt(1, 94)}, 2
+	f.run(waitNotice - 100*time.Millisecond)
+	if f.view.Record.Waiting != "" {
+		t.Fatalf("record %+v: callers may still be served in time", f.view.Record)
+	}
+	f.run(5 * time.Second)
+	if r := f.view.Record; r.Waiting != waitingForHistory || !r.Fenced {
+		t.Fatalf("record %+v", r)
+	}
+	fence := f.view.Record.FenceSequence
+	f.view.SynchronousReplicas, f.view.Record.Databases = 1, 4
+	f.statuses["b"] = TargetStatus{Role: topology.RoleReplica, Term: 3, Received: pointAt(2, 80)}
+	f.run(5 * time.Second)
+	if r := f.view.Record; r.Waiting != waitingForAcknowledgement || r.FenceSequence != fence || f.view.Revision > 12 {
+		t.Fatalf("record %+v, revision %s", r, f.view.Revision)
+	}
+	f.statuses["c"] = TargetStatus{Role: topology.RolePrimary, Term: 3, Received: pointAt(3, 93)}
+	f.statuses["b"] = TargetStatus{Role: topology.RoleReplica, Term: 3, Received: pointAt(3, 93)}
+	f.run(500 * time.Millisecond)
+	if r := f.view.Record; r.Primary != "b" || r.Waiting != "" || r.Fenced {
+		t.Fatalf("record %+v", r)
+	}
+}
+
 // The other form of case 1: one successor has crashed, the other one is dark for half a second.
 func TestDivergentLogDoesNotReplaceABriefSilenceOfTheRightOne(t *testing.T) {
 	f := newForkedFixture(t)
--- a/process/failover/record.go
+++ b/process/failover/record.go
@@ -83,6 +83,9 @@
 	// Fenced forbids the use of the primary until a record without a fence is
 	// published.
 	Fenced bool `json:"fenced,omitempty"`
+	// Waiting is why no successor can be promoted while the primary is fenced, for callers;
+	// empty while one is expected soon.
+	Waiting string `json:"waiting,omitempty"`
 	// FenceSequence rises with each fence of the service. Acknowledgements name the fence
 	// by it. It is unique across restores of the store; see NextFenceSequence.
 	FenceSequence uint64 `json:"sequence"`
--- a/process/failover/successor.go
+++ b/process/failover/successor.go
@@ -26,7 +26,7 @@
 func (c *Coordinator) publishSuccessor(v View, status TargetStatus) Action {
 	c.replaced = v.Record.Primary
 	successor := v.Record
-	successor.Primary, successor.Fenced, successor.Era = c.successor, false, v.Era
+	successor.Primary, successor.Fenced, successor.Waiting, successor.Era = c.successor, false, "", v.Era
 	successor.Terms = v.Record.extendHistory(status.Term, status.Received)
 	successor.Term, successor.TermStart, successor.Databases = status.Term, status.Received, v.databasesToRecord()
 	return Action{Kind: PublishRecord, Record: successor, Revision: v.Revision, Reason: "the successor is primary"}
@@ -77,3 +77,39 @@
 	}
 	return id, bestStatus, id != "" && holdsAcknowledged(v, bestStatus, statuses)
 }
+
+// Reasons for which a service waits although databases respond.
+const (
+	waitingForHistory         = "the databases that respond hold a log that the service has left"
+	waitingForAcknowledgement = "the databases that respond may lack acknowledged commits"
+)
+
+// waitReason returns why none of the databases that respond can be promoted, empty if none
+// responds but the old primary and those that are draining.
+func waitReason(v View, statuses map[topology.TargetID]TargetStatus) string {
+	reason := ""
+	for id, status := range statuses {
+		switch {
+		case id == v.Record.Primary || v.Targets[id].Draining:
+		case v.Record.shareOf(status.Received).complete:
+			return waitingForAcknowledgement
+		default:
+			reason = waitingForHistory
+		}
+	}
+	return reason
+}
+
+// publishWait returns the publication of the reason for which the service waits, so that
+// callers are refused at once and told so. While it is unknown, the last one stays.
+func (c *Coordinator) publishWait(now time.Duration, v View, statuses map[topology.TargetID]TargetStatus) Action {
+	waiting := v.Record
+	if waiting.Waiting = waitReason(v, statuses); waiting.Waiting == "" || waiting.Waiting == v.Record.Waiting {
+		return Action{}
+	}
+	if now < max(c.phaseStart+waitNotice, c.nextNoticeAt) {
+		return Action{}
+	}
+	c.nextNoticeAt = now + waitNoticeInterval
+	return Action{Kind: PublishRecord, Record: waiting, Revision: v.Revision, Reason: waiting.Waiting}
+}
--- a/request/engine/acquire.go
+++ b/request/engine/acquire.go
@@ -33,6 +33,10 @@
 	s := op.service
 	now := e.Clock()
 	s.mu.Lock()
+	if reason := s.waitingFor(); reason != "" && r.NeedsPrimary {
+		s.mu.Unlock()
+		return nil, &refusal{statement.Busy, reason}
+	}
 	s.dispatch.SetPrimary(now, s.usablePrimary(now))
 	lease, decision := s.dispatch.Submit(now, r)
 	sequence := s.recordGrant(lease)
--- a/request/engine/engine_test.go
+++ b/request/engine/engine_test.go
@@ -33,6 +33,24 @@
 	}
 }
 
+// While no database may be promoted, what needs the primary is refused with the reason and not
+// held back first; replicas go on serving.
+func TestCallersAreRefusedWithTheReasonWhileTheServiceWaits(t *testing.T) {
+	h := newHarness(t)
+	const reason = "the databases that respond may lack acknowledged commits"
+	h.mustRun(h.session(2, "bounded"), readA, statement.OK)
+	h.advance(time.Second)
+	h.engine.SetRecord("s", failover.Record{Primary: "a", Term: 1, Fenced: true, FenceSequence: 1, Waiting: reason}, 2)
+	for _, database := range []string{"strict", "session"} {
+		if response := h.mustRun(h.session(1, database), writeA, statement.Busy); response.Detail != reason {
+			t.Errorf("%s: refused as %q", database, response.Detail)
+		}
+	}
+	h.mustRun(h.session(2, "bounded"), readA, statement.OK)
+	h.engine.SetRecord("s", failover.Record{Primary: "b", Term: 2, FenceSequence: 1}, 3)
+	h.mustRun(h.session(3, "strict"), writeA, statement.OK)
+}
+
 func TestReadFloorComesFromResponses(t *testing.T) {
 	h := newHarness(t)
 	h.mustRun(h.session(1, "bounded"), readA, statement.OK)
--- a/request/engine/service.go
+++ b/request/engine/service.go
@@ -68,6 +68,15 @@
 	return s.record.Primary
 }
 
+// waitingFor returns why the service has no primary, if none is expected soon. The caller holds
+// the lock.
+func (s *service) waitingFor() string {
+	if s.revision == 0 || !s.record.Fenced {
+		return ""
+	}
+	return s.record.Waiting
+}
+
 // tick updates the dispatcher's primary and connection share, grants or expires
 // queued requests, and closes idle connections that are no longer allowed.
 func (s *service) tick(now time.Duration) {
--- a/request/engine/statement.go
+++ b/request/engine/statement.go
@@ -44,12 +44,14 @@
 
 // mayRetryAcquire reports whether another lease may be requested after a refusal. A
 // connection that failed leaves other targets, or the same one, to try; the
-// dispatcher's own refusals are final.
+// dispatcher's own refusals are final, and so is one while the service waits for databases.
 func (e *Engine) mayRetryAcquire(op *operation, r *dispatch.Request, refused *refusal) bool {
 	if refused.reason == dispatch.NoTarget.String() || refused.reason == dispatch.Overloaded.String() {
 		return false
 	}
-	return e.Clock() < r.ExpiresAt
+	op.service.mu.Lock()
+	defer op.service.mu.Unlock()
+	return op.service.waitingFor() == "" && e.Clock() < r.ExpiresAt
 }
 
 // sendStatement sends the statement on a leased connection and returns the lease.
