Give the promotion token up before the leadership

Confirmed by TestResignedLeaderRequestsNoPromotion, which fails before: a promotion may be requested after the key is deleted, and the key is deleted while one is on its way.

Now the token goes first, so that a request that is being opened fails at its next write, and a renewal in progress does not bring it back. While a promotion is being requested the key stays and its lease of 1.5 s runs out, as for a leader that crashes: the next leader waits as long as before a request from the last one may arrive.

--- a/edge/failover.go
+++ b/edge/failover.go
@@ -91,6 +91,8 @@
 	// services for which it had requested a promotion then.
 	restoredEra store.Era
 	promoting   map[topology.ServiceID]bool
+	// ordering is the number of promotions that are being requested.
+	ordering int
 	// coordinators run the services' failovers; they are discarded with the token.
 	coordinators map[topology.ServiceID]*failover.Coordinator
 	// fences are the known fences by service, nil before the first leadership.
--- a/edge/failover_actions.go
+++ b/edge/failover_actions.go
@@ -44,6 +44,7 @@
 		eventFailoverStep.Log(d.log, "step", "order", "service", service, "target", action.Target.ID, "token", token, "why", action.Reason)
 		promoteCtx, cancel := context.WithTimeout(ctx, promotionCallTimeout)
 		defer cancel()
+		defer d.leadership.startOrder()()
 		request := failover.PromotionRequest{Service: service, Successor: action.Target.ID, Token: token,
 			HoldsLeadership: func() bool { return d.holdsLeadership(token, promotionWindow) }}
 		if err := d.promoter.Promote(promoteCtx, request); err != nil {
--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -137,6 +137,25 @@
 	return l.restoredEra == era && !l.promoting[service]
 }
 
+// startOrder notes that a promotion is being requested, before the request checks that the
+// leadership is held, and returns the function that notes its end.
+func (l *leadership) startOrder() (end func()) {
+	count := func(change int) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.ordering += change
+	}
+	count(1)
+	return func() { count(-1) }
+}
+
+// isOrdering reports whether a promotion is being requested.
+func (l *leadership) isOrdering() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ordering > 0
+}
+
 // acquireLeadership tries to acquire the leadership while no instance holds it. It
 // always returns false: the leadership counts once the mirror holds its key.
 func (d *Daemon) acquireLeadership(ctx context.Context) bool {
@@ -187,10 +206,12 @@
 
 // setLeadership records whether this instance is the leader. The fencing token is the
 // revision at which the leadership was acquired, which increases with every leader. A
-// new token discards the state of the failovers under the previous one.
+// new token discards the state of the failovers under the previous one. An instance that is
+// shutting down does not become the leader again.
 func (d *Daemon) setLeadership(held bool, token failover.FencingToken) {
 	d.leadership.mu.Lock()
 	defer d.leadership.mu.Unlock()
+	held = held && !d.stopping.Load()
 	switch {
 	case held && d.leadership.token != token:
 		d.leadership.token = token
--- a/edge/leadership_test.go
+++ b/edge/leadership_test.go
@@ -1,8 +1,13 @@
 package edge
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"time"
+
+	"samphirehitch.example/samphirehitch/process/failover"
+	"samphirehitch.example/samphirehitch/process/store"
 )
 
 // The process is suspended during a failover, loses the leadership and acquires it
@@ -27,3 +32,56 @@
 		t.Fatal("the earlier token is valid")
 	}
 }
+
+// promoterFunc is a failover.Promoter.
+type promoterFunc func(failover.PromotionRequest) error
+
+func (f promoterFunc) Promote(_ context.Context, request failover.PromotionRequest) error {
+	return f(request)
+}
+
+// Found by the independent review, by reading: a leader that shuts down deletes the key of the
+// leadership at once. A promotion that it is requesting, or requests afterwards, has a lower token
+// than those of the next leader, and must not follow them.
+func TestResignedLeaderRequestsNoPromotion(t *testing.T) {
+	for _, requesting := range []bool{false, true} {
+		s := newRestorableStore(t)
+		d := s.daemon
+		value := []byte(d.leadershipValue())
+		revision, err := d.store.CompareAndSwap(t.Context(), store.Swap{Key: keyLeadership, Value: value})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.receive()
+		token := failover.FencingToken(revision)
+		d.setLeadershipLease(1, d.clock())
+		d.setLeadership(true, token)
+		holds := true
+		d.promoter = promoterFunc(func(request failover.PromotionRequest) error {
+			if d.stopping.Store(true); requesting {
+				d.resignLeadership()
+			}
+			holds = request.HoldsLeadership()
+			return nil
+		})
+		if !requesting {
+			d.stopping.Store(true)
+			d.resignLeadership()
+		}
+		result := d.runFailoverAction(t.Context(), "s", failover.Action{Kind: failover.PromoteTarget}, token)
+		if requesting && holds || !requesting && !result.Failed {
+			t.Errorf("requesting %t: a promotion may be sent after the leadership was resigned", requesting)
+		}
+		d.setLeadership(true, token) // a renewal was in progress
+		if d.holdsLeadership(token, leadershipDuration) {
+			t.Errorf("requesting %t: the token outlives the leadership", requesting)
+		}
+		entry, err := d.store.Get(t.Context(), keyLeadership)
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
+			t.Fatal(err)
+		}
+		if kept := string(entry.Value) == string(value); kept != requesting {
+			t.Errorf("requesting %t: key kept %t; another instance may lead while a request is on its way", requesting, kept)
+		}
+	}
+}
--- a/edge/shutdown.go
+++ b/edge/shutdown.go
@@ -138,8 +138,13 @@
 }
 
 // resignLeadership gives up the leadership if this instance holds it, so that another
-// instance can acquire it immediately.
+// instance can acquire it immediately. The token is given up first: a promotion with it must not
+// follow one of the next leader. While one is being requested, the lease has to expire instead.
 func (d *Daemon) resignLeadership() {
+	d.setLeadership(false, 0)
+	if d.leadership.isOrdering() {
+		return
+	}
 	d.mu.Lock()
 	entry := d.mirror.Get(keyLeadership)
 	d.mu.Unlock()
