--- a/process/failover/group_model_test.go
+++ b/process/failover/group_model_test.go
@@ -59,8 +59,8 @@
 	// has left, by publishing a primary without them, and dropping those that the latest
 	// promotion lacks: nobody uses a primary whose promotion is not known to have succeeded.
 	acknowledged, dropped, dropping map[topology.Point]bool
-	partitioned           bool
-	problem               string
+	partitioned                     bool
+	problem                         string
 }
 
 func newModelGroup(size, synchronous int) *modelGroup {
