Send the demand to a new owner at once

Callers saw nothing yet: more was admitted than a customer's limit in the seconds after an instance had become an owner, within the tolerance of QUOTA.

Cause: shares follow the demand that instances report each 0.9 to 1.5 s, or when it changes. An instance that has just started knows none of it, takes the limit for undemanded, and computes a share of four fifths of its part in owned services, while the others go on with shares for their demand.

Evidence: the simulated roll at three times a rate of 206/s. Only the first seconds after a start exceed the limit of 1,236 operations in a window.

Now an instance whose list of rate sharers has gained a member reports at once.

Measured: TestNewRateSharerIsSentTheDemandAtOnce failed before ("demand is sent to [], want i3").

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -208,6 +208,9 @@
 	// division is the current division of the customers' rates.
 	division  rateDivision
 	borrowing share.BorrowBackoff
+	// sharersAdded says that some of the rate sharers have not been sent this instance's
+	// demand.
+	sharersAdded atomic.Bool
 	// lastLogged is what logIfChanged last logged for each subject.
 	lastLogged map[string]string
 }
--- a/edge/demand.go
+++ b/edge/demand.go
@@ -28,7 +28,7 @@
 	if constrained {
 		interval = constrainedDemandInterval
 	}
-	changed := demandDiffers(report.Demand, d.sentReport.Demand) || demandDiffers(report.Excess, d.sentReport.Excess)
+	changed := d.sharersAdded.Swap(false) || demandDiffers(report.Demand, d.sentReport.Demand) || demandDiffers(report.Excess, d.sentReport.Excess)
 	if len(report.Demand) == 0 && len(d.sentReport.Demand) == 0 || now-d.demandSentAt < interval && !changed {
 		return
 	}
--- a/edge/owner_shares_test.go
+++ b/edge/owner_shares_test.go
@@ -1,8 +1,12 @@
 package edge
 
 import (
+	"slices"
 	"testing"
 	"time"
+
+	"samphirehitch.example/samphirehitch/process/peer"
+	"samphirehitch.example/samphirehitch/process/topology"
 )
 
 // plannedRoll terminates the instances in turn.
@@ -70,3 +74,38 @@
 		})
 	}
 }
+
+// recordingLink records to whom messages are sent.
+type recordingLink struct {
+	*simInstance
+	receivers []topology.InstanceID
+}
+
+func (l *recordingLink) Send(to topology.InstanceID, _ peer.Kind, _ any) {
+	l.receivers = append(l.receivers, to)
+}
+
+// An instance that started divided a customer's rate without the demand at the others until
+// their next report, up to 1.5 s later: 1,301 operations in a window, the limit is 1,236.
+func TestNewRateSharerIsSentTheDemandAtOnce(t *testing.T) {
+	f := newSimFleet(t, 1, 4, 206)
+	f.run(5*time.Second, 103)
+	reporter, newest := f.instances[0], f.instances[3]
+	newest.kill()
+	f.run(f.now+simRestartDelay+simRegistration+2*simStep, 103)
+	link := &recordingLink{simInstance: reporter}
+	d := reporter.daemon
+	d.relay.Link = link
+	d.sendDemand()
+	d.rateSharers = slices.DeleteFunc(slices.Clone(d.rateSharers), func(id topology.InstanceID) bool { return id == newest.id })
+	link.receivers = nil
+	d.sendDemand()
+	if len(link.receivers) != 0 {
+		t.Fatalf("demand is sent to %v although nothing has changed", link.receivers)
+	}
+	d.applyShares()
+	d.sendDemand()
+	if !slices.Contains(link.receivers, newest.id) {
+		t.Fatalf("demand is sent to %v, want %s", link.receivers, newest.id)
+	}
+}
--- a/edge/share_fleet_test.go
+++ b/edge/share_fleet_test.go
@@ -238,6 +238,11 @@
 		default:
 		}
 	}
+	select {
+	case <-d.usageWake:
+		i.demandAt = f.now
+	default:
+	}
 	if f.now >= i.demandAt {
 		i.demandAt = f.now + demandInterval
 		f.reportsDemand = true
--- a/edge/shares.go
+++ b/edge/shares.go
@@ -103,6 +103,11 @@
 	// be in flight on its primary.
 	all := slices.Concat(used, d.declaredServices)
 	slices.Sort(all)
+	// A new sharer that lacks the others' demands computes too large a share.
+	if slices.ContainsFunc(sharers, func(id topology.InstanceID) bool { return !slices.Contains(d.rateSharers, id) }) {
+		d.sharersAdded.Store(true)
+		defer notify(d.usageWake)
+	}
 	becomesUser := len(d.usedServices) == 0 && len(all) > 0
 	d.ownerCounts, d.usedServices, d.rateSharers = ownerCounts, slices.Compact(all), sharers
 	changed := !slices.Equal(d.usedServices, d.declaredServices)
