Stop using a draining primary before the drain delay ends

Confirmed by TestDrainingPrimaryWithoutASuccessorIsNotUsedBeyondTheDrainDelay: 1 ms before the end of the delay a write is granted at the draining primary; the setting was checked and used nowhere.

The dispatcher now uses it for three quarters of the delay from its first report as draining: the report may arrive late, and a statement takes a while to arrive. Then such requests are refused at once, as there is no target for them. With a successor nothing changes, since the fence comes first. An instance that starts meanwhile counts from when it hears of the draining.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -226,7 +226,7 @@
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.suspicions = newSuspicions(d)
 	d.engine = engine.NewEngine(engine.Dependencies{
-		FailureDomain: o.Settings.FailureDomain, RateWindow: o.Settings.RateWindow, Clock: d.clock, Authority: d.authority,
+		FailureDomain: o.Settings.FailureDomain, MaxDrainDelay: o.Settings.MaxDrainDelay, RateWindow: o.Settings.RateWindow, Clock: d.clock, Authority: d.authority,
 		BorrowToken: d.borrow, ConfirmConfiguration: d.confirmNow, Dialer: o.Dialer,
 		Reachability: d.suspicions, Observer: d.metrics, Log: o.Log,
 	})
--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -27,6 +27,9 @@
 type Config struct {
 	Service       topology.ServiceID
 	FailureDomain topology.FailureDomain
+	// MaxDrainDelay is the time after which a draining target must not receive statements,
+	// counted from its report; zero is no limit.
+	MaxDrainDelay time.Duration
 }
 
 // Dispatcher schedules the requests of one service and tracks the connections to its
@@ -65,6 +68,9 @@
 			d.evictIdle(t)
 			t.failures, t.backoffUntil, t.latency = 0, 0, 0
 		}
+		if !t.Draining {
+			t.drainingSince = now
+		}
 		t.Target, t.removed = info, false
 		if t.Draining {
 			d.evictIdle(t)
@@ -182,7 +188,7 @@
 		return len(d.targets) > 0
 	}
 	for id, t := range d.targets {
-		if t.removed || t.Draining && !(d.isDrainingPrimary(t) && r.NeedsPrimary) || r.excludes(id) || r.NeedsPrimary && id != d.primary {
+		if t.removed || t.Draining && !(d.isDrainingPrimary(now, t) && r.NeedsPrimary) || r.excludes(id) || r.NeedsPrimary && id != d.primary {
 			continue
 		}
 		if id != d.primary && !t.likelyHolds(r.ExpiresAt, r.FloorSentAt) {
--- a/process/dispatch/dispatch_test.go
+++ b/process/dispatch/dispatch_test.go
@@ -280,6 +280,26 @@
 	}
 }
 
+// Seen by the independent review: a primary drains, and no other target is listed that could
+// replace it. It must get no request once a draining target may not be used any more.
+func TestDrainingPrimaryWithoutASuccessorIsNotUsedBeyondTheDrainDelay(t *testing.T) {
+	const delay = 7 * time.Second
+	d := newTestDispatcher(4, 8)
+	d.config.MaxDrainDelay = delay
+	drain := func(now time.Duration) {
+		d.SetTargets(now, map[topology.TargetID]directory.Target{"a": {ID: "a", Service: "s", FailureDomain: "x", Slots: 4, Draining: true}})
+	}
+	drain(testStart)
+	if lease := mustSubmit(t, testStart+delay/2, d, newWrite(testStart+delay/2, "k")); lease.Target != "a" {
+		t.Fatalf("write at %s", lease.Target)
+	}
+	drain(testStart + delay/2) // its next report
+	late := testStart + delay - time.Millisecond
+	if lease, decision := d.Submit(late, newWrite(late, "k")); lease != nil || decision != NoTarget {
+		t.Fatalf("lease %+v, decision %s", lease, decision)
+	}
+}
+
 func TestDrainingTargetGetsNoNewReads(t *testing.T) {
 	d := newTestDispatcher(4, 8)
 	targets := map[topology.TargetID]directory.Target{}
--- a/process/dispatch/placement.go
+++ b/process/dispatch/placement.go
@@ -37,7 +37,7 @@
 func (d *Dispatcher) evaluate(now time.Duration, r *Request, id topology.TargetID, t *target) (candidate, bool) {
 	isPrimary := id == d.primary
 	switch {
-	case !t.usable(now) && !(d.isDrainingPrimary(t) && r.NeedsPrimary && now >= t.backoffUntil):
+	case !t.usable(now) && !(d.isDrainingPrimary(now, t) && r.NeedsPrimary && now >= t.backoffUntil):
 		return candidate{}, false
 	case r.NeedsPrimary && !isPrimary, r.excludes(id):
 		return candidate{}, false
@@ -76,11 +76,16 @@
 	return d.connectionLimit
 }
 
-// isDrainingPrimary reports whether the target is a draining primary. It still receives
-// the requests that need the primary, since no other target can run them until its
-// successor is promoted.
-func (d *Dispatcher) isDrainingPrimary(t *target) bool {
-	return t.ID == d.primary && t.Draining && !t.removed
+// drainMargin is the part of MaxDrainDelay for which a draining primary is no longer used: its
+// report may reach this instance late, and statements take a while to arrive.
+const drainMargin = 0.25
+
+// isDrainingPrimary reports whether the target is a draining primary that may still be used. It
+// receives the requests that need the primary, since no other target can run them until its
+// successor is promoted. If none is found, that ends before MaxDrainDelay.
+func (d *Dispatcher) isDrainingPrimary(now time.Duration, t *target) bool {
+	usable := time.Duration(float64(d.config.MaxDrainDelay) * (1 - drainMargin))
+	return t.ID == d.primary && t.Draining && !t.removed && (usable == 0 || now-t.drainingSince < usable)
 }
 
 // leaseFrom returns a lease of the candidate's idle connection, or of a connection that
--- a/process/dispatch/target.go
+++ b/process/dispatch/target.go
@@ -71,6 +71,8 @@
 	// because the target accepted no more.
 	atLimitUntil  time.Duration
 	observedLimit int
+	// drainingSince is when a draining target was first listed as such.
+	drainingSince time.Duration
 	// removed is set when the target is no longer listed: it receives no new requests
 	// and its connections are closed when they become idle.
 	removed bool
--- a/request/engine/engine.go
+++ b/request/engine/engine.go
@@ -42,6 +42,9 @@
 // Dependencies holds an Engine's configuration and the components that it uses.
 type Dependencies struct {
 	FailureDomain topology.FailureDomain
+	// MaxDrainDelay is the time after which a draining target must not receive statements;
+	// zero is no limit.
+	MaxDrainDelay time.Duration
 	// RateWindow is the duration over which customers' rate limits apply.
 	RateWindow time.Duration
 	Clock      clock.Clock
@@ -97,7 +100,7 @@
 	for id := range c.Services {
 		if _, known := e.services[id]; !known {
 			e.services[id] = &service{id: id, authority: e.Authority, connections: 1,
-				dispatch: dispatch.New(dispatch.Config{Service: id, FailureDomain: e.FailureDomain})}
+				dispatch: dispatch.New(dispatch.Config{Service: id, FailureDomain: e.FailureDomain, MaxDrainDelay: e.MaxDrainDelay})}
 		}
 	}
 	e.limiter.setCustomers(e.Clock(), c.Customers)
