Use a fenced primary again that is back while no other can be promoted

Confirmed by TestFencedPrimaryThatIsBackIsUsedAgainWithoutASuccessor, which failed: fenced for good.

If no successor is found and the primary responds with its role, its term and a log that reaches the term's start, the leader publishes its record without the fence. No promotion may still take effect: this leader has requested none, it first saw the fence at least 2.5 s ago (promotions of earlier leaders and those from before a restore have then taken effect), and no target knows of a later term.

--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -75,6 +75,10 @@
 	// entryMissing is set.
 	entryMissingSince time.Duration
 	entryMissing      bool
+	// fencedAt is when this leader first saw the present fence. resumed is set once it has lifted
+	// one, at resumedAt; see resumePrimary.
+	fencedAt, resumedAt time.Duration
+	resumed             bool
 	// nextNoticeAt is when callers may be told again why the service waits.
 	nextNoticeAt time.Duration
 	// successor is the target selected to become primary.
@@ -128,6 +132,7 @@
 	}
 	if v.Record.Fenced && c.phase == phaseSteady {
 		c.enterPhase(now, phaseFenced)
+		c.fencedAt = now
 	}
 	if !v.Record.Fenced && c.phase != phaseSteady {
 		c.enterPhase(now, phaseSteady)
@@ -219,6 +224,7 @@
 // replacementReason returns why the primary is to be replaced, empty when it is
 // not.
 func (c *Coordinator) replacementReason(now time.Duration, v View) string {
+	suspected := v.SuspectCount >= suspectQuorum(v) && !c.ignoresSuspicions(now)
 	primary, listed := v.Targets[v.Record.Primary]
 	if !listed {
 		if !c.entryMissing {
@@ -227,7 +233,7 @@
 		switch {
 		case otherPrimaryListed(v):
 			return "another target is listed as primary"
-		case now-c.entryMissingSince >= missingEntryTimeout || v.SuspectCount >= suspectQuorum(v):
+		case now-c.entryMissingSince >= missingEntryTimeout || suspected:
 			return "the primary is no longer listed"
 		default:
 			return ""
@@ -237,7 +243,7 @@
 	switch {
 	case primary.Draining:
 		return "the primary is draining"
-	case v.SuspectCount >= suspectQuorum(v):
+	case suspected:
 		return "instances cannot reach the primary"
 	default:
 		return ""
@@ -344,6 +350,9 @@
 	}
 	successor, status, found := c.bestCandidate(now, v, r.Statuses)
 	if !found {
+		if resume := c.resumePrimary(now, v, r.Statuses); resume.Kind != NoAction {
+			return c.startFollowUp(resume)
+		}
 		return c.startFollowUp(c.publishWait(now, v, r.Statuses))
 	}
 	if status.Role == topology.RolePrimary && status.Term >= v.Record.Term {
--- a/process/failover/coordinator_test.go
+++ b/process/failover/coordinator_test.go
@@ -283,3 +283,60 @@
 		})
 	}
 }
+
+// Seen by the independent review: a fenced primary that is back with its log was never used
+// again, as long as no other target could be promoted.
+func TestFencedPrimaryThatIsBackIsUsedAgainWithoutASuccessor(t *testing.T) {
+	f := newFixture(t)
+	status := f.statuses["a"]
+	f.statuses = map[topology.TargetID]TargetStatus{}
+	f.view.SuspectCount, f.view.FenceAcknowledged = 2, true
+	f.run(time.Second)
+	f.statuses["a"] = status
+	f.run(resumeAfter - 1100*time.Millisecond)
+	if !f.view.Record.Fenced {
+		t.Fatal("used again while a promotion of an earlier leader may take effect")
+	}
+	f.run(300 * time.Millisecond)
+	if r := f.view.Record; r.Primary != "a" || r.Term != 1 || r.Fenced || len(f.promotions) != 0 {
+		t.Fatalf("record %+v, promotions %v", r, f.promotions)
+	}
+	f.view.SuspectCount = 0 // the instances have withdrawn their suspicions
+	fence := f.view.Record.FenceSequence
+	f.run(2 * resumeGrace)
+	if f.view.Record.FenceSequence != fence {
+		t.Fatalf("fenced again: %+v", f.view.Record)
+	}
+}
+
+// It stays fenced if it drains, has lost its log or its role, if another target knows of a
+// later term, or if this leader has requested a promotion, which may still take effect.
+func TestFencedPrimaryIsNotUsedAgainIfItMayHaveBeenReplaced(t *testing.T) {
+	for name, change := range map[string]func(f *fixture){
+		"draining": func(f *fixture) {
+			f.view.Targets["a"] = directory.Target{ID: "a", Role: topology.RolePrimary, Draining: true}
+		},
+		"replica": func(f *fixture) {
+			f.statuses["a"] = TargetStatus{Role: topology.RoleReplica, Term: 1, Received: pointAt(1, 50)}
+		},
+		"lost its log": func(f *fixture) { f.statuses["a"] = TargetStatus{Role: topology.RolePrimary, Term: 1} },
+		"later term": func(f *fixture) {
+			f.view.SynchronousReplicas, f.view.Record.Databases = 1, 4
+			f.statuses["c"] = TargetStatus{Role: topology.RoleReplica, Term: 2, Received: pointAt(1, 40)}
+		},
+		"promotion requested": func(f *fixture) { f.coordinator.promotionOrdered = true },
+	} {
+		f := newFixture(t)
+		f.view.Record.TermStart = pointAt(1, 10)
+		status := f.statuses["a"]
+		f.statuses = map[topology.TargetID]TargetStatus{}
+		f.view.SuspectCount, f.view.FenceAcknowledged = 2, true
+		f.run(time.Second)
+		f.statuses["a"] = status
+		change(f)
+		f.run(10 * time.Second)
+		if !f.view.Record.Fenced || len(f.promotions) != 0 {
+			t.Errorf("%s: record %+v, promotions %v", name, f.view.Record, f.promotions)
+		}
+	}
+}
