Revert "Use a fenced primary again that is back while no other can be promoted"

Found by a second independent review, with a test: a leader fences a, requests the promotion of c and is killed before it publishes; c leads the next term and is dark; the next leader knows of no request and lifts the fence of a 2.5 s later. Commits at a are acknowledged after a promotion has taken effect (ONE). It also left the primary fenced for ever after a request that was answered with 409.

Nothing used again is safe; it needs the requested target in the record before the request is sent. Open, as before: a fenced primary that is back waits until another target can be promoted.

--- a/edge/store_changes.go
+++ b/edge/store_changes.go
@@ -125,7 +125,7 @@
 // applyRecords passes changed records to their services, and acknowledges fences of
 // primaries that this instance may use.
 func (d *Daemon) applyRecords() {
-	records, lifted := make(map[topology.ServiceID]storedRecord), make(map[topology.ServiceID]bool)
+	records := make(map[topology.ServiceID]storedRecord)
 	d.mu.Lock()
 	d.mirror.ForEach(prefixRecords, func(entry store.Entry) {
 		record, err := decodeStoredRecord(entry)
@@ -137,8 +137,6 @@
 		if !d.isVerified(record) || d.records[service].revision >= record.revision {
 			return
 		}
-		previous := d.records[service]
-		lifted[service] = previous.Fenced && !record.Fenced && previous.Primary == record.Primary
 		d.records[service] = record
 		records[service] = record
 	})
@@ -147,10 +145,6 @@
 		d.engine.SetRecord(service, record.Record, record.revision)
 		eventRecordChanged.Log(d.log, "service", service, "primary", record.Primary, "term", record.Term,
 			"fenced", record.Fenced, "sequence", record.FenceSequence, "revision", record.revision.String())
-		if lifted[service] {
-			// The leader has reached the primary. A suspicion from before would replace it again.
-			d.suspicions.ReportReachable(service, record.Primary)
-		}
 		if record.Fenced && slices.Contains(d.declaredUsage(), service) {
 			go d.acknowledgeFence(service, record.Record)
 		}
--- a/edge/suspicions_test.go
+++ b/edge/suspicions_test.go
@@ -82,21 +82,6 @@
 	}
 }
 
-// The leader lifts the fence of a primary that is back. A suspicion from before would have it
-// replaced again, and the instance does not use a primary that it suspects. Other changes of the
-// record leave suspicions as they are.
-func TestSuspicionEndsWithTheFenceOfTheSamePrimary(t *testing.T) {
-	for _, fenced := range []bool{false, true} {
-		d, _ := newDaemonInEra(t, 1)
-		d.applyRecord("s", failover.Record{Primary: "a", Term: 1, Fenced: fenced, FenceSequence: 1, Era: 1}, store.NewRevision(1, 4))
-		d.suspicions.ReportUnreachable("s", "a")
-		d.applyRecord("s", failover.Record{Primary: "a", Term: 1, FenceSequence: 1, Era: 1, Databases: 3}, store.NewRevision(1, 5))
-		if suspected := d.suspicions.IsSuspected("s", "a"); suspected == fenced {
-			t.Errorf("fenced before %t: suspected %t", fenced, suspected)
-		}
-	}
-}
-
 // suspicion returns the stored suspicion of the instance for service s, empty for none.
 func (s *leaseStore) suspicion() string {
 	return string(s.entries[suspicionKey("s", "self")].Value)
--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -75,10 +75,6 @@
 	// entryMissing is set.
 	entryMissingSince time.Duration
 	entryMissing      bool
-	// fencedAt is when this leader first saw the present fence. resumed is set once it has lifted
-	// one, at resumedAt; see resumePrimary.
-	fencedAt, resumedAt time.Duration
-	resumed             bool
 	// nextNoticeAt is when callers may be told again why the service waits.
 	nextNoticeAt time.Duration
 	// successor is the target selected to become primary.
@@ -132,7 +128,6 @@
 	}
 	if v.Record.Fenced && c.phase == phaseSteady {
 		c.enterPhase(now, phaseFenced)
-		c.fencedAt = now
 	}
 	if !v.Record.Fenced && c.phase != phaseSteady {
 		c.enterPhase(now, phaseSteady)
@@ -224,7 +219,6 @@
 // replacementReason returns why the primary is to be replaced, empty when it is
 // not.
 func (c *Coordinator) replacementReason(now time.Duration, v View) string {
-	suspected := v.SuspectCount >= suspectQuorum(v) && !c.ignoresSuspicions(now)
 	primary, listed := v.Targets[v.Record.Primary]
 	if !listed {
 		if !c.entryMissing {
@@ -233,7 +227,7 @@
 		switch {
 		case otherPrimaryListed(v):
 			return "another target is listed as primary"
-		case now-c.entryMissingSince >= missingEntryTimeout || suspected:
+		case now-c.entryMissingSince >= missingEntryTimeout || v.SuspectCount >= suspectQuorum(v):
 			return "the primary is no longer listed"
 		default:
 			return ""
@@ -243,7 +237,7 @@
 	switch {
 	case primary.Draining:
 		return "the primary is draining"
-	case suspected:
+	case v.SuspectCount >= suspectQuorum(v):
 		return "instances cannot reach the primary"
 	default:
 		return ""
@@ -350,9 +344,6 @@
 	}
 	successor, status, found := c.bestCandidate(now, v, r.Statuses)
 	if !found {
-		if resume := c.resumePrimary(now, v, r.Statuses); resume.Kind != NoAction {
-			return c.startFollowUp(resume)
-		}
 		return c.startFollowUp(c.publishWait(now, v, r.Statuses))
 	}
 	if status.Role == topology.RolePrimary && status.Term >= v.Record.Term {
--- a/process/failover/group_model_test.go
+++ b/process/failover/group_model_test.go
@@ -120,9 +120,6 @@
 	if primary == nil || g.view.Record.Fenced || !primary.primary || !primary.responds() {
 		return
 	}
-	if primary != g.current {
-		g.problem = fmt.Sprintf("%s is used although %s was promoted", primary.id, g.current.id)
-	}
 	number := topology.Position(len(primary.log) + 1)
 	primary.log = append(primary.log, topology.Point{Term: primary.term, Position: number})
 }
