Read a record without its history if that does not end with its term

Found by review: such a record, written by hand, would end every leader that reads it (index out of range, shown by a test). TestRecordWithAnUnfinishedHistoryIsReadWithoutIt.

--- a/process/failover/history.go
+++ b/process/failover/history.go
@@ -30,7 +30,7 @@
 // history returns the begins of the service's terms, the latest last. A record of an earlier
 // version names its own term alone.
 func (r Record) history() []TermBegin {
-	if len(r.Terms) == 0 {
+	if len(r.Terms) == 0 || r.Terms[len(r.Terms)-1].Term != r.Term { // of another version, or written by hand
 		return []TermBegin{beginOf(r.Term, r.TermStart)}
 	}
 	return r.Terms
--- a/process/failover/history_test.go
+++ b/process/failover/history_test.go
@@ -209,3 +209,11 @@
 		t.Fatalf("record %+v takes a log back that the service has left", f.view.Record)
 	}
 }
+
+// A record whose history does not end with its term ended the leader that read it.
+func TestRecordWithAnUnfinishedHistoryIsReadWithoutIt(t *testing.T) {
+	record := Record{Primary: "a", Term: 5, TermStart: pointAt(4, 9), Terms: []TermBegin{{Term: 2}, {Term: 3, After: pointAt(2, 7)}}}
+	if record.shareOf(pointAt(3, 8)).complete || !record.shareOf(pointAt(4, 9)).complete {
+		t.Error("the begin of the record's own term decides")
+	}
+}
