Replace a session's transaction in one step, so that its abort is not lost

Found by review, with a test: an abort that came while a transaction's first request waited for the end of the session's earlier one found nothing, and the transaction stayed open at its target until the idle limit (received: begin write write begin write rollback). TestAbortWhileTheEarlierTransactionEndsIsNotLost.

--- a/request/relay/server.go
+++ b/request/relay/server.go
@@ -245,12 +245,13 @@
 		s.mu.Unlock()
 		return false
 	}
-	s.mu.Unlock()
-	s.abort(earlier)
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	// One step under the lock, or an abort that comes while the earlier transaction ends is lost.
+	replaced := s.transactions[earlier]
+	delete(s.transactions, earlier)
 	remote.lastRequest = s.relay.Clock()
 	s.transactions[id] = remote
+	s.mu.Unlock()
+	replaced.abort()
 	return true
 }
 
@@ -308,13 +309,19 @@
 	delete(s.transactions, id)
 	s.advanceLatest(id, id.id.Transaction)
 	s.mu.Unlock()
-	if remote == nil {
+	remote.abort()
+}
+
+// abort rolls the session's transaction back, after the statement in progress. A nil session
+// has none.
+func (r *remoteSession) abort() {
+	if r == nil {
 		return
 	}
-	remote.mu.Lock()
-	defer remote.mu.Unlock()
-	remote.session.Rollback()
-	remote.aborted = true
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.session.Rollback()
+	r.aborted = true
 }
 
 // abortAll rolls back all transactions of an instance.
--- a/request/relay/transaction_identity_test.go
+++ b/request/relay/transaction_identity_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"samphirehitch.example/samphirehitch/process/statement"
 )
@@ -99,3 +100,35 @@
 		t.Errorf("a transaction is left, the target received %v", target.received())
 	}
 }
+
+// The abort of a transaction came while its first request waited for the end of the session's
+// earlier one, found nothing, and left the transaction open at its target.
+func TestAbortWhileTheEarlierTransactionEndsIsNotLost(t *testing.T) {
+	owner, target := newOwner(t)
+	first, second := requestOf(1, beginReadWrite, statement.Write, "first"), requestOf(2, beginReadWrite, statement.Write, "second")
+	owner.run("e", first)
+	owner.mu.Lock()
+	earlier := owner.transactions[idOf(first)]
+	owner.mu.Unlock()
+	earlier.mu.Lock() // a statement is in progress
+	response := make(chan *forwardResponse)
+	go func() { response <- owner.run("e", second) }()
+	for begun := false; !begun; {
+		time.Sleep(time.Millisecond)
+		owner.mu.Lock()
+		begun = owner.latest[idOf(second).session()] == 2
+		owner.mu.Unlock()
+	}
+	owner.abort(idOf(second))
+	earlier.mu.Unlock()
+	if r := <-response; !r.Declined || owner.hasTransactions() {
+		t.Errorf("response %+v, the target received %v", r.Result, target.received())
+	}
+}
+
+// hasTransactions reports whether a transaction is open here.
+func (s *server) hasTransactions() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.transactions) > 0
+}
