Ask peers first for a missing registration, also in the steady state

It counts from when the registration is missing now. TestPeersAreAskedFirstWhenTheOwnRegistrationIsMissing.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -50,7 +50,7 @@
 	defer d.mu.Unlock()
 	key := instanceKey(d.settings.Instance)
 	lacksOwn := !d.forwardsAlways && d.mirror.Get(key).Revision < d.ownRevisions[key]
-	d.follower.SetLacksOwn(lacksOwn)
+	d.follower.SetLacksOwn(now, lacksOwn)
 	peer, wait = d.follower.Next(now)
 	if lacksOwn {
 		wait = min(wait, following.MaxWaitLackingOwn)
--- a/process/following/following.go
+++ b/process/following/following.go
@@ -61,7 +61,8 @@
 	// lacksOwn says that the instance does not know its own registration, which is in the
 	// store. Then it does not know which services it owns either, while other instances
 	// already forward to it.
-	lacksOwn bool
+	lacksOwn      bool
+	lacksOwnSince time.Duration
 	// triedStore says that the instance has tried to read the store while lacksOwn.
 	triedStore bool
 	// expedited says that the next request is due as soon as minInterval allows.
@@ -162,7 +163,10 @@
 // which is in the store. Requests are then expedited, and the instance reads the store soon,
 // once, if no peer answers: a fleet in which all have just started has no instance that
 // watches it.
-func (f *Follower) SetLacksOwn(lacksOwn bool) {
+func (f *Follower) SetLacksOwn(now time.Duration, lacksOwn bool) {
+	if lacksOwn && !f.lacksOwn {
+		f.lacksOwnSince = now
+	}
 	f.lacksOwn = lacksOwn
 	f.expedited = f.expedited || lacksOwn
 	f.triedStore = f.triedStore && lacksOwn
@@ -179,9 +183,8 @@
 
 // Stale reports whether the instance has to read the store itself.
 func (f *Follower) Stale(now time.Duration) bool {
-	limit := StaleAfter
-	if f.lacksOwn && !f.triedStore {
-		limit = lacksOwnAfter
+	if f.lacksOwn && !f.triedStore && now-max(f.currentAt, f.lacksOwnSince) >= lacksOwnAfter {
+		return true
 	}
-	return now-f.currentAt >= limit
+	return now-f.currentAt >= StaleAfter
 }
--- a/process/following/following_test.go
+++ b/process/following/following_test.go
@@ -143,14 +143,14 @@
 	f := New("self", 0)
 	f.SetCandidates(candidates(3))
 	asked := 0
-	f.SetLacksOwn(true)
 	now := time.Duration(0)
+	f.SetLacksOwn(now, true)
 	for ; !f.Stale(now); now += 10 * ms {
 		if peer, _ := f.Next(now); peer != "" {
 			f.Answered(now, peer, -1)
 			asked++
 		}
-		f.SetLacksOwn(true)
+		f.SetLacksOwn(now, true)
 	}
 	if now > lacksOwnAfter || asked < 2 {
 		t.Fatalf("stale after %s, %d peers asked", now, asked)
@@ -160,12 +160,26 @@
 		t.Fatal("the store is read again at once after a failure")
 	}
 	f.ReadStore(now)
-	f.SetLacksOwn(true)
+	f.SetLacksOwn(now, true)
 	if f.Stale(now + StaleAfter - 1) {
 		t.Fatal("the store is read again although it did not have the registration")
 	}
-	f.SetLacksOwn(false)
-	if f.SetLacksOwn(true); !f.Stale(now + lacksOwnAfter) {
+	f.SetLacksOwn(now, false)
+	if f.SetLacksOwn(now, true); !f.Stale(now + lacksOwnAfter) {
 		t.Fatal("not stale after another registration")
 	}
 }
+
+// An instance that registered again under another lease listed the whole store at once, while a
+// peer was being asked, since the last answer was older than the wait.
+func TestPeersAreAskedFirstWhenTheOwnRegistrationIsMissing(t *testing.T) {
+	f := New("self", 0)
+	f.SetCandidates(candidates(18))
+	peer, now := f.ask(t, 0)
+	f.Answered(now+2*ms, peer, 500*ms)
+	now += 900 * ms
+	f.SetLacksOwn(now, true)
+	if f.Next(now); f.Stale(now) || !f.Stale(now+lacksOwnAfter) {
+		t.Error("the store is not read after the peers were asked")
+	}
+}
