Let a session wait for the last response before it closes its connection

Found by review, with a test: a statement's result that came between the end of its connection and the write of its last response had the session close the connection first; the caller got no answer (LOST, within microseconds to milliseconds). TestResultBesideTheEndOfAConnectionDoesNotCloseIt.

--- a/edge/caller_conn.go
+++ b/edge/caller_conn.go
@@ -69,6 +69,9 @@
 	// running is the statement that was read and has no response yet, nil between
 	// statements.
 	running *runningStatement
+	// finished is closed when the response that end leaves to its caller is written, nil without
+	// one.
+	finished chan struct{}
 }
 
 // runningStatement is a statement that was read and has no response yet.
@@ -169,11 +172,13 @@
 	return response
 }
 
-// respond writes the response to the running statement, unless end has done so.
+// respond writes the response to the running statement, unless end has left it to another:
+// then it waits for that, since its caller closes the connection.
 func (c *callerConn) respond(response statement.Response) error {
 	c.mu.Lock()
-	if c.ended {
+	if finished := c.finished; finished != nil {
 		c.mu.Unlock()
+		<-finished
 		return net.ErrClosed
 	}
 	c.running = nil
@@ -182,18 +187,28 @@
 }
 
 // end ends the connection, so that no statement is run on it any more. It returns the
-// running statement, if there is one, whose response is then the caller's to write.
+// running statement, if there is one, whose response is then the caller's to write with finish.
 func (c *callerConn) end() *runningStatement {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	running := c.running
 	c.running, c.ended = nil, true
+	if running != nil {
+		c.finished = make(chan struct{})
+	}
 	if c.waiting {
 		c.interruptWait()
 	}
 	return running
 }
 
+// finish writes the response to a statement that end has returned, and closes the connection.
+func (c *callerConn) finish(running *runningStatement) {
+	_ = c.codec.WriteResponse(running.unfinished) // the connection ends in any case
+	close(c.finished)
+	_ = c.codec.Close()
+}
+
 // isRunning reports whether a statement is running.
 func (c *callerConn) isRunning() bool {
 	c.mu.Lock()
--- a/edge/shutdown.go
+++ b/edge/shutdown.go
@@ -130,8 +130,7 @@
 		eventUnfinished.Log(d.log, "request", running.id, "kind", running.kind.String(),
 			"age_ms", time.Since(running.since).Milliseconds(), "code", running.unfinished.Code.String())
 		go func() {
-			_ = conn.codec.WriteResponse(running.unfinished) // the connection ends in any case
-			_ = conn.codec.Close()
+			conn.finish(running)
 			d.callers.remove(conn)
 		}()
 	}
--- a/edge/shutdown_test.go
+++ b/edge/shutdown_test.go
@@ -294,3 +294,26 @@
 	}
 	close(d.session.finish)
 }
+
+// The statement's result came between the end of its connection and its last response: the session
+// closed the connection before that was written.
+func TestResultBesideTheEndOfAConnectionDoesNotCloseIt(t *testing.T) {
+	s := newStoppingDaemon(t, time.Hour, statement.Idle)
+	s.send(t, statement.Read)
+	conn := s.callers.snapshot()[0]
+	for !conn.isRunning() {
+		time.Sleep(time.Millisecond)
+	}
+	running := conn.end()
+	close(s.session.finish)
+	select {
+	case err := <-s.ended:
+		t.Fatalf("the session has ended with %v before the response was written", err)
+	case <-time.After(20 * time.Millisecond): // the session has got its result meanwhile
+	}
+	go conn.finish(running)
+	if code, _ := s.awaitResponse(t); code != statement.Busy {
+		t.Errorf("response %s", code)
+	}
+	<-s.ended
+}
