--- a/soak/caller.go
+++ b/soak/caller.go
@@ -69,7 +69,7 @@
 			time.Sleep(reconnectBackoff)
 			continue
 		}
-		if !c.runOperation() {
+		if c.conn.Ended() || !c.runOperation() {
 			c.conn.Close()
 			c.conn = nil
 		}
--- a/soak/transactions.go
+++ b/soak/transactions.go
@@ -22,9 +22,6 @@
 // 6 are reads, 4 are writes, 1 is a prepared write and 9 are long transactions. It reports
 // whether the connection is usable afterwards.
 func (c *caller) runPatientOperation() bool {
-	if c.conn.Ended() {
-		return false
-	}
 	switch draw := c.random.IntN(20); {
 	case draw < 6:
 		return c.readItem()
