--- a/edge/caller_conn.go
+++ b/edge/caller_conn.go
@@ -83,7 +83,7 @@
 	unfinished statement.Response
 }
 
-// closeWhenIdle has the connection closed as soon as it is idle.
+// closeWhenIdle has the caller dismissed and the connection closed as soon as it is idle.
 func (c *callerConn) closeWhenIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/edge/shutdown.go
+++ b/edge/shutdown.go
@@ -38,7 +38,7 @@
 
 // drain stops serving within the grace period. It marks the registration as leaving and the
 // readiness probe as not ready, so that no more requests are sent here, resigns the
-// leadership, closes callers' connections as they become idle, and waits for requests
+// leadership, dismisses callers as they become idle, and waits for requests
 // forwarded from other instances. Statements are refused once they may not be complete in
 // time, and those that are still running at the end get a response before the process exits.
 func (d *Daemon) drain(a *acceptor) {
--- a/edge/shutdown_test.go
+++ b/edge/shutdown_test.go
@@ -309,7 +309,7 @@
 	select {
 	case err := <-s.ended:
 		t.Fatalf("the session has ended with %v before the response was written", err)
-	case <-time.After(20 * time.Millisecond): // the session has got its result meanwhile
+	case <-time.After(20 * time.Millisecond): // on a slow machine this may miss the fault, and never fails wrongly
 	}
 	go conn.finish(running)
 	if code, _ := s.awaitResponse(t); code != statement.Busy {
