Keep the soak's silent host on the loopback

TestOddEntriesDoNotEndDaemons named a host at 203.0.113.1, of the range for documentation, as the silent one, so that daemons under test dialled an address beyond the loopback, which our bounds exclude. A listener on the loopback that accepts nothing is as silent: a session there gets no response. The checks do not change.

--- a/soak/odd_entries_test.go
+++ b/soak/odd_entries_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/base64"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -15,8 +16,9 @@
 )
 
 // oddEntries returns the wire form of entries that another writer may leave among those of
-// the databases, by ID. Some name addresses of the daemons and of the store.
-func (h *harness) oddEntries() map[string]string {
+// the databases, by ID. Some name addresses of the daemons, of the store and of a host that
+// is silent.
+func (h *harness) oddEntries(silent string) map[string]string {
 	entry := func(address, capacity, state string) string {
 		return base64.StdEncoding.EncodeToString(fmt.Appendf(nil, `{"service":"ledger","address":%q,"zone":"z1","version":"1","capacity":%s,"state":%q,"warmupLeftMs":0,"sequence":1,"dbRole":"primary","born":1}`, address, capacity, state))
 	}
@@ -31,7 +33,7 @@
 		"odd-store":  entry(h.store.Address(), "2", "ready"),
 		"odd-caller": entry(h.daemons[0].callerAddress, "2", "ready"),
 		"odd-other":  entry(h.targets[0].proxy.Address(), "2", "ready"),
-		"odd-silent": entry("203.0.113.1:80", "2", "ready"),
+		"odd-silent": entry(silent, "2", "ready"),
 		"":           entry("127.0.0.1:80", "2", "ready"),
 	}
 	for i := range 20 {
@@ -78,8 +80,13 @@
 // Other operators' machines ended again and again, or stopped following the list, after
 // another writer had left one odd entry among those of the databases.
 func TestOddEntriesDoNotEndDaemons(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // accepts nothing, so that sessions get no response
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
 	h, stopCallers := startServing(t, Options{Daemons: 2, Callers: 6}, (*harness).newCaller)
-	for id, text := range h.oddEntries() {
+	for id, text := range h.oddEntries(silent.Addr().String()) {
 		h.store.PutText("servers/"+id, text) // arrives by watch
 	}
 	h.checkServing(t, 2)
