Check the successor again before a later order of its promotion

What callers would see: after a failover the service is empty or lacks commits that were acknowledged (LOST where the service has syncReplicas), although another replica holds them.

Cause: a successor was chosen by its status once, and its promotion was then ordered every 150 ms for as long as the platform accepted no order, without a bound. A database may start again under its ID and know nothing of its log meanwhile; the order went by the ID alone.

Why it works: an order rests on a status that is at most 500 ms old, also after a suspension of the leader, since its clock goes on. A silent one is ordered again as before: the platform rejects it if it does not run, and choosing another one while an order may still take effect could promote two. What remains: a database that loses its log within those 500 ms, or while it is silent and before its new entry is listed.

Time from a crash to the record is unchanged, since the first order follows the choice at once.

--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -77,8 +77,9 @@
 	entryMissing      bool
 	// nextNoticeAt is when callers may be told again why the service waits.
 	nextNoticeAt time.Duration
-	// successor is the target selected to become primary.
+	// successor is the target selected to become primary, and choice what that rests on.
 	successor topology.TargetID
+	choice    choice
 	// rejectedAt is when the platform last rejected each target as successor.
 	rejectedAt map[topology.TargetID]time.Duration
 	// promotionOrdered is set from the first request for a promotion until the successor's
@@ -146,9 +147,12 @@
 		return c.requestStatuses(now, v)
 	case phasePromoting:
 		target, known := v.Targets[c.successor]
-		if !known {
+		switch {
+		case !known || target.Incarnation != c.choice.incarnation:
 			c.enterPhase(now, phaseChoosing)
 			return c.requestStatuses(now, v)
+		case now-c.choice.checkedAt > maxChoiceAge:
+			return Action{Kind: RequestStatuses, Targets: []directory.Target{target}, Reason: "checking the successor again"}
 		}
 		return Action{Kind: PromoteTarget, Target: target, Reason: "replica with the longest log"}
 	case phaseConfirming:
@@ -339,6 +343,9 @@
 		}
 		return c.startFollowUp(c.publishSuccessor(v, status))
 	}
+	if c.phase == phasePromoting {
+		return c.checkChoice(now, v, r.Statuses)
+	}
 	if c.phase != phaseChoosing {
 		return Action{}
 	}
@@ -355,6 +362,7 @@
 		return Action{}
 	}
 	c.successor = successor
+	c.choice = choice{incarnation: v.Targets[successor].Incarnation, received: status.Received, checkedAt: now}
 	c.enterPhase(now, phasePromoting)
 	return Action{}
 }
--- a/process/failover/coordinator_test.go
+++ b/process/failover/coordinator_test.go
@@ -21,6 +21,8 @@
 	demoted    []topology.TargetID
 	// rejected are the successors that the platform rejects.
 	rejected map[topology.TargetID]bool
+	// unavailable: the platform accepts no promotion request.
+	unavailable bool
 	// lostResponses is how many more actions of each kind take effect, but report a
 	// failure.
 	lostResponses map[ActionKind]int
@@ -74,6 +76,9 @@
 		}
 	case PromoteTarget:
 		f.promotions = append(f.promotions, a.Target.ID)
+		if r.Failed = f.unavailable; r.Failed {
+			break
+		}
 		if f.rejected[a.Target.ID] {
 			r.Failed, r.Rejected = true, true
 			break
