Forget the transaction numbers of the oldest sessions, not of all at once

What callers would see: a request that was delayed until its caller had given the transaction up opens it again at the owner. It holds a connection and its locks until the idle limit, and is never committed.

Cause: the owner kept the latest number of 8,192 sessions and cleared the whole table when that was full, the numbers of a moment ago included.

--- a/request/relay/server.go
+++ b/request/relay/server.go
@@ -37,9 +37,8 @@
 	// transactions holds the sessions with an open transaction here, or with a request
 	// that opens one.
 	transactions map[remoteSessionID]*remoteSession
-	// latest holds the highest number of a transaction of each session that was begun or
-	// aborted here.
-	latest map[remoteSessionID]uint64
+	// numbers tells late requests of ended transactions apart.
+	numbers transactionNumbers
 	// running is the number of requests in progress.
 	running int
 	// sessionNumbers holds the numbers by which the engine knows other instances'
@@ -110,7 +109,7 @@
 const maxSessionNumbers = 8192
 
 func newServer(r *Relay) *server {
-	return &server{relay: r, transactions: make(map[remoteSessionID]*remoteSession), latest: make(map[remoteSessionID]uint64), sessionNumbers: make(map[remoteSessionID]uint64), lastNumber: firstRemoteNumber}
+	return &server{relay: r, transactions: make(map[remoteSessionID]*remoteSession), numbers: newTransactionNumbers(), sessionNumbers: make(map[remoteSessionID]uint64), lastNumber: firstRemoteNumber}
 }
 
 // sessionNumber returns the engine's number for a session. It is the same for all
@@ -240,8 +239,8 @@
 // is late: the transaction was aborted, or a later one of the session was begun.
 func (s *server) addTransaction(id remoteSessionID, remote *remoteSession) bool {
 	s.mu.Lock()
-	earlier := id.withTransaction(s.latest[id.session()])
-	if number := id.id.Transaction; number != 0 && !s.advanceLatest(id, number) {
+	earlier := id.withTransaction(s.numbers.latest(id.session()))
+	if number := id.id.Transaction; number != 0 && !s.numbers.advance(id.session(), number) {
 		s.mu.Unlock()
 		return false
 	}
@@ -255,20 +254,6 @@
 	return true
 }
 
-// advanceLatest records the number of a transaction that is begun or aborted. It returns
-// false if it is not above the latest one. The caller holds s.mu.
-func (s *server) advanceLatest(id remoteSessionID, number uint64) bool {
-	session := id.session()
-	if number <= s.latest[session] {
-		return false
-	}
-	if len(s.latest) >= maxSessionNumbers {
-		clear(s.latest)
-	}
-	s.latest[session] = number
-	return true
-}
-
 // begin opens the transaction that a request opens, if any, and reports whether the
 // statement may run. After a refusal the caller has a failed transaction.
 func (s *server) begin(session *engine.Session, req *forwardRequest) (statement.Response, bool) {
@@ -307,7 +292,7 @@
 	s.mu.Lock()
 	remote := s.transactions[id]
 	delete(s.transactions, id)
-	s.advanceLatest(id, id.id.Transaction)
+	s.numbers.advance(id.session(), id.id.Transaction)
 	s.mu.Unlock()
 	remote.abort()
 }
--- a/request/relay/transaction_identity_test.go
+++ b/request/relay/transaction_identity_test.go
@@ -116,7 +116,7 @@
 	for begun := false; !begun; {
 		time.Sleep(time.Millisecond)
 		owner.mu.Lock()
-		begun = owner.latest[idOf(second).session()] == 2
+		begun = owner.numbers.latest(idOf(second).session()) == 2
 		owner.mu.Unlock()
 	}
 	owner.abort(idOf(second))
