Let the test of a result beside a connection's end see its fault on every run

What was wrong: the test waited 20 ms for the session to end too early, and could miss that on a slow machine.

Change: it runs in a bubble of testing/synctest, which waits until the session's goroutine is blocked. The check is the same: the session must not have ended before the response is written.

--- a/edge/shutdown_test.go
+++ b/edge/shutdown_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -83,14 +84,22 @@
 // the given state.
 func newStoppingDaemon(t *testing.T, grace time.Duration, state statement.TransactionState) *stoppingDaemon {
 	t.Helper()
-	d := New(Options{Settings: entrysettings.Settings{Instance: "self", TerminationGrace: grace}, Log: logr.Discard()})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &stoppingDaemon{Daemon: d, acceptor: newAcceptor(listener), ended: make(chan error, 1),
+	s := newUnreachableDaemon(t, grace, state)
+	s.acceptor = newAcceptor(listener)
+	go s.accept(s.acceptor)
+	return s
+}
+
+// newUnreachableDaemon returns the same without an acceptor. It uses no network.
+func newUnreachableDaemon(t *testing.T, grace time.Duration, state statement.TransactionState) *stoppingDaemon {
+	t.Helper()
+	d := New(Options{Settings: entrysettings.Settings{Instance: "self", TerminationGrace: grace}, Log: logr.Discard()})
+	s := &stoppingDaemon{Daemon: d, ended: make(chan error, 1),
 		session: &scriptedSession{state: state, finish: make(chan struct{}), expired: make(chan string, 1)}}
-	go d.accept(s.acceptor)
 	s.caller = s.connect(t, s.session)
 	return s
 }
@@ -298,22 +307,23 @@
 // The statement's result came between the end of its connection and its last response: the session
 // closed the connection before that was written.
 func TestResultBesideTheEndOfAConnectionDoesNotCloseIt(t *testing.T) {
-	s := newStoppingDaemon(t, time.Hour, statement.Idle)
-	s.send(t, statement.Read)
-	conn := s.callers.snapshot()[0]
-	for !conn.isRunning() {
-		time.Sleep(time.Millisecond)
-	}
-	running := conn.end()
-	close(s.session.finish)
-	select {
-	case err := <-s.ended:
-		t.Fatalf("the session has ended with %v before the response was written", err)
-	case <-time.After(20 * time.Millisecond): // on a slow machine this may miss the fault, and never fails wrongly
-	}
-	go conn.finish(running)
-	if code, _ := s.awaitResponse(t); code != statement.Busy {
-		t.Errorf("response %s", code)
-	}
-	<-s.ended
+	synctest.Test(t, func(t *testing.T) {
+		s := newUnreachableDaemon(t, time.Hour, statement.Idle)
+		s.send(t, statement.Read)
+		synctest.Wait()
+		conn := s.callers.snapshot()[0]
+		running := conn.end()
+		close(s.session.finish)
+		synctest.Wait()
+		select {
+		case err := <-s.ended:
+			t.Fatalf("the session has ended with %v before the response was written", err)
+		default:
+		}
+		go conn.finish(running)
+		if code, _ := s.awaitResponse(t); code != statement.Busy {
+			t.Errorf("response %s", code)
+		}
+		<-s.ended
+	})
 }
