Order the promotion of the leadership test at once after the choice

It orders at once, as the daemon does, and fails if no promotion is ordered, which it did not check before. The test's expectations are the same.

--- a/edge/store_era_test.go
+++ b/edge/store_era_test.go
@@ -148,7 +148,7 @@
 	d.setLeadership(true, 5)
 	coordinator := &failover.Coordinator{}
 	if promoting {
-		orderPromotion(coordinator)
+		orderPromotion(t, coordinator)
 	}
 	d.leadership.coordinators["s"] = coordinator
 	*now += gap
@@ -162,13 +162,15 @@
 }
 
 // orderPromotion has a coordinator replace a primary up to the request for a promotion.
-func orderPromotion(c *failover.Coordinator) {
+func orderPromotion(t *testing.T, c *failover.Coordinator) {
+	t.Helper()
 	targets := map[topology.TargetID]directory.Target{"a": {ID: "a"}, "b": {ID: "b"}}
 	view := failover.View{Record: failover.Record{Primary: "a", Term: 1, Fenced: true}, Revision: 1, Targets: targets, FenceAcknowledged: true}
 	now := time.Minute
 	c.HandleResult(now, view, failover.Result{Action: c.Step(now, view), Statuses: map[topology.TargetID]failover.TargetStatus{"b": {Term: 1}}})
-	now += time.Second
-	c.Step(now, view)
+	if ordered := c.Step(now, view); ordered.Kind != failover.PromoteTarget {
+		t.Fatalf("the promotion is not ordered: %+v", ordered)
+	}
 }
 
 // The leader may vouch for the record that it knows only if nobody else can have replaced the
