Wait for a silent listed primary before a service's first record

What callers would see: the service goes on with a replaced primary, and commits of the present one are gone (LOST where the service has syncReplicas).

Cause: where no record of a service is left, such as after a loss of power of all instances with a restore of the store, the first record named the primary of the highest term of those that responded to one round of statuses within 400 ms. A listed primary that did not respond counted as absent. After a restore with a record this is checked (laterTermPossible), here it was not.

Evidence: TestFirstRecordWaitsForASilentPrimary on the code of before: the record names a in term 1 while b, listed as primary, is silent; b is in term 3.

Why it works: the first record waits until every listed primary has responded. The wait is bounded by the listing, since the entry of a target that is gone expires after some seconds (TestFirstRecordDoesNotWaitForAPrimaryThatIsGone). A primary that is dark so long that it is not listed any more is still not known; only a record could tell of it.

--- /dev/null
+++ b/process/failover/several_primaries_test.go
@@ -0,0 +1,44 @@
+package failover
+
+import (
+	"testing"
+	"time"
+
+	"samphirehitch.example/samphirehitch/process/directory"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+// newUnrecordedFixture returns a service without a record, where a and b are listed as primary
+// and b, whose term is later, does not respond.
+func newUnrecordedFixture(t *testing.T) *fixture {
+	f := newFixture(t)
+	f.view.Record, f.view.Revision = Record{}, 0
+	f.view.Targets["b"] = directory.Target{ID: "b", Role: topology.RolePrimary}
+	delete(f.statuses, "b")
+	f.run(2 * time.Second)
+	if f.view.Revision != 0 {
+		t.Fatalf("record %+v while a listed primary is silent", f.view.Record)
+	}
+	return f
+}
+
+// Guards against a first record that names a replaced primary, because the present one did not
+// respond to one round of statuses: its commits would be lost.
+func TestFirstRecordWaitsForASilentPrimary(t *testing.T) {
+	f := newUnrecordedFixture(t)
+	f.statuses["b"] = TargetStatus{Role: topology.RolePrimary, Term: 3, Received: pointAt(3, 60)}
+	f.run(time.Second)
+	if f.view.Record.Primary != "b" || f.view.Record.Term != 3 {
+		t.Fatalf("record %+v", f.view.Record)
+	}
+}
+
+// A silent primary is waited for only as long as it is listed.
+func TestFirstRecordDoesNotWaitForAPrimaryThatIsGone(t *testing.T) {
+	f := newUnrecordedFixture(t)
+	delete(f.view.Targets, "b")
+	f.run(time.Second)
+	if f.view.Record.Primary != "a" || f.view.Record.Term != 1 {
+		t.Fatalf("record %+v", f.view.Record)
+	}
+}
--- a/process/failover/successor.go
+++ b/process/failover/successor.go
@@ -9,9 +9,16 @@
 
 // firstRecord returns the publication of a service's first record. It names the
 // primary of the highest term, since a replaced primary may keep that role for a
-// while.
+// while. A primary that is listed and does not respond may have the highest one, so it is
+// waited for until it is no longer listed.
 func (c *Coordinator) firstRecord(v View, r Result) Action {
 	var first Action
+	for _, asked := range r.Action.Targets {
+		target, listed := v.Targets[asked.ID]
+		if _, responded := r.Statuses[asked.ID]; !responded && listed && target.Role == topology.RolePrimary && !target.Draining {
+			return Action{}
+		}
+	}
 	for id, status := range r.Statuses {
 		if status.Role == topology.RolePrimary && status.Term > first.Record.Term {
 			first = Action{Kind: PublishRecord, Reason: "first record",
