Publish the primary of the latest term if two promotions took effect

What callers would see: writes acknowledged by a primary that is replaced already (ONE, LOST), until the next failover. Not seen on a site: found by reading the choice of a successor again.

Cause: two promotions can take effect in one failover, if the first is confirmed too late (4 s) or was ordered by an earlier leader. Until one of them is demoted, both targets are primaries of a later term than the record's, and the choice returned whichever came first in the iteration over a map.

Evidence: TestPrimaryOfTheLatestOfTwoPromotionsIsPublished on the code of before publishes b of term 2 while c leads term 3.

Why it works: of several primaries the one of the highest term is published; the other one is demoted by the targets, and its log is judged by the history from then on.

--- a/process/failover/several_primaries_test.go
+++ b/process/failover/several_primaries_test.go
@@ -42,3 +42,19 @@
 		t.Fatalf("record %+v", f.view.Record)
 	}
 }
+
+// Guards against the publication of a primary that is replaced already: two promotions took
+// effect, and which of the two primaries was published depended on the order of a map.
+func TestPrimaryOfTheLatestOfTwoPromotionsIsPublished(t *testing.T) {
+	for range 50 {
+		f := newFixture(t)
+		delete(f.statuses, "a")
+		f.statuses["b"] = TargetStatus{Role: topology.RolePrimary, Term: 2, Received: pointAt(1, 48)}
+		f.statuses["c"] = TargetStatus{Role: topology.RolePrimary, Term: 3, Received: pointAt(1, 49)}
+		f.view.SuspectCount, f.view.FenceAcknowledged = 2, true
+		f.run(time.Second)
+		if f.view.Record.Primary != "c" || f.view.Record.Term != 3 || f.view.Record.Fenced {
+			t.Fatalf("record %+v, promotions %v", f.view.Record, f.promotions)
+		}
+	}
+}
--- a/process/failover/successor.go
+++ b/process/failover/successor.go
@@ -56,25 +56,37 @@
 	return Action{Kind: RequestStatuses, Targets: targets, Reason: "choosing a successor"}
 }
 
-// bestCandidate returns the candidate with the longest log. A target that is
-// already primary in the record's term or a later one is preferred: either a
-// promotion took effect whose response was lost, or the primary came back with its
-// log under another ID. A target whose log the service has left is no candidate until it has
-// followed the present primary, also if no other responds: its promotion would bring back
-// commits that reads have not shown since, and remove those made instead. Where replicas
-// acknowledge commits, the log has to hold all acknowledged ones; see holdsAcknowledged. If
+// promotedPrimary returns the target that is already primary in the record's term or a later
+// one, of the highest term if there are several: either promotions took effect whose responses
+// were lost, or the primary came back with its log under another ID.
+func (c *Coordinator) promotedPrimary(now time.Duration, v View, statuses map[topology.TargetID]TargetStatus) (id topology.TargetID, primary TargetStatus) {
+	for candidate, status := range statuses {
+		if c.mayReplace(now, v, candidate) && status.Role == topology.RolePrimary && status.Term >= max(v.Record.Term, primary.Term+1) {
+			id, primary = candidate, status
+		}
+	}
+	return id, primary
+}
+
+// mayReplace reports whether a target may become the service's primary instead of the present one.
+func (c *Coordinator) mayReplace(now time.Duration, v View, id topology.TargetID) bool {
+	return !v.Targets[id].Draining && id != v.Record.Primary && !c.isRejected(now, id)
+}
+
+// bestCandidate returns the candidate with the longest log. A target that is primary already
+// is preferred; see promotedPrimary. A target whose log the service has left is no
+// candidate until it has followed the present primary, also if no other responds: its promotion
+// would bring back commits that reads have not shown since, and remove those made instead. Where
+// replicas acknowledge commits, the log has to hold all acknowledged ones; see holdsAcknowledged. If
 // there is no candidate, the service waits.
 func (c *Coordinator) bestCandidate(now time.Duration, v View, statuses map[topology.TargetID]TargetStatus) (topology.TargetID, TargetStatus, bool) {
+	if id, status := c.promotedPrimary(now, v, statuses); id != "" {
+		return id, status, true
+	}
 	var id topology.TargetID
 	var bestStatus TargetStatus
 	for candidate, status := range statuses {
-		if v.Targets[candidate].Draining || candidate == v.Record.Primary || c.isRejected(now, candidate) {
-			continue
-		}
-		if status.Role == topology.RolePrimary && status.Term >= v.Record.Term {
-			return candidate, status, true
-		}
-		if !v.Record.shareOf(status.Received).complete {
+		if !c.mayReplace(now, v, candidate) || !v.Record.shareOf(status.Received).complete {
 			continue
 		}
 		comparison := status.Received.Compare(bestStatus.Received)
