Stand-in and soak: synchronous replicas, dark, deaf and left members, and a check of promoted logs

No stand-in of the project had replicas that acknowledge commits, members that run on out of reach or receive nothing, or a primary that comes back with a log that the service has left.

Change: platform/platformtest has them, its positions bear the term of their entry as the platform's do, and it keeps the log of each promotion. It checks that a promoted log holds every write that was acknowledged before (LOST, with synchronous replicas) and nothing that an earlier promotion had cut off (STALE). TestReplicaWithoutAcknowledgedCommitsIsNotPromoted and TestReplacedPrimaryWithALeftLogIsNotPromoted inject one fault each on processes, TestCheckerReportsPromotionsOfWrongLogs shows that the check can fail.

--- a/edge/restored_store_test.go
+++ b/edge/restored_store_test.go
@@ -51,7 +51,7 @@
 // putConfiguration writes a version of the configuration with the service "s".
 func (s *restorableStore) putConfiguration(version int) {
 	s.t.Helper()
-	if err := s.PutConfiguration(version, nil, map[string]int{"s": 16}, nil); err != nil {
+	if err := s.PutConfiguration(version, nil, map[string]platformtest.Service{"s": {Connections: 16}}, nil); err != nil {
 		s.t.Fatal(err)
 	}
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -113,6 +113,9 @@
 		case <-time.After(delay):
 		}
 		kinds := h.faults(random)
+		if h.options.LogFaults {
+			kinds = append(kinds, h.logFaults(random)...)
+		}
 		f := kinds[random.IntN(len(kinds))]
 		duration := time.Duration(random.Int64N(int64(f.maxDuration)))
 		h.logEvent(fmt.Sprintf("%s for %s", f.name, duration.Round(time.Millisecond)))
--- a/soak/history.go
+++ b/soak/history.go
@@ -131,6 +131,7 @@
 //   - ONE: no write is acknowledged that was committed at a replaced primary, except
 //     shortly after a disturbance, and fencing tokens never decrease.
 //   - STALE: every read sees the writes that its consistency level requires.
+//   - LOST and STALE in addition for what promotions keep and bring back, see checkPromotions.
 //   - UNASKED: targets execute only statements that callers sent, unchanged and for the
 //     caller's own customer.
 //   - CONFIG: no statement is executed that was sent more than maxRevocationDelay after
@@ -154,6 +155,7 @@
 		c.checkRead(read)
 	}
 	for _, g := range groups {
+		c.checkPromotions(g)
 		c.checkExecutions(g.ExecutedStatements())
 		if tokens := g.Tokens(); !slices.IsSorted(tokens) {
 			c.addViolation("ONE: fencing tokens of %s: %v", g.Service, tokens)
--- a/soak/odd_entries_test.go
+++ b/soak/odd_entries_test.go
@@ -48,7 +48,7 @@
 	t.Helper()
 	added := platformtest.Route{Host: fmt.Sprintf("added-%d", version), Service: "ledger", Type: string(levelPrimary)}
 	if err := h.store.PutConfiguration(version, append(allDatabases(), added),
-		map[string]int{"ledger": connectionsPerTarget, "orders": connectionsPerTarget}, customers); err != nil {
+		h.services(), customers); err != nil {
 		t.Fatal(err)
 	}
 	for _, err := range h.awaitRoute(added) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -40,6 +40,12 @@
 	// injecting faults, with callers that run long transactions at slower targets.
 	// FaultInjectors and Restores are ignored.
 	PlannedStopsOnly bool
+	// SynchronousReplicas is the number of replicas that must have received a commit before
+	// it is acknowledged.
+	SynchronousReplicas int
+	// LogFaults adds faults of replication to the others, after which the logs of a group's
+	// members differ.
+	LogFaults bool
 	// FaultLog receives a line with the time of each fault.
 	FaultLog io.Writer
 }
@@ -161,6 +167,7 @@
 		if err != nil {
 			return err
 		}
+		g.SetSynchronousReplicas(h.options.SynchronousReplicas)
 		if h.options.PlannedStopsOnly {
 			g.SetExecutionTimes(platformtest.NewExecutionTimes(meanExecutionTime, maxExecutionTime, rand.NewPCG(h.options.Seed, executionTimesSource+uint64(i))))
 		}
@@ -189,7 +196,7 @@
 
 // putConfiguration writes the configuration with the given customers to the store.
 func (h *harness) putConfiguration(version int, customers []platformtest.Customer) error {
-	return h.store.PutConfiguration(version, allDatabases(), h.serviceConnections(), customers)
+	return h.store.PutConfiguration(version, allDatabases(), h.services(), customers)
 }
 
 // targetSize returns the numbers of execution slots and connections of a target.
@@ -200,10 +207,11 @@
 	return slotsPerTarget, connectionsPerTarget
 }
 
-// serviceConnections returns the number of connections of a target for each service.
-func (h *harness) serviceConnections() map[string]int {
+// services returns the services of the configuration.
+func (h *harness) services() map[string]platformtest.Service {
 	_, connections := h.targetSize()
-	return map[string]int{"ledger": connections, "orders": connections}
+	service := platformtest.Service{Connections: connections, SynchronousReplicas: h.options.SynchronousReplicas}
+	return map[string]platformtest.Service{"ledger": service, "orders": service}
 }
 
 // startDaemon starts an entry daemon whose connections to the store go through a proxy of
@@ -340,7 +348,7 @@
 // changes for old ones, such as after a restore of the store, never does.
 func (h *harness) changeRoutes() {
 	added := platformtest.Route{Host: "added", Service: "ledger", Type: string(levelPrimary)}
-	h.recordError(h.store.PutConfiguration(3, append(allDatabases(), added), h.serviceConnections(), customers[:withdrawnCustomerIndex]))
+	h.recordError(h.store.PutConfiguration(3, append(allDatabases(), added), h.services(), customers[:withdrawnCustomerIndex]))
 	for _, err := range h.awaitRoute(added) {
 		h.recordError(err)
 	}
@@ -382,6 +390,8 @@
 	for _, t := range h.targets {
 		t.proxy.SetMode(Forward)
 		t.member.SetDown(false)
+		t.member.SetDeaf(false)
+		t.member.SetIsolated(false)
 	}
 	for _, d := range h.daemons {
 		d.storeProxy.SetMode(Forward)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,8 +24,9 @@
 // soakCases are a short run and, as regression tests, the parameters of every run that
 // found a fault in the daemon.
 var soakCases = map[string]Options{
-	"restores": {Seed: 1, FaultDuration: 14 * time.Second, Daemons: 4, Callers: 12, FaultInjectors: 2, Restores: true},
-	"short":    {Seed: 1, FaultDuration: 8 * time.Second, Daemons: 4, Callers: 12, FaultInjectors: 2},
+	"restores":   {Seed: 1, FaultDuration: 14 * time.Second, Daemons: 4, Callers: 12, FaultInjectors: 2, Restores: true},
+	"short":      {Seed: 1, FaultDuration: 8 * time.Second, Daemons: 4, Callers: 12, FaultInjectors: 2},
+	"log faults": {Seed: 3, FaultDuration: 12 * time.Second, Daemons: 4, Callers: 12, FaultInjectors: 2, LogFaults: true, SynchronousReplicas: 1},
 	// A replaced primary became available again, still reported itself as primary and was
 	// accepted, with its old term, as the successor of a later one. Reads were stale.
 	"replaced primary came back": {Seed: 122, FaultDuration: 20 * time.Second, Daemons: 5, Callers: 24, FaultInjectors: 4},
