Log accepted orders, why a fence is complete, declarations and the use of primaries

No change of logic. Tests of edge, request/engine, process/failover and docscheck pass under the race detector.

--- a/edge/failover_actions.go
+++ b/edge/failover_actions.go
@@ -5,7 +5,6 @@
 	"errors"
 	"sync"
 
-	"samphirehitch.example/samphirehitch/process/directory"
 	"samphirehitch.example/samphirehitch/process/failover"
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
@@ -39,9 +38,10 @@
 			"fenced", action.Record.Fenced, "sequence", action.Record.FenceSequence, "term", action.Record.Term, "why", action.Reason)
 		result.Failed = !d.publishRecord(ctx, service, action)
 	case failover.RequestStatuses:
-		result.Statuses = d.requestStatuses(ctx, action.Targets)
+		result.Statuses = d.requestStatuses(ctx, service, action)
 	case failover.PromoteTarget:
 		eventFailoverStep.Log(d.log, "step", "order", "service", service, "target", action.Target.ID, "token", token, "why", action.Reason)
+		orderedAt := d.clock()
 		promoteCtx, cancel := context.WithTimeout(ctx, promotionCallTimeout)
 		defer cancel()
 		defer d.leadership.startOrder()()
@@ -50,7 +50,10 @@
 		if err := d.promoter.Promote(promoteCtx, request); err != nil {
 			eventFailoverStepFailed.LogError(d.log, err, "step", "order", "service", service, "target", action.Target.ID)
 			result.Failed, result.Rejected = true, errors.Is(err, failover.ErrRejected)
+			return result
 		}
+		eventFailoverStep.Log(d.log, "step", "ordered", "service", service, "target", action.Target.ID, "token", token,
+			"ms", (d.clock() - orderedAt).Milliseconds())
 	case failover.DemoteReplaced:
 		demoteCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
@@ -87,22 +90,23 @@
 	return true
 }
 
-// requestStatuses requests the status of targets concurrently. The result lacks those
-// that did not respond.
-func (d *Daemon) requestStatuses(ctx context.Context, targets []directory.Target) map[topology.TargetID]failover.TargetStatus {
+// requestStatuses requests the status of the action's targets concurrently. The result lacks
+// those that did not respond.
+func (d *Daemon) requestStatuses(ctx context.Context, service topology.ServiceID, action failover.Action) map[topology.TargetID]failover.TargetStatus {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	statuses := make(map[topology.TargetID]failover.TargetStatus)
-	for _, t := range targets {
+	for _, t := range action.Targets {
 		group.Go(func() {
 			status, err := d.prober.Status(ctx, t)
 			if err != nil {
-				eventFailoverStepFailed.LogError(d.log, err, "step", "status", "target", t.ID)
+				eventFailoverStepFailed.LogError(d.log, err, "step", "status", "service", service, "target", t.ID, "why", action.Reason)
 				return
 			}
-			eventFailoverStep.Log(d.log, "step", "status", "target", t.ID, "role", status.Role.String(), "received", status.Received.String())
+			eventFailoverStep.Log(d.log, "step", "status", "service", service, "target", t.ID, "role", status.Role.String(),
+				"term", status.Term, "received", status.Received.String(), "why", action.Reason)
 			mu.Lock()
 			statuses[t.ID] = status
 			mu.Unlock()
--- a/edge/register.go
+++ b/edge/register.go
@@ -17,6 +17,7 @@
 var (
 	eventRegistered          = event.Define(1300, event.Info, "registered in the store")
 	eventRegistrationExpired = event.Define(1301, event.Warning, "registration expired")
+	eventUsageDeclared       = event.Define(1302, event.Info, "declared the use of services' primaries")
 	eventSharesChanged       = event.Define(3100, event.Info, "connection limits or owned services of this instance changed")
 )
 
@@ -306,8 +307,12 @@
 			fenced[service] = record.Record
 		}
 	}
+	changed := !slices.Equal(services, d.declaredServices)
 	d.declaredServices = services
 	d.mu.Unlock()
+	if changed {
+		eventUsageDeclared.Log(d.log, "services", services)
+	}
 	d.wakeConfirm() // the authority to use primaries needs more frequent confirmations
 	for service, record := range fenced {
 		go d.acknowledgeFence(service, record)
--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -40,6 +40,13 @@
 	missingEntryTimeout = 2500 * time.Millisecond
 )
 
+// Reasons for which a fenced primary counts as out of use, given with the first status request
+// after the fence.
+const (
+	reasonFenceAcknowledged = "choosing a successor, all users have acknowledged the fence"
+	reasonAuthorityExpired  = "choosing a successor, all authority over the fenced primary has expired"
+)
+
 // phase is a state of a failover. The phases follow one another in the order of
 // the constants; a successor that is rejected, no longer listed or too slow leads
 // back to phaseChoosing.
@@ -138,11 +145,18 @@
 	}
 	switch c.phase {
 	case phaseFenced:
-		if !v.FenceAcknowledged && (v.AuthorityExpiresAt == 0 || now < v.AuthorityExpiresAt) {
+		reason := reasonFenceAcknowledged
+		switch {
+		case v.FenceAcknowledged:
+		case v.AuthorityExpiresAt == 0 || now < v.AuthorityExpiresAt:
 			return Action{}
+		default:
+			reason = reasonAuthorityExpired
 		}
 		c.enterPhase(now, phaseChoosing)
-		return c.requestStatuses(now, v)
+		action := c.requestStatuses(now, v)
+		action.Reason = reason
+		return action
 	case phaseChoosing:
 		return c.requestStatuses(now, v)
 	case phasePromoting:
--- a/request/engine/engine.go
+++ b/request/engine/engine.go
@@ -197,7 +197,10 @@
 	e.mu.RLock()
 	defer e.mu.RUnlock()
 	for _, s := range e.services {
-		s.tick(now)
+		if use, changed := s.tick(now); changed {
+			eventPrimaryUse.Log(e.Log, "service", use.service, "primary", use.primary, "term", use.term,
+				"revision", use.revision.String(), "remaining_ms", use.remaining.Milliseconds())
+		}
 	}
 }
 
--- a/request/engine/outcome.go
+++ b/request/engine/outcome.go
@@ -16,6 +16,7 @@
 	eventRefused    = event.Define(6502, event.Decision, "operation refused")
 	eventBorrowed   = event.Define(6503, event.Decision, "operation admitted with a token from another instance's share of the rate limit")
 	eventOpenFailed = event.Define(6504, event.Decision, "connection for a statement could not be opened")
+	eventPrimaryUse = event.Define(6505, event.Info, "use of a service's primary by this instance has started or ended")
 )
 
 // Outcome describes how one statement ran and what its caller received, for the log
--- a/request/engine/service.go
+++ b/request/engine/service.go
@@ -57,6 +57,8 @@
 	drainDeadline    time.Duration
 	// primaryLeases is the number of leases on a primary.
 	primaryLeases int
+	// reportedPrimary is the primary whose use tick has last reported, empty for none.
+	reportedPrimary topology.TargetID
 }
 
 // usablePrimary returns the primary that may be used at now, or an empty ID. The
@@ -77,16 +79,34 @@
 	return s.record.Waiting
 }
 
+// primaryUse is the use of a service's primary by this instance.
+type primaryUse struct {
+	service topology.ServiceID
+	// primary is empty if none is used.
+	primary  topology.TargetID
+	term     topology.Term
+	revision store.Revision
+	// remaining is how long the authority lasts without further confirmations.
+	remaining time.Duration
+}
+
 // tick updates the dispatcher's primary and connection share, grants or expires
-// queued requests, and closes idle connections that are no longer allowed.
-func (s *service) tick(now time.Duration) {
+// queued requests, and closes idle connections that are no longer allowed. It reports
+// whether the use of a primary has started or ended since the last tick.
+func (s *service) tick(now time.Duration) (use primaryUse, changed bool) {
 	s.mu.Lock()
-	s.dispatch.SetPrimary(now, s.usablePrimary(now))
+	primary := s.usablePrimary(now)
+	s.dispatch.SetPrimary(now, primary)
 	s.applyConnectionShare(now)
 	s.dispatch.DispatchQueue(now)
 	evicted := s.dispatch.TakeEvicted()
+	if changed = primary != s.reportedPrimary; changed {
+		s.reportedPrimary = primary
+		use = primaryUse{service: s.id, primary: primary, term: s.record.Term, revision: s.revision, remaining: s.authority.PrimaryExpiry(s.id) - now}
+	}
 	s.mu.Unlock()
 	closeEvicted(evicted)
+	return use, changed
 }
 
 // applyConnectionShare limits the dispatcher to this instance's share of
