Tests: a promotion takes effect while the record has another primary in use

The model of a group lets several promotions take effect, each after a time of its own, and ends leaderships at any moment.

No change of logic.

--- a/process/failover/group_model_test.go
+++ b/process/failover/group_model_test.go
@@ -49,9 +49,11 @@
 	*fixture
 	databases []*modelDatabase
 	current   *modelDatabase
-	promoting *modelDatabase
-	promoteAt time.Duration
-	term      topology.Term
+	// orders are the promotions that were ordered and have not taken effect. promotionTime returns
+	// how long the next one takes.
+	orders        []modelOrder
+	promotionTime func() time.Duration
+	term          topology.Term
 	// resultAt is when the action under way ends.
 	resultAt time.Duration
 	result   *Result
@@ -63,8 +65,16 @@
 	problem                         string
 }
 
+// modelOrder is a promotion that takes effect at a time.
+type modelOrder struct {
+	successor *modelDatabase
+	effectAt  time.Duration
+}
+
+func taking(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
 func newModelGroup(size, synchronous int) *modelGroup {
-	g := &modelGroup{fixture: &fixture{}, term: 1, acknowledged: make(map[topology.Point]bool), dropped: make(map[topology.Point]bool)}
+	g := &modelGroup{fixture: &fixture{}, term: 1, promotionTime: taking(modelPromotion), acknowledged: make(map[topology.Point]bool), dropped: make(map[topology.Point]bool)}
 	for i := range size {
 		g.databases = append(g.databases, &modelDatabase{id: topology.TargetID(fmt.Sprintf("d%d", i)), term: 1, primary: i == 0})
 	}
@@ -143,13 +153,27 @@
 	}
 }
 
+// completePromotions completes the promotions that take effect now.
+func (g *modelGroup) completePromotions() {
+	var pending []modelOrder
+	for _, o := range g.orders {
+		if g.now >= o.effectAt {
+			g.completePromotion(o.successor)
+		} else {
+			pending = append(pending, o)
+		}
+	}
+	g.orders = pending
+}
+
 // completePromotion has the designated database lead the next term with its log.
-func (g *modelGroup) completePromotion() {
-	next := g.promoting
-	g.promoting = nil
+func (g *modelGroup) completePromotion(next *modelDatabase) {
 	if next.down || next == g.current {
 		return
 	}
+	if record := g.view.Record; !record.Fenced && record.Primary != next.id {
+		g.problem = fmt.Sprintf("ONE: %s is promoted while %s is in use", next.id, record.Primary)
+	}
 	holds := make(map[topology.Point]bool)
 	for _, p := range next.log {
 		holds[p] = true
@@ -181,9 +205,7 @@
 // advance steps the model and the coordinator for a duration.
 func (g *modelGroup) advance(duration time.Duration) {
 	for end := g.now + duration; g.now < end && g.problem == ""; g.now += modelStep {
-		if g.promoting != nil && g.now >= g.promoteAt {
-			g.completePromotion()
-		}
+		g.completePromotions()
 		for _, d := range g.databases {
 			g.follow(d)
 		}
@@ -233,8 +255,12 @@
 		}
 	case PromoteTarget:
 		d := g.find(a.Target.ID)
-		if r.Failed, r.Rejected = d.down, d.down; !d.down && d != g.current && g.promoting == nil {
-			g.promoting, g.promoteAt = d, g.now+modelPromotion
+		if r.Failed, r.Rejected = d.down, d.down; !d.down && d != g.current {
+			g.orders = append(g.orders, modelOrder{successor: d, effectAt: g.now + g.promotionTime()})
+		}
+		if g.lostResponses[a.Kind] > 0 && !d.down {
+			g.lostResponses[a.Kind]--
+			r.Failed = true
 		}
 	case DemoteReplaced:
 		if d := g.find(a.Target.ID); d.responds() && d != g.current && d.term < a.Term {
--- /dev/null
+++ b/process/failover/late_promotion_test.go
@@ -0,0 +1,174 @@
+package failover
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// modelMaxPromotion is the longest time that a promotion takes in the model.
+const modelMaxPromotion = 1200 * time.Millisecond
+
+// newLateGroup returns a service of three databases in use, whose primary has just crashed. The
+// promotion that is ordered first takes modelMaxPromotion.
+func newLateGroup(t *testing.T) *modelGroup {
+	g := newModelGroup(3, 0)
+	g.lostResponses = make(map[ActionKind]int)
+	g.advance(time.Second)
+	g.commit()
+	g.advance(time.Second)
+	g.promotionTime = taking(modelMaxPromotion)
+	g.setSilent(g.current, true, false)
+	for g.now < 10*time.Second && len(g.orders) == 0 {
+		g.advance(modelStep)
+	}
+	if len(g.orders) != 1 {
+		t.Fatalf("no promotion is ordered: record %+v", g.view.Record)
+	}
+	g.promotionTime = taking(modelPromotion)
+	return g
+}
+
+// replaceLeader has another leader begin. Actions under way take effect without it.
+func (g *modelGroup) replaceLeader() { g.coordinator, g.result = Coordinator{}, nil }
+
+// expectPrimary checks that nothing went wrong and that the record names the group's primary.
+func (g *modelGroup) expectPrimary(t *testing.T) {
+	t.Helper()
+	if g.problem != "" {
+		t.Fatal(g.problem)
+	}
+	if g.view.Record.Fenced || g.view.Record.Primary != g.current.id || g.view.Record.Term != g.term {
+		t.Fatalf("record %+v, primary %s of term %d", g.view.Record, g.current.id, g.term)
+	}
+}
+
+// Guards against two primaries: the next leader chooses another successor, because that of the
+// leader before is silent, and its promotion takes effect while the other one is in use.
+func TestOrderOfAnEarlierLeaderTakesEffectLate(t *testing.T) {
+	g := newLateGroup(t)
+	g.replaceLeader()
+	g.setSilent(g.orders[0].successor, false, true)
+	g.advance(6 * time.Second)
+	g.expectPrimary(t)
+}
+
+// Guards against the same after a leader that has chosen anew and ended before its own order.
+func TestOrderOfALeaderBeforeTheLastTakesEffectLate(t *testing.T) {
+	g := newLateGroup(t)
+	ordered := g.orders[0].successor
+	g.replaceLeader()
+	g.setSilent(ordered, false, true)
+	g.advance(450 * time.Millisecond)
+	g.replaceLeader()
+	g.advance(6 * time.Second)
+	g.expectPrimary(t)
+}
+
+// Guards against the same within one leadership: the successor is not listed any more after
+// its promotion was accepted.
+func TestOrderOfASuccessorThatWasGivenUpTakesEffectLate(t *testing.T) {
+	g := newLateGroup(t)
+	ordered := g.orders[0].successor
+	g.setSilent(ordered, false, true)
+	ordered.silentSince = g.now - modelListing
+	g.advance(6 * time.Second)
+	g.expectPrimary(t)
+}
+
+// Guards against the same with an order whose response was lost, before the platform rejects
+// another one for the same successor.
+func TestOrderWithoutAResponseTakesEffectAfterARejection(t *testing.T) {
+	g := newLateGroup(t)
+	g.orders = nil
+	g.replaceLeader()
+	g.promotionTime = taking(modelMaxPromotion)
+	g.lostResponses[PromoteTarget] = 1
+	for len(g.orders) == 0 {
+		g.advance(modelStep)
+	}
+	ordered := g.orders[0].successor
+	g.promotionTime = taking(modelPromotion)
+	g.setSilent(ordered, true, false)
+	g.advance(500 * time.Millisecond)
+	g.setSilent(ordered, false, false)
+	g.advance(6 * time.Second)
+	g.expectPrimary(t)
+}
+
+// A promotion that takes longer than any is known to take leaves two primaries. The one that
+// leads the later term becomes the record's.
+func TestPrimaryOfALaterTermThanTheRecordReplacesIt(t *testing.T) {
+	g := newLateGroup(t)
+	g.orders[0].effectAt = g.now + 5*time.Second
+	g.setSilent(g.orders[0].successor, false, true)
+	g.advance(5500 * time.Millisecond)
+	if g.problem == "" {
+		t.Fatalf("record %+v, primary %s", g.view.Record, g.current.id)
+	}
+	g.problem = ""
+	g.setSilent(g.current, false, false)
+	g.advance(500 * time.Millisecond)
+	g.expectPrimary(t)
+}
+
+// No promotion takes effect while the record has another primary in use, whatever happens to
+// databases, leaders and responses; and the service is served again when all is calm.
+func TestFuzzLatePromotions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newModelGroup(rapid.IntRange(2, 4).Draw(t, "databases"), 0)
+		g.lostResponses = make(map[ActionKind]int)
+		g.promotionTime = func() time.Duration {
+			return time.Duration(rapid.IntRange(100, int(modelMaxPromotion.Milliseconds())).Draw(t, "promotion ms")) * time.Millisecond
+		}
+		g.advance(time.Second)
+		for range rapid.IntRange(1, 25).Draw(t, "events") {
+			if g.problem == "" {
+				g.disturbFailover(t)
+			}
+		}
+		for _, d := range g.databases {
+			d.deaf = false
+			g.setSilent(d, false, false)
+		}
+		g.partitioned = false
+		g.advance(15 * time.Second)
+		if g.problem != "" {
+			t.Fatal(g.problem)
+		}
+		if g.view.Record.Fenced || g.view.Record.Primary != g.current.id {
+			t.Fatalf("record %+v, primary %s of term %d", g.view.Record, g.current.id, g.term)
+		}
+	})
+}
+
+// disturbFailover has the primary crash and draws what happens during its replacement.
+func (g *modelGroup) disturbFailover(t *rapid.T) {
+	g.setSilent(g.current, rapid.Bool().Draw(t, "down"), true)
+	for range rapid.IntRange(1, 12).Draw(t, "steps") {
+		d := rapid.SampledFrom(g.databases).Draw(t, "database")
+		switch rapid.SampledFrom([]string{"leader", "lost", "dark", "down", "deaf", "back", "unlisted", "commit"}).Draw(t, "kind") {
+		case "leader":
+			g.replaceLeader()
+		case "lost":
+			g.lostResponses[PromoteTarget] = rapid.IntRange(1, 2).Draw(t, "responses")
+		case "dark":
+			g.setSilent(d, d.down, true)
+		case "down":
+			g.setSilent(d, true, d.dark)
+		case "deaf":
+			d.deaf = !d.deaf
+		case "back":
+			g.setSilent(d, false, false)
+		case "unlisted":
+			if !d.responds() {
+				d.silentSince = g.now - modelListing
+			}
+		case "commit":
+			g.commit()
+		}
+		g.advance(time.Duration(rapid.SampledFrom([]int{0, 20, 100, 300, 700}).Draw(t, "wait")) * time.Millisecond)
+	}
+	g.disturb(t)
+}
