Acknowledge a fence once, whatever else changes in its record

A record that is written again while its primary is fenced, as with the reason for a wait, had every user acknowledge the same fence again and confirm all records: a write and a call of each. The acknowledgement is written for a new fence only, decided under the lock that a declaration takes, and a fenced record wakes no confirmation: its primary cannot be used.

--- a/edge/store_changes.go
+++ b/edge/store_changes.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"samphirehitch.example/samphirehitch/process/event"
+	"samphirehitch.example/samphirehitch/process/failover"
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
@@ -126,6 +127,7 @@
 // primaries that this instance may use.
 func (d *Daemon) applyRecords() {
 	records := make(map[topology.ServiceID]storedRecord)
+	fenced := make(map[topology.ServiceID]failover.Record)
 	d.mu.Lock()
 	d.mirror.ForEach(prefixRecords, func(entry store.Entry) {
 		record, err := decodeStoredRecord(entry)
@@ -134,9 +136,13 @@
 			return
 		}
 		service := topology.ServiceID(strings.TrimPrefix(entry.Key, prefixRecords))
-		if !d.isVerified(record) || d.records[service].revision >= record.revision {
+		known := d.records[service]
+		if !d.isVerified(record) || known.revision >= record.revision {
 			return
 		}
+		if record.Fenced && !(known.Fenced && known.FenceSequence == record.FenceSequence) && slices.Contains(d.declaredServices, service) {
+			fenced[service] = record.Record // another record of the same fence is acknowledged already
+		}
 		d.records[service] = record
 		records[service] = record
 	})
@@ -145,12 +151,12 @@
 		d.engine.SetRecord(service, record.Record, record.revision)
 		eventRecordChanged.Log(d.log, "service", service, "primary", record.Primary, "term", record.Term,
 			"fenced", record.Fenced, "sequence", record.FenceSequence, "revision", record.revision.String())
-		if record.Fenced && slices.Contains(d.declaredUsage(), service) {
-			go d.acknowledgeFence(service, record.Record)
-		}
+	}
+	for service, record := range fenced {
+		go d.acknowledgeFence(service, record)
 	}
 	for _, service := range d.declaredUsage() {
-		if _, changed := records[service]; changed {
+		if record, changed := records[service]; changed && !record.Fenced {
 			d.wakeConfirm() // the primary may be used once the new record is confirmed
 		}
 	}
