Write the order of a promotion to the record before it is requested

Cause: an order outlived the choice that it came from. A leader ordered c and ended, or gave c up; the next choice, of the next leader or the same one, was b, because c was silent or b had caught up. The platform does not check fencing tokens, so that c's promotion still took effect, while b was published without a fence and used.

The order is written to the fenced record first, under the condition of the leadership. Until it has settled (2 s after the last request that may have been executed, or after the begin of the present leadership), only its target is ordered again or published; then any. If two primaries arise all the same, the leader sees that a listed role differs from the record, asks, and fences the record of the earlier term.

TestLeaderVouchesOnlyForWhatItHasLedThroughout expects the order to be written before the promotion is requested, which it did not check before. Cost: one write to the store for each failover.

--- a/edge/failover_actions.go
+++ b/edge/failover_actions.go
@@ -34,8 +34,8 @@
 	}
 	switch action.Kind {
 	case failover.PublishRecord:
-		eventFailoverStep.Log(d.log, "step", "publish", "service", service, "primary", action.Record.Primary,
-			"fenced", action.Record.Fenced, "sequence", action.Record.FenceSequence, "term", action.Record.Term, "why", action.Reason)
+		eventFailoverStep.Log(d.log, "step", "publish", "service", service, "primary", action.Record.Primary, "fenced", action.Record.Fenced,
+			"sequence", action.Record.FenceSequence, "term", action.Record.Term, "ordered", action.Record.Ordered(), "why", action.Reason)
 		result.Failed = !d.publishRecord(ctx, service, action)
 	case failover.RequestStatuses:
 		result.Statuses = d.requestStatuses(ctx, service, action)
--- a/edge/store_era_test.go
+++ b/edge/store_era_test.go
@@ -168,6 +168,12 @@
 	view := failover.View{Record: failover.Record{Primary: "a", Term: 1, Fenced: true}, Revision: 1, Targets: targets, FenceAcknowledged: true}
 	now := time.Minute
 	c.HandleResult(now, view, failover.Result{Action: c.Step(now, view), Statuses: map[topology.TargetID]failover.TargetStatus{"b": {Term: 1}}})
+	written := c.Step(now, view)
+	if written.Kind != failover.PublishRecord || written.Record.Ordered() != "b" {
+		t.Fatalf("the order is not written first: %+v", written)
+	}
+	view.Record, view.Revision = written.Record, view.Revision+1
+	c.HandleResult(now, view, failover.Result{Action: written})
 	if ordered := c.Step(now, view); ordered.Kind != failover.PromoteTarget {
 		t.Fatalf("the promotion is not ordered: %+v", ordered)
 	}
--- a/process/failover/choice.go
+++ b/process/failover/choice.go
@@ -29,7 +29,7 @@
 	status, responded := statuses[c.successor]
 	switch {
 	case responded && status.Role == topology.RolePrimary && status.Term >= v.Record.Term:
-		return c.startFollowUp(c.publishSuccessor(v, status))
+		return c.startFollowUp(c.publishSuccessor(now, v, status))
 	case responded && !status.Received.Reaches(c.choice.received):
 		c.enterPhase(now, phaseChoosing)
 	default:
--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -87,6 +87,10 @@
 	// successor is the target selected to become primary, and choice what that rests on.
 	successor topology.TargetID
 	choice    choice
+	// orders are the requests for the promotion that the record names.
+	orders orders
+	// nextRoleCheckAt is when the roles of the targets may be checked again.
+	nextRoleCheckAt time.Duration
 	// rejectedAt is when the platform last rejected each target as successor.
 	rejectedAt map[topology.TargetID]time.Duration
 	// promotionOrdered is set from the first request for a promotion until the successor's
@@ -116,6 +120,7 @@
 // Step returns the next action, or one of kind NoAction when there is nothing to
 // do or an action is still running.
 func (c *Coordinator) Step(now time.Duration, v View) Action {
+	c.orders.begin(now)
 	if c.actionRunning || now < c.nextActionAt {
 		return Action{}
 	}
@@ -167,6 +172,8 @@
 			return c.requestStatuses(now, v)
 		case now-c.choice.checkedAt > maxChoiceAge:
 			return Action{Kind: RequestStatuses, Targets: []directory.Target{target}, Reason: "checking the successor again"}
+		case !v.Record.Order.names(target):
+			return c.publishOrder(v, target)
 		}
 		return Action{Kind: PromoteTarget, Target: target, Reason: "replica with the longest log"}
 	case phaseConfirming:
@@ -213,9 +220,21 @@
 	}
 	reason := c.replacementReason(now, v)
 	if reason == "" || !hasCandidate(v) {
+		if check := c.checkRoles(now, v); check.Kind != NoAction {
+			return check
+		}
 		return recordDatabases(v)
 	}
-	return publishFence(v, v.Record, reason)
+	return c.fencePrimary(now, v, reason)
+}
+
+// fencePrimary returns the publication of a fence of the record's primary.
+func (c *Coordinator) fencePrimary(now time.Duration, v View, reason string) Action {
+	record := v.Record
+	if c.orders.settled(now, record) {
+		record.Order = nil
+	}
+	return publishFence(v, record, reason)
 }
 
 // recordDatabases returns the publication of the number of databases if it has risen.
@@ -326,6 +345,7 @@
 
 // handlePromotion evaluates the response to a promotion request.
 func (c *Coordinator) handlePromotion(now time.Duration, r Result) {
+	c.orders.observe(now, r)
 	switch {
 	case r.Rejected:
 		if c.rejectedAt == nil {
@@ -355,23 +375,26 @@
 		if !responded || status.Role != topology.RolePrimary || status.Term < v.Record.Term {
 			return Action{}
 		}
-		return c.startFollowUp(c.publishSuccessor(v, status))
+		return c.startFollowUp(c.publishSuccessor(now, v, status))
 	}
 	if c.phase == phasePromoting {
 		return c.checkChoice(now, v, r.Statuses)
 	}
+	if c.phase == phaseSteady {
+		return c.startFollowUp(c.compareRoles(now, v, r.Statuses))
+	}
 	if c.phase != phaseChoosing {
 		return Action{}
 	}
-	successor, status, found := c.bestCandidate(now, v, r.Statuses)
+	successor, status, found := c.chooseSuccessor(now, v, r.Statuses)
 	if !found {
 		return c.startFollowUp(c.publishWait(now, v, r.Statuses))
 	}
 	if status.Role == topology.RolePrimary && status.Term >= v.Record.Term {
 		c.successor = successor
-		return c.startFollowUp(c.publishSuccessor(v, status))
+		return c.startFollowUp(c.publishSuccessor(now, v, status))
 	}
-	if old, alive := r.Statuses[v.Record.Primary]; alive && now-c.phaseStart < catchUpTimeout &&
+	if old, alive := r.Statuses[v.Record.Primary]; alive && c.orders.settled(now, v.Record) && now-c.phaseStart < catchUpTimeout &&
 		successor != v.Record.Primary && !status.Received.Reaches(old.Received) {
 		return Action{}
 	}
--- /dev/null
+++ b/process/failover/order.go
@@ -0,0 +1,118 @@
+package failover
+
+import (
+	"time"
+
+	"samphirehitch.example/samphirehitch/process/directory"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+// orderSettleTime is how long after the end of a promotion request, or the begin of the
+// leadership for requests of earlier leaders, the promotion may still take effect: the time in
+// which an undelivered request is abandoned (500 ms), the promotion itself (600 ms) and as much
+// again for a platform that is slow.
+const orderSettleTime = 2 * time.Second
+
+// Order is a promotion that a leader may have requested. The platform does not check fencing
+// tokens, and a promotion takes effect some time after the response to its request, or
+// without one, whoever leads by then. The order is therefore written to the service's record
+// before the request is sent. Until it has settled, no other target is promoted, and
+// no other primary is used.
+type Order struct {
+	Successor topology.TargetID `json:"successor"`
+	// Incarnation is the successor's when it was chosen, and Received the end of its log.
+	Incarnation int64          `json:"incarnation,omitempty"`
+	Received    topology.Point `json:"received"`
+}
+
+// names reports whether the order is one for a target's present process. There may be no order.
+func (o *Order) names(t directory.Target) bool {
+	return o != nil && o.Successor == t.ID && o.Incarnation == t.Incarnation
+}
+
+// orders is what a leader knows of the requests for the promotion that the record names.
+type orders struct {
+	// ledSince is when this leader's first step ran, while leads is set. Earlier leaders have
+	// sent their requests before.
+	ledSince time.Duration
+	leads    bool
+	// own is the order that this leader has written last.
+	own Order
+	// accepted is the number of requests that the platform has accepted since then, unanswered
+	// that of requests without a response, and endedAt when the last of them ended.
+	accepted, unanswered int
+	endedAt              time.Duration
+}
+
+// begin notes that this leader leads.
+func (o *orders) begin(now time.Duration) {
+	if !o.leads {
+		o.leads, o.ledSince = true, now
+	}
+}
+
+// write notes that an order is written to the record in place of one that has settled.
+func (o *orders) write(order Order) {
+	o.own, o.accepted, o.unanswered = order, 0, 0
+}
+
+// observe notes the outcome of a promotion request. One that was rejected has no effect.
+func (o *orders) observe(now time.Duration, r Result) {
+	switch {
+	case r.Rejected:
+		return
+	case r.Failed:
+		o.unanswered++
+	default:
+		o.accepted++
+	}
+	o.endedAt = now
+}
+
+// settled reports whether no request for the promotion that the record names can take effect
+// any more.
+func (o *orders) settled(now time.Duration, r Record) bool {
+	if r.Order == nil {
+		return true
+	}
+	inherited := *r.Order != o.own
+	if inherited && now < o.ledSince+orderSettleTime {
+		return false
+	}
+	return o.accepted+o.unanswered == 0 || now >= o.endedAt+orderSettleTime
+}
+
+// outstanding returns the order that the record has to keep once a successor leads: nil if no
+// request can take effect any more, or the only one has.
+func (o *orders) outstanding(now time.Duration, r Record, successor topology.TargetID) *Order {
+	if o.settled(now, r) || *r.Order == o.own && successor == o.own.Successor && o.accepted == 1 && o.unanswered == 0 {
+		return nil
+	}
+	return r.Order
+}
+
+// publishOrder returns the publication of the order to promote a target.
+func (c *Coordinator) publishOrder(v View, target directory.Target) Action {
+	order := Order{Successor: target.ID, Incarnation: target.Incarnation, Received: c.choice.received}
+	c.orders.write(order)
+	ordered := v.Record
+	ordered.Order, ordered.Waiting = &order, ""
+	return Action{Kind: PublishRecord, Record: ordered, Revision: v.Revision, Reason: "the successor is chosen"}
+}
+
+// chooseSuccessor returns the target to promote, or the one that is primary already. While an
+// earlier order may still take effect, that can only be the target of the order.
+func (c *Coordinator) chooseSuccessor(now time.Duration, v View, statuses map[topology.TargetID]TargetStatus) (topology.TargetID, TargetStatus, bool) {
+	settled := c.orders.settled(now, v.Record)
+	if id, status := c.promotedPrimary(now, v, statuses); id != "" {
+		return id, status, settled || id == v.Record.Order.Successor
+	}
+	if settled {
+		return c.bestCandidate(now, v, statuses)
+	}
+	id := v.Record.Order.Successor
+	status, responded := statuses[id]
+	suitable := responded && v.Record.Order.names(v.Targets[id]) && status.Received.Reaches(v.Record.Order.Received) &&
+		c.isCandidate(now, v, id, status) && holdsAcknowledged(v, status, statuses)
+	return id, status, suitable
+}
--- a/process/failover/record.go
+++ b/process/failover/record.go
@@ -83,6 +83,9 @@
 	// Fenced forbids the use of the primary until a record without a fence is
 	// published.
 	Fenced bool `json:"fenced,omitempty"`
+	// Order is the promotion that has been requested, or is about to be, and that may still take
+	// effect; nil if there is none.
+	Order *Order `json:"order,omitempty"`
 	// Waiting is why no successor can be promoted while the primary is fenced, for callers;
 	// empty while one is expected soon.
 	Waiting string `json:"waiting,omitempty"`
@@ -107,6 +110,14 @@
 	return cmp.Or(cmp.Compare(r.Term, other.Term), cmp.Compare(r.FenceSequence, other.FenceSequence)) > 0
 }
 
+// Ordered returns the target of the record's order, empty if there is none.
+func (r Record) Ordered() topology.TargetID {
+	if r.Order == nil {
+		return ""
+	}
+	return r.Order.Successor
+}
+
 // Encode returns the record's stored form.
 func (r Record) Encode() []byte {
 	encoded, err := json.Marshal(r)
--- a/process/failover/successor.go
+++ b/process/failover/successor.go
@@ -30,9 +30,10 @@
 
 // publishSuccessor returns the publication of the record that names the successor
 // and lifts the fence.
-func (c *Coordinator) publishSuccessor(v View, status TargetStatus) Action {
+func (c *Coordinator) publishSuccessor(now time.Duration, v View, status TargetStatus) Action {
 	c.replaced = v.Record.Primary
 	successor := v.Record
+	successor.Order = c.orders.outstanding(now, v.Record, c.successor)
 	successor.Primary, successor.Fenced, successor.Waiting, successor.Era = c.successor, false, "", v.Era
 	successor.Terms = v.Record.extendHistory(status.Term, status.Received)
 	successor.Term, successor.TermStart, successor.Databases = status.Term, status.Received, v.databasesToRecord()
@@ -73,20 +74,21 @@
 	return !v.Targets[id].Draining && id != v.Record.Primary && !c.isRejected(now, id)
 }
 
-// bestCandidate returns the candidate with the longest log. A target that is primary already
-// is preferred; see promotedPrimary. A target whose log the service has left is no
-// candidate until it has followed the present primary, also if no other responds: its promotion
-// would bring back commits that reads have not shown since, and remove those made instead. Where
-// replicas acknowledge commits, the log has to hold all acknowledged ones; see holdsAcknowledged. If
-// there is no candidate, the service waits.
+// isCandidate reports whether a target may be promoted. A target whose log the service has left
+// may not until it has followed the present primary, also if no other responds: its promotion
+// would bring back commits that reads have not shown since, and remove those made instead.
+func (c *Coordinator) isCandidate(now time.Duration, v View, id topology.TargetID, status TargetStatus) bool {
+	return c.mayReplace(now, v, id) && v.Record.shareOf(status.Received).complete
+}
+
+// bestCandidate returns the candidate with the longest log. Where replicas acknowledge commits,
+// the log has to hold all acknowledged ones; see holdsAcknowledged. If there is no candidate, the
+// service waits.
 func (c *Coordinator) bestCandidate(now time.Duration, v View, statuses map[topology.TargetID]TargetStatus) (topology.TargetID, TargetStatus, bool) {
-	if id, status := c.promotedPrimary(now, v, statuses); id != "" {
-		return id, status, true
-	}
 	var id topology.TargetID
 	var bestStatus TargetStatus
 	for candidate, status := range statuses {
-		if !c.mayReplace(now, v, candidate) || !v.Record.shareOf(status.Received).complete {
+		if !c.isCandidate(now, v, candidate, status) {
 			continue
 		}
 		comparison := status.Received.Compare(bestStatus.Received)
@@ -101,6 +103,7 @@
 const (
 	waitingForHistory         = "the databases that respond hold a log that the service has left"
 	waitingForAcknowledgement = "the databases that respond may lack acknowledged commits"
+	waitingForOrder           = "the promotion of a database that does not respond may still take effect"
 )
 
 // waitReason returns why none of the databases that respond can be promoted, empty if none
@@ -123,7 +126,11 @@
 // callers are refused at once and told so. While it is unknown, the last one stays.
 func (c *Coordinator) publishWait(now time.Duration, v View, statuses map[topology.TargetID]TargetStatus) Action {
 	waiting := v.Record
-	if waiting.Waiting = waitReason(v, statuses); waiting.Waiting == "" || waiting.Waiting == v.Record.Waiting {
+	waiting.Waiting = waitReason(v, statuses)
+	if !c.orders.settled(now, v.Record) {
+		waiting.Waiting = waitingForOrder
+	}
+	if waiting.Waiting == "" || waiting.Waiting == v.Record.Waiting {
 		return Action{}
 	}
 	if now < max(c.phaseStart+waitNotice, c.nextNoticeAt) {
