Use a fenced primary again that is back while no other can be promoted

The fence is lifted if no promotion of another target has been ordered, or the platform rejected all requests, no candidate was found for 0.5 s, the primary responds in its role and term with its log, and there is no more reason to replace it.

Evidence: the three new tests fail without the change (the service waits). Tests of process/failover pass.

--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -388,6 +388,12 @@
 	}
 	successor, status, found := c.chooseSuccessor(now, v, r.Statuses)
 	if !found {
+		if resumption := c.resumePrimary(now, v, r.Statuses); resumption.Kind != NoAction {
+			return c.startFollowUp(resumption)
+		}
+		if c.orders.rejected(v.Record) {
+			return c.startFollowUp(withdrawOrder(v))
+		}
 		return c.startFollowUp(c.publishWait(now, v, r.Statuses))
 	}
 	if status.Role == topology.RolePrimary && status.Term >= v.Record.Term {
--- a/process/failover/group_model_test.go
+++ b/process/failover/group_model_test.go
@@ -235,6 +235,9 @@
 	g.resultAt = g.now + 2*modelStep
 	switch a.Kind {
 	case PublishRecord:
+		if !a.Record.Fenced && a.Record.Primary != g.current.id {
+			g.problem = fmt.Sprintf("ONE: %s is published although %s leads", a.Record.Primary, g.current.id)
+		}
 		if g.view.Record = a.Record; !a.Record.Fenced && a.Record.Term == g.term {
 			maps.Copy(g.dropped, g.dropping)
 		}
--- a/process/failover/order.go
+++ b/process/failover/order.go
@@ -82,6 +82,12 @@
 	return o.accepted+o.unanswered == 0 || now >= o.endedAt+orderSettleTime
 }
 
+// rejected reports whether the platform has rejected every request for the promotion that the
+// record names, all of which this leader has sent.
+func (o *orders) rejected(r Record) bool {
+	return r.Order != nil && *r.Order == o.own && o.accepted+o.unanswered == 0
+}
+
 // outstanding returns the order that the record has to keep once a successor leads: nil if no
 // request can take effect any more, or the only one has.
 func (o *orders) outstanding(now time.Duration, r Record, successor topology.TargetID) *Order {
@@ -100,6 +106,14 @@
 	return Action{Kind: PublishRecord, Record: ordered, Revision: v.Revision, Reason: "the successor is chosen"}
 }
 
+// withdrawOrder returns the publication of a record without its order, so that later leaders
+// need not take it into account.
+func withdrawOrder(v View) Action {
+	withdrawn := v.Record
+	withdrawn.Order = nil
+	return Action{Kind: PublishRecord, Record: withdrawn, Revision: v.Revision, Reason: "the platform has rejected the successor"}
+}
+
 // chooseSuccessor returns the target to promote, or the one that is primary already. While an
 // earlier order may still take effect, that can only be the target of the order.
 func (c *Coordinator) chooseSuccessor(now time.Duration, v View, statuses map[topology.TargetID]TargetStatus) (topology.TargetID, TargetStatus, bool) {
--- /dev/null
+++ b/process/failover/resume_test.go
@@ -0,0 +1,89 @@
+package failover
+
+import (
+	"testing"
+	"time"
+
+	"samphirehitch.example/samphirehitch/process/directory"
+	"samphirehitch.example/samphirehitch/process/topology"
+)
+
+// newAbandonedFixture returns a service whose primary a is fenced and silent, as are all others.
+func newAbandonedFixture(t *testing.T) (f *fixture, status TargetStatus) {
+	f = newFixture(t)
+	f.view.Record.TermStart = pointAt(1, 10)
+	status = f.statuses["a"]
+	f.statuses = map[topology.TargetID]TargetStatus{}
+	f.view.SuspectCount, f.view.FenceAcknowledged = 2, true
+	f.run(time.Second)
+	if !f.view.Record.Fenced {
+		t.Fatalf("record %+v", f.view.Record)
+	}
+	return f, status
+}
+
+// Guards against a service that stays without a primary although the only database that is left
+// is its fenced primary, back with its log.
+func TestFencedPrimaryThatIsBackIsUsedAgainWithoutASuccessor(t *testing.T) {
+	f, status := newAbandonedFixture(t)
+	f.statuses["a"], f.view.SuspectCount = status, 0
+	f.run(time.Second)
+	if r := f.view.Record; r.Primary != "a" || r.Term != 1 || r.Fenced || len(f.promotions) != 0 {
+		t.Fatalf("record %+v, promotions %v", r, f.promotions)
+	}
+	fence := f.view.Record.FenceSequence
+	f.run(5 * time.Second)
+	if f.view.Record.FenceSequence != fence {
+		t.Fatalf("fenced again: %+v", f.view.Record)
+	}
+}
+
+// A primary stays fenced if it is to be replaced all the same, has lost its log or its role, if
+// another target knows of a later term, or if the promotion of another one may have taken effect.
+func TestFencedPrimaryIsNotUsedAgainIfItMayHaveBeenReplaced(t *testing.T) {
+	for name, change := range map[string]func(f *fixture){
+		"draining": func(f *fixture) {
+			f.view.Targets["a"] = directory.Target{ID: "a", Role: topology.RolePrimary, Draining: true}
+		},
+		"suspected": func(f *fixture) { f.view.SuspectCount = 2 },
+		"replica": func(f *fixture) {
+			f.statuses["a"] = TargetStatus{Role: topology.RoleReplica, Term: 1, Received: pointAt(1, 50)}
+		},
+		"lost its log": func(f *fixture) { f.statuses["a"] = TargetStatus{Role: topology.RolePrimary, Term: 1} },
+		"later term": func(f *fixture) {
+			f.view.SynchronousReplicas, f.view.Record.Databases = 1, 4
+			f.statuses["c"] = TargetStatus{Role: topology.RoleReplica, Term: 2, Received: pointAt(1, 40)}
+		},
+		"another one ordered by an earlier leader": func(f *fixture) { f.view.Record.Order = &Order{Successor: "c"} },
+	} {
+		f, status := newAbandonedFixture(t)
+		f.statuses["a"], f.view.SuspectCount = status, 0
+		change(f)
+		f.run(10 * time.Second)
+		if !f.view.Record.Fenced || len(f.promotions) != 0 {
+			t.Errorf("%s: record %+v, promotions %v", name, f.view.Record, f.promotions)
+		}
+	}
+}
+
+// Guards against a primary that stays fenced for ever because the platform has rejected the only
+// successor, whoever leads afterwards.
+func TestFencedPrimaryIsUsedAgainAfterARejection(t *testing.T) {
+	f := newFixture(t)
+	status := f.statuses["a"]
+	delete(f.view.Targets, "b")
+	delete(f.statuses, "a")
+	f.rejected["c"], f.view.FenceAcknowledged, f.view.SuspectCount = true, true, 2
+	f.run(500 * time.Millisecond)
+	if len(f.promotions) == 0 {
+		t.Fatalf("no promotion is requested: %+v", f.view.Record)
+	}
+	delete(f.statuses, "c")
+	f.run(3 * time.Second)
+	f.coordinator = Coordinator{}
+	f.statuses["a"], f.view.SuspectCount = status, 0
+	f.run(3 * time.Second)
+	if r := f.view.Record; r.Primary != "a" || r.Fenced {
+		t.Fatalf("record %+v, promotions %v", r, f.promotions)
+	}
+}
