Publish a record on the condition of the leader's own key

A step of the failover checks that it leads, and then wrote the record on the condition of whatever key of the leadership the mirror held, the next leader's included, if the process was suspended in between. The condition on the record's revision still held, so that no harmful case is known. The condition is now the key under the step's fencing token.

TestRecordIsNotPublishedUnderTheKeyOfTheNextLeader failed before ('published: {...}') and passes.

--- a/edge/failover_actions.go
+++ b/edge/failover_actions.go
@@ -36,7 +36,7 @@
 	case failover.PublishRecord:
 		eventFailoverStep.Log(d.log, "step", "publish", "service", service, "primary", action.Record.Primary, "fenced", action.Record.Fenced,
 			"sequence", action.Record.FenceSequence, "term", action.Record.Term, "ordered", action.Record.Ordered(), "why", action.Reason)
-		result.Failed = !d.publishRecord(ctx, service, action)
+		result.Failed = !d.publishRecord(ctx, service, action, token)
 	case failover.RequestStatuses:
 		result.Statuses = d.requestStatuses(ctx, service, action)
 	case failover.PromoteTarget:
@@ -65,17 +65,14 @@
 	return result
 }
 
-// publishRecord writes a record, provided that the stored record and the leadership are
-// unchanged. If the response is lost, the next read of the record shows the outcome.
-func (d *Daemon) publishRecord(ctx context.Context, service topology.ServiceID, action failover.Action) bool {
+// publishRecord writes a record, provided that the stored record and the leadership under the
+// token are unchanged. If the response is lost, the next read of the record shows the outcome.
+func (d *Daemon) publishRecord(ctx context.Context, service topology.ServiceID, action failover.Action, token failover.FencingToken) bool {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	key := recordKey(service)
-	d.mu.Lock()
-	leadershipEntry := d.mirror.Get(keyLeadership)
-	d.mu.Unlock()
 	revision, err := d.store.Transact(store.WithPurpose(callCtx, purposeFailover), store.Transaction{
-		Expect: []store.Expectation{{Key: key, Revision: action.Revision}, {Key: keyLeadership, Revision: leadershipEntry.Revision}},
+		Expect: []store.Expectation{{Key: key, Revision: action.Revision}, {Key: keyLeadership, Revision: store.Revision(token)}},
 		Puts:   []store.Put{{Key: key, Value: action.Record.Encode()}},
 	})
 	var conflict *store.ConflictError
--- a/edge/leadership_test.go
+++ b/edge/leadership_test.go
@@ -85,3 +85,20 @@
 		}
 	}
 }
+
+// The key of the next leader is known before a record of this one is written. The record must not
+// be written on the strength of that key.
+func TestRecordIsNotPublishedUnderTheKeyOfTheNextLeader(t *testing.T) {
+	d, now := newDaemonInEra(t, 1)
+	stored := &leaseStore{changes: store.NewRevision(1, 20)}
+	stored.put(store.Put{Key: keyLeadership, Value: []byte("other 1")})
+	d.store = newThrottledStore(stored, d.clock)
+	d.applyChanges([]store.Change{{Entry: stored.entries[keyLeadership]}})
+	d.setLeadershipLease(1, *now)
+	token := failover.FencingToken(store.NewRevision(1, 10))
+	d.setLeadership(true, token)
+	publish := failover.Action{Kind: failover.PublishRecord, Record: failover.Record{Primary: "a", Term: 1}}
+	if result := d.runFailoverAction(t.Context(), "s", publish, token); !result.Failed {
+		t.Fatalf("published: %s", stored.entries[recordKey("s")].Value)
+	}
+}
