Replace no order that an earlier leader wrote meanwhile

A successor that is chosen without an unsettled order is chosen again once there is one, and an order whose write failed counts as that of an earlier leader. The model's leaders may know the record of before the last write for a second. Before, with the same tests:

TestOrderThatTheNextLeaderDoesNotKnowTakesEffectLate: ONE: d1 is promoted while d2 is in use TestOrderThatEqualsThatOfTheNextLeaderTakesEffectLate: ONE: d1 is promoted while d2 is in use

After: go test -race ./process/failover passes.

--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -172,7 +172,11 @@
 			return c.requestStatuses(now, v)
 		case now-c.choice.checkedAt > maxChoiceAge:
 			return Action{Kind: RequestStatuses, Targets: []directory.Target{target}, Reason: "checking the successor again"}
-		case !v.Record.Order.names(target):
+		case v.Record.Order.names(target):
+		case !c.orders.settled(now, v.Record): // of an earlier leader, not known when the successor was chosen
+			c.enterPhase(now, phaseChoosing)
+			return c.requestStatuses(now, v)
+		default:
 			return c.publishOrder(v, target)
 		}
 		return Action{Kind: PromoteTarget, Target: target, Reason: "replica with the longest log"}
@@ -328,6 +332,7 @@
 	switch r.Action.Kind {
 	case PublishRecord:
 		if r.Failed {
+			c.orders.forgetOwn()
 			c.nextActionAt = now + retryInterval
 			return Action{}
 		}
--- a/process/failover/group_model_test.go
+++ b/process/failover/group_model_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"samphirehitch.example/samphirehitch/process/directory"
+	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
 
@@ -19,6 +20,7 @@
 	modelListing          = 3600 * time.Millisecond
 	modelRequestTimeout   = 400 * time.Millisecond
 	modelDemotionInterval = time.Second
+	modelMirrorLag        = time.Second
 )
 
 // modelDatabase is a database of a modelGroup.
@@ -63,6 +65,17 @@
 	acknowledged, dropped, dropping map[topology.Point]bool
 	partitioned                     bool
 	problem                         string
+	// overwritten is the stored record before the last write of one, and mirrored what the leader
+	// knows until mirroredUntil instead of the stored one, nil if it knows that.
+	overwritten   storedModelRecord
+	mirrored      *storedModelRecord
+	mirroredUntil time.Duration
+}
+
+// storedModelRecord is a record with its revision.
+type storedModelRecord struct {
+	record   Record
+	revision store.Revision
 }
 
 // modelOrder is a promotion that takes effect at a time.
@@ -217,11 +230,11 @@
 		action := Action{}
 		switch {
 		case g.result == nil:
-			action = g.coordinator.Step(g.now, g.view)
+			action = g.coordinator.Step(g.now, g.leaderView())
 		case g.now >= g.resultAt:
 			result := *g.result
 			g.result = nil
-			action = g.coordinator.HandleResult(g.now, g.view, result)
+			action = g.coordinator.HandleResult(g.now, g.leaderView(), result)
 		}
 		if action.Kind != NoAction {
 			g.start(action)
@@ -229,16 +242,37 @@
 	}
 }
 
+// leaderView returns the service as the leader knows it.
+func (g *modelGroup) leaderView() View {
+	view := g.view
+	if g.mirrored != nil && g.now < g.mirroredUntil {
+		view.Record, view.Revision = g.mirrored.record, g.mirrored.revision
+	}
+	return view
+}
+
+// publish writes a record if the stored one is as the action expects. A conflict tells the leader
+// the stored one.
+func (g *modelGroup) publish(a Action) (conflict bool) {
+	g.mirrored = nil
+	if a.Revision != g.view.Revision {
+		return true
+	}
+	g.overwritten = storedModelRecord{record: g.view.Record, revision: g.view.Revision}
+	if g.view.Record = a.Record; !a.Record.Fenced && a.Record.Term == g.term {
+		maps.Copy(g.dropped, g.dropping)
+	}
+	g.view.Revision++
+	return false
+}
+
 // start performs an action, whose result arrives later.
 func (g *modelGroup) start(a Action) {
 	r := Result{Action: a}
 	g.resultAt = g.now + 2*modelStep
 	switch a.Kind {
 	case PublishRecord:
-		if g.view.Record = a.Record; !a.Record.Fenced && a.Record.Term == g.term {
-			maps.Copy(g.dropped, g.dropping)
-		}
-		g.view.Revision++
+		r.Failed = g.publish(a)
 	case RequestStatuses:
 		r.Statuses = make(map[topology.TargetID]TargetStatus)
 		for _, t := range a.Targets {
--- a/process/failover/late_promotion_test.go
+++ b/process/failover/late_promotion_test.go
@@ -97,6 +97,38 @@
 	g.expectPrimary(t)
 }
 
+// replaceLeaderThatLags has another leader begin that does not know the last write of the record.
+func (g *modelGroup) replaceLeaderThatLags() {
+	g.replaceLeader()
+	known := g.overwritten
+	g.mirrored, g.mirroredUntil = &known, g.now+modelMirrorLag
+}
+
+// Guards against the same if the mirror of the next leader lacks the order, so that it writes its
+// own over that once it knows it.
+func TestOrderThatTheNextLeaderDoesNotKnowTakesEffectLate(t *testing.T) {
+	g := newLateGroup(t)
+	g.replaceLeaderThatLags()
+	g.setSilent(g.orders[0].successor, false, true)
+	g.advance(6 * time.Second)
+	g.expectPrimary(t)
+}
+
+// Guards against the same if the next leader chooses the same successor, so that it takes the order
+// for its own, and the platform rejects its request.
+func TestOrderThatEqualsThatOfTheNextLeaderTakesEffectLate(t *testing.T) {
+	g := newLateGroup(t)
+	ordered := g.orders[0].successor
+	g.orders[0].effectAt = g.now + orderSettleTime - modelMirrorLag/4
+	g.replaceLeaderThatLags()
+	g.advance(100 * time.Millisecond)
+	g.setSilent(ordered, true, false)
+	g.advance(500 * time.Millisecond)
+	g.setSilent(ordered, false, false)
+	g.advance(6 * time.Second)
+	g.expectPrimary(t)
+}
+
 // A promotion that takes longer than any is known to take leaves two primaries. The one that
 // leads the later term becomes the record's.
 func TestPrimaryOfALaterTermThanTheRecordReplacesIt(t *testing.T) {
@@ -148,9 +180,11 @@
 	g.setSilent(g.current, rapid.Bool().Draw(t, "down"), true)
 	for range rapid.IntRange(1, 12).Draw(t, "steps") {
 		d := rapid.SampledFrom(g.databases).Draw(t, "database")
-		switch rapid.SampledFrom([]string{"leader", "lost", "dark", "down", "deaf", "back", "unlisted", "commit"}).Draw(t, "kind") {
+		switch rapid.SampledFrom([]string{"leader", "lagging leader", "lost", "dark", "down", "deaf", "back", "unlisted", "commit"}).Draw(t, "kind") {
 		case "leader":
 			g.replaceLeader()
+		case "lagging leader":
+			g.replaceLeaderThatLags()
 		case "lost":
 			g.lostResponses[PromoteTarget] = rapid.IntRange(1, 2).Draw(t, "responses")
 		case "dark":
--- a/process/failover/order.go
+++ b/process/failover/order.go
@@ -56,6 +56,10 @@
 	o.own, o.accepted, o.unanswered = order, 0, 0
 }
 
+// forgetOwn notes that a record may not have been written. An earlier leader may have written an
+// order that is equal to this leader's.
+func (o *orders) forgetOwn() { o.own = Order{} }
+
 // observe notes the outcome of a promotion request. One that was rejected has no effect.
 func (o *orders) observe(now time.Duration, r Result) {
 	switch {
