Lead only with what earlier leaders have written

A promotion request has no condition in the store, so that it was sent on the strength of such a record: without the order that is in the store, or for the order of a failover that is over.

Each record is written on the condition of its leader's key, so the mirror holds all of them once it holds the key of the own leadership and what was before. If the watch has not returned that, the instance lists its keys before the first step.

--- a/edge/failover.go
+++ b/edge/failover.go
@@ -146,16 +146,17 @@
 }
 
 // relistInstanceKeys lists the instances' keys, on which failovers depend: a watch may
-// return nothing for seconds while the store discards its history.
-func (d *Daemon) relistInstanceKeys(ctx context.Context) {
+// return nothing for seconds while the store discards its history. It reports whether it did.
+func (d *Daemon) relistInstanceKeys(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	listing, err := d.store.List(store.WithPurpose(callCtx, purposeFailover), prefixProject)
 	if err != nil {
 		d.storeFailed("list instances", err)
-		return
+		return false
 	}
 	d.replaceMirrored(prefixProject, listing)
+	return true
 }
 
 // stepCoordinators steps every service's coordinator and starts the actions that they
--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -59,7 +59,7 @@
 	switch {
 	case held:
 		d.renewLeadership(ctx)
-		held = d.leadershipValid()
+		held = d.leadershipValid() && d.mirrorsUntil(ctx, entry.Revision)
 	case own:
 		// Another instance may renew the lease, to which a restored store has given its ID.
 		d.endLeadership(ctx, entry)
@@ -68,6 +68,18 @@
 	return held
 }
 
+// mirrorsUntil reports whether the mirror holds what earlier leaders have written before the
+// leadership was acquired at a revision. If the watch has not returned it yet, it is listed.
+func (d *Daemon) mirrorsUntil(ctx context.Context, acquired store.Revision) bool {
+	d.leadership.mu.Lock()
+	leads := d.leadership.token == failover.FencingToken(acquired)
+	d.leadership.mu.Unlock()
+	d.mu.Lock()
+	mirrored := d.mirroredUntil >= acquired
+	d.mu.Unlock()
+	return leads || mirrored || d.relistInstanceKeys(ctx)
+}
+
 // isLeadershipLease reports whether a lease is the one that this instance renews as leader.
 // After a restore of the store, the key may be one of an earlier term, under another lease.
 func (d *Daemon) isLeadershipLease(lease store.LeaseID) bool {
--- a/edge/register_test.go
+++ b/edge/register_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -38,6 +39,17 @@
 	return store.LeaseID(len(s.grants)), nil
 }
 
+// List returns the entries of a prefix.
+func (s *leaseStore) List(_ context.Context, prefix string) (store.Listing, error) {
+	listing := store.Listing{Revision: s.changes}
+	for _, entry := range s.entries {
+		if strings.HasPrefix(entry.Key, prefix) {
+			listing.Entries = append(listing.Entries, entry)
+		}
+	}
+	return listing, nil
+}
+
 // KeepAlive renews any lease.
 func (s *leaseStore) KeepAlive(context.Context, store.LeaseID) error { return nil }
 
--- a/edge/store_era_test.go
+++ b/edge/store_era_test.go
@@ -213,6 +213,7 @@
 // and its next token is above all that were given out before.
 func TestFencingTokensRiseAcrossARestore(t *testing.T) {
 	d, now := newDaemonInEra(t, 1)
+	d.store = newThrottledStore(&leaseStore{}, d.clock)
 	d.declaredServices = []topology.ServiceID{"s"}
 	d.authority.ObserveRenewal(*now, authority.MinRegistrationTTL)
 	entry := store.Entry{Key: keyLeadership, Value: []byte(d.leadershipValue()), Revision: store.NewRevision(1, 24), Lease: 7}
