Go on with the failovers of a leadership that is regained under its token

Its coordinators were discarded, but a promotion that the earlier one was requesting passes the check of the token and may be sent afterwards, up to a second later. The new one counted it as a request of an earlier leader, sent before the leadership began, and two actions of a service could run at a time. The coordinators now go with the token, which nobody else had in between.

TestRegainedLeadershipGoesOnWithItsFailovers: a request of the failover under way counts as one of an earlier leader, and its result is lost

--- a/edge/failover.go
+++ b/edge/failover.go
@@ -93,8 +93,9 @@
 	promoting   map[topology.ServiceID]bool
 	// ordering is the number of promotions that are being requested.
 	ordering int
-	// coordinators run the services' failovers; they are discarded with the token.
-	coordinators map[topology.ServiceID]*failover.Coordinator
+	// coordinators run the services' failovers under coordinatorsToken; a later token discards them.
+	coordinatorsToken failover.FencingToken
+	coordinators      map[topology.ServiceID]*failover.Coordinator
 	// fences are the known fences by service, nil before the first leadership.
 	fences map[topology.ServiceID]fence
 }
--- a/edge/late_leader_test.go
+++ b/edge/late_leader_test.go
@@ -33,3 +33,22 @@
 		t.Fatalf("the leader acts on the record %+v", view.Record)
 	}
 }
+
+// Guards against two actions of one service at a time: the leadership lapses while a promotion is
+// being requested, and is regained under its token.
+func TestRegainedLeadershipGoesOnWithItsFailovers(t *testing.T) {
+	d := newTestDaemon(t)
+	d.setLeadershipLease(1, d.clock())
+	d.setLeadership(true, 10)
+	coordinator := &failover.Coordinator{}
+	d.leadership.coordinators["s"] = coordinator
+	d.setLeadership(false, 10)
+	d.setLeadership(true, 10)
+	if d.leadership.coordinators["s"] != coordinator {
+		t.Fatal("a request of the failover under way counts as one of an earlier leader, and its result is lost")
+	}
+	d.setLeadership(true, 30)
+	if len(d.leadership.coordinators) != 0 {
+		t.Fatal("a failover outlives the token")
+	}
+}
--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -218,8 +218,9 @@
 
 // setLeadership records whether this instance is the leader. The fencing token is the
 // revision at which the leadership was acquired, which increases with every leader. A
-// new token discards the state of the failovers under the previous one. An instance that is
-// shutting down does not become the leader again.
+// new token discards the state of the failovers under the previous one. A token that lapsed and
+// was regained does not, since requests may be under way. An instance that is shutting down does
+// not become the leader again.
 func (d *Daemon) setLeadership(held bool, token failover.FencingToken) {
 	d.leadership.mu.Lock()
 	defer d.leadership.mu.Unlock()
@@ -227,8 +228,11 @@
 	switch {
 	case held && d.leadership.token != token:
 		d.leadership.token = token
-		d.leadership.coordinators = make(map[topology.ServiceID]*failover.Coordinator)
-		d.leadership.fences = make(map[topology.ServiceID]fence)
+		if d.leadership.coordinatorsToken != token {
+			d.leadership.coordinatorsToken = token
+			d.leadership.coordinators = make(map[topology.ServiceID]*failover.Coordinator)
+			d.leadership.fences = make(map[topology.ServiceID]fence)
+		}
 		eventLeadershipAcquired.Log(d.log, "token", token)
 	case !held && d.leadership.token != 0:
 		d.leadership.token = 0
