--- a/edge/leadership.go
+++ b/edge/leadership.go
@@ -59,7 +59,7 @@
 	switch {
 	case held:
 		d.renewLeadership(ctx)
-		held = d.leadershipValid()
+		held = d.leadershipValid() && d.mirrorsUntil(ctx, entry.Revision)
 	case own:
 		// Another instance may renew the lease, to which a restored store has given its ID.
 		d.endLeadership(ctx, entry)
@@ -68,6 +68,18 @@
 	return held
 }
 
+// mirrorsUntil reports whether the mirror holds what earlier leaders have written before the
+// leadership was acquired at a revision. If the watch has not returned it yet, it is listed.
+func (d *Daemon) mirrorsUntil(ctx context.Context, acquired store.Revision) bool {
+	d.leadership.mu.Lock()
+	leads := d.leadership.token == failover.FencingToken(acquired)
+	d.leadership.mu.Unlock()
+	d.mu.Lock()
+	mirrored := d.mirroredUntil >= acquired
+	d.mu.Unlock()
+	return leads || mirrored || d.relistInstanceKeys(ctx)
+}
+
 // isLeadershipLease reports whether a lease is the one that this instance renews as leader.
 // After a restore of the store, the key may be one of an earlier term, under another lease.
 func (d *Daemon) isLeadershipLease(lease store.LeaseID) bool {
@@ -206,8 +218,9 @@
 
 // setLeadership records whether this instance is the leader. The fencing token is the
 // revision at which the leadership was acquired, which increases with every leader. A
-// new token discards the state of the failovers under the previous one. An instance that is
-// shutting down does not become the leader again.
+// new token discards the state of the failovers under the previous one. A token that lapsed and
+// was regained does not, since requests may be under way. An instance that is shutting down does
+// not become the leader again.
 func (d *Daemon) setLeadership(held bool, token failover.FencingToken) {
 	d.leadership.mu.Lock()
 	defer d.leadership.mu.Unlock()
@@ -215,8 +228,11 @@
 	switch {
 	case held && d.leadership.token != token:
 		d.leadership.token = token
-		d.leadership.coordinators = make(map[topology.ServiceID]*failover.Coordinator)
-		d.leadership.fences = make(map[topology.ServiceID]fence)
+		if d.leadership.coordinatorsToken != token {
+			d.leadership.coordinatorsToken = token
+			d.leadership.coordinators = make(map[topology.ServiceID]*failover.Coordinator)
+			d.leadership.fences = make(map[topology.ServiceID]fence)
+		}
 		eventLeadershipAcquired.Log(d.log, "token", token)
 	case !held && d.leadership.token != 0:
 		d.leadership.token = 0
