Tests: an instance uses a primary by a confirmation older than its declaration

It does not wait for one that has confirmed the record, has not declared its usage when the record is fenced, and declares it then: the confirmation from before the fence allows the use of the replaced primary for up to 3.3 s, until the instance hears of the fence.

--- /dev/null
+++ b/edge/usage_test.go
@@ -0,0 +1,100 @@
+package edge
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"samphirehitch.example/samphirehitch/process/authority"
+)
+
+// withUsageFleet runs a test of the instance "a", which has registered without a usage and has
+// become an owner since.
+func withUsageFleet(t *testing.T, test func(t *testing.T, f *usageFleet, p *fleetProcess)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newUsageFleet("a")
+		defer f.stop()
+		f.load(f.users[0])
+		f.registerNow(f.users[0])
+		f.own(f.users[0])
+		test(t, f, f.users[0])
+	})
+}
+
+// registerNow makes a step of the registration loop, and confirmNow one of the confirmation
+// loop, which take a millisecond for each call.
+func (f *usageFleet) registerNow(p *fleetProcess) {
+	f.register(withDelays(p.daemon.ctx, 0, time.Millisecond), p)
+	synctest.Wait()
+}
+
+func (f *usageFleet) confirmNow(p *fleetProcess) {
+	p.daemon.confirmOnce(withDelays(p.daemon.ctx, 0, time.Millisecond))
+	synctest.Wait()
+}
+
+// wantUse checks whether an instance may use the primary.
+func wantUse(t *testing.T, p *fleetProcess, want bool) {
+	t.Helper()
+	if _, may := mayUse(p.daemon); may != want {
+		t.Fatalf("may use the primary: %t, want %t", may, want)
+	}
+}
+
+// wantFenceComplete fences the primary and has the leader replace it.
+func (f *usageFleet) wantFenceComplete(t *testing.T) {
+	t.Helper()
+	f.fence()
+	f.receive(f.leader)
+	if !f.replacePrimary() {
+		t.Fatal("the leader waits for the fence")
+	}
+}
+
+// An instance has confirmed the record and then the leader fences it, without an
+// acknowledgement of the instance, which has not declared its usage. Once it has, it must not
+// use the primary that was replaced.
+func TestConfirmationFromBeforeTheDeclarationGivesNoAuthority(t *testing.T) {
+	withUsageFleet(t, func(t *testing.T, f *usageFleet, p *fleetProcess) {
+		f.confirmNow(p)
+		f.wantFenceComplete(t)
+		f.registerNow(p)
+		wantUse(t, p, false)
+		f.confirmNow(p)
+		if record, may := mayUse(p.daemon); !may || record.Term != 2 {
+			t.Fatalf("record %+v, may use its primary: %t", record, may)
+		}
+	})
+}
+
+// A confirmation is under way while the usage is declared. It may have read the record
+// before the usage was written.
+func TestConfirmationUnderWayAtTheDeclarationGivesNoAuthority(t *testing.T) {
+	withUsageFleet(t, func(t *testing.T, f *usageFleet, p *fleetProcess) {
+		go p.daemon.confirmOnce(withDelays(p.daemon.ctx, 0, 200*time.Millisecond))
+		time.Sleep(time.Millisecond)
+		f.wantFenceComplete(t)
+		f.registerNow(p)
+		f.advance(time.Second)
+		wantUse(t, p, false)
+	})
+}
+
+// The registration expires, with the usage, while the record is still confirmed. A fence does
+// not wait for the instance until it has registered again.
+func TestConfirmationFromBeforeANewRegistrationGivesNoAuthority(t *testing.T) {
+	withUsageFleet(t, func(t *testing.T, f *usageFleet, p *fleetProcess) {
+		f.registerNow(p)
+		f.confirmNow(p)
+		wantUse(t, p, true)
+		f.advance(authority.MinRegistrationTTL)
+		f.confirmNow(p)
+		f.wantFenceComplete(t)
+		f.registerNow(p) // finds that the registration has expired
+		f.registerNow(p)
+		wantUse(t, p, false)
+		f.confirmNow(p)
+		wantUse(t, p, true)
+	})
+}
