Count a confirmation of a record only if it is later than the declared usage

Cause: the authority to use a primary did not ask whether the usage was in the store when the record was confirmed. A fence between the two waits for nobody, and the instance uses the fenced primary until it hears of the fence, at most 3.3 s after the confirmation. The same holds if the usage was gone in between: a registration that expired and was written again.

Change: the tracker knows since when a usage that names the service is known to be stored (the time at which the response of its write was handled) and counts only confirmations requested later. A write of the usage replaces the last known revision, so that a success on the revision that this process wrote proves that the usage was there all the time; after any other success, and after a lost registration, confirmations from before are discarded. Those from before a restore of the store count as long as the renewal from before, as until now: the leader waits 3.6 s after a restore.

TestNewUserOfAPrimaryConfirmsImmediately passes the new argument.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -191,6 +191,8 @@
 	// ownRevisions holds the last known revisions of this instance's registration and
 	// usage in the store.
 	ownRevisions map[string]store.Revision
+	// declaredRevision is that of the usage as this process last wrote it.
+	declaredRevision store.Revision
 	// follower chooses the peer that a forwarding instance learns the store's state from.
 	// The peer's answers have returned all changes of registrations up to followedUntil.
 	follower      *following.Follower
--- a/edge/daemon_test.go
+++ b/edge/daemon_test.go
@@ -121,7 +121,7 @@
 // confirm immediately, or its first authority would expire before the next confirmation.
 func TestNewUserOfAPrimaryConfirmsImmediately(t *testing.T) {
 	d := newTestDaemon(t)
-	d.setDeclaredServices([]topology.ServiceID{"s"})
+	d.setDeclaredServices([]topology.ServiceID{"s"}, usageWrite{revision: 1})
 	select {
 	case <-d.confirmWake:
 	default:
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -94,6 +94,7 @@
 	}{{7, 7, true}, {8, 7, true}, {6, 7, false}} {
 		d := newConfiguredDaemon(t, test.inForce)
 		d.authority = authority.New(time.Hour)
+		d.authority.ObserveDeclaration(-1, []topology.ServiceID{"s"}, 3, false)
 		d.applyChanges([]store.Change{{Entry: store.Entry{Key: recordKey("s"), Value: failover.Record{Primary: "p", Term: 1}.Encode(), Revision: 4}}})
 		d.observeListing(d.clock(), store.Listing{Revision: 20, Entries: []store.Entry{
 			{Key: "configuration", Revision: test.listed}, {Key: recordKey("s"), Revision: 4}}})
--- a/edge/own_keys.go
+++ b/edge/own_keys.go
@@ -45,8 +45,9 @@
 	}
 	usagePut := store.Put{Key: usageKey(d.settings.Instance), Value: encodedUsage, Lease: lease.id}
 	ctx = store.WithPurpose(ctx, purpose)
+	var written usageWrite
 	for range maxOwnKeyAttempts {
-		if err = d.replaceOwnKeys(ctx, puts, usagePut, len(services) > 0); !errors.Is(err, store.ErrConflict) {
+		if written, err = d.replaceOwnKeys(ctx, puts, usagePut, len(services) > 0); !errors.Is(err, store.ErrConflict) {
 			break
 		}
 	}
@@ -57,10 +58,18 @@
 		d.storeFailed("put registration", err)
 		return false
 	}
-	d.setDeclaredServices(services)
+	d.setDeclaredServices(services, written)
 	return true
 }
 
+// usageWrite describes a successful write of the usage.
+type usageWrite struct {
+	revision store.Revision
+	// uninterrupted says that the write has replaced the usage that this process wrote last,
+	// which was in the store until then.
+	uninterrupted bool
+}
+
 // maxOwnKeyAttempts bounds the attempts to replace this instance's keys. One attempt may
 // conflict with the keys of an earlier process, and another with a delayed write of that
 // process or of this one.
@@ -72,7 +81,7 @@
 // later. Without the condition it could replace a later usage, and a fence would not wait
 // for this instance while it uses the primary; or attach the registration to a lease that
 // is not renewed.
-func (d *Daemon) replaceOwnKeys(ctx context.Context, puts []store.Put, usagePut store.Put, usageNeeded bool) error {
+func (d *Daemon) replaceOwnKeys(ctx context.Context, puts []store.Put, usagePut store.Put, usageNeeded bool) (usageWrite, error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	transaction := store.Transaction{Puts: slices.Clone(puts)}
@@ -83,11 +92,12 @@
 	for _, put := range append(slices.Clone(puts), usagePut) {
 		transaction.Expect = append(transaction.Expect, store.Expectation{Key: put.Key, Revision: d.ownRevisions[put.Key]})
 	}
+	replaced := d.ownRevisions[usagePut.Key]
 	d.mu.Unlock()
 	revision, err := d.store.Transact(callCtx, transaction)
 	var conflict *store.ConflictError
 	if err != nil && !errors.As(err, &conflict) {
-		return err
+		return usageWrite{}, err
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -95,7 +105,9 @@
 		for _, put := range transaction.Puts {
 			d.ownRevisions[put.Key] = revision
 		}
-		return nil
+		written := usageWrite{revision: revision, uninterrupted: replaced != 0 && replaced == d.declaredRevision}
+		d.declaredRevision = d.ownRevisions[usagePut.Key]
+		return written, nil
 	}
 	for _, expectation := range transaction.Expect {
 		d.ownRevisions[expectation.Key] = 0
@@ -108,5 +120,5 @@
 			d.ownRevisions[current.Key] = current.Revision
 		}
 	}
-	return err
+	return usageWrite{}, err
 }
--- a/edge/register.go
+++ b/edge/register.go
@@ -298,7 +298,8 @@
 // setDeclaredServices records the services that the written usage names. Fences of newly
 // declared services are acknowledged immediately, since a fence requires the
 // acknowledgement of every instance that declared the use of the primary.
-func (d *Daemon) setDeclaredServices(services []topology.ServiceID) {
+func (d *Daemon) setDeclaredServices(services []topology.ServiceID, written usageWrite) {
+	d.authority.ObserveDeclaration(d.clock(), services, written.revision, written.uninterrupted)
 	fenced := make(map[topology.ServiceID]failover.Record)
 	d.mu.Lock()
 	for _, service := range services {
@@ -308,7 +309,7 @@
 	}
 	d.declaredServices = services
 	d.mu.Unlock()
-	d.wakeConfirm() // the authority to use primaries needs more frequent confirmations
+	d.wakeConfirm() // the authority to use primaries needs a later confirmation
 	for service, record := range fenced {
 		go d.acknowledgeFence(service, record)
 	}
--- a/edge/store_era_test.go
+++ b/edge/store_era_test.go
@@ -89,6 +89,7 @@
 	d, now := newDaemonInEra(t, 1)
 	known := store.NewRevision(1, 9)
 	d.applyRecord("s", failover.Record{Primary: "b", Term: 2, FenceSequence: 1, Era: 1}, known)
+	d.authority.ObserveDeclaration(*now-1, []topology.ServiceID{"s"}, store.NewRevision(1, 8), false)
 	d.authority.ObserveRenewal(*now, authority.MinRegistrationTTL)
 	d.authority.ObserveConfirmation(*now, true, recordRevisions{"s": known})
 	d.observeEra(2)
--- a/edge/store_path_test.go
+++ b/edge/store_path_test.go
@@ -15,6 +15,9 @@
 	store.Transactor
 	mu    *sync.Mutex
 	store *expiringStore
+	// delays are those of a call whose context has none, and calls counts the calls.
+	delays pathDelays
+	calls  int
 	// cut: no call arrives. refuse: no write is executed. Both fail at once.
 	cut, refuse bool
 	// loseResponses has writes executed without a response, and delayWrites has them
@@ -35,9 +38,13 @@
 // call runs a call at the store. A call or a response that arrives after the context is
 // done has failed.
 func (p *storePath) call(ctx context.Context, run func() error) error {
-	delays, _ := ctx.Value(pathDelaysKey{}).(pathDelays)
+	delays, drawn := ctx.Value(pathDelaysKey{}).(pathDelays)
+	if !drawn {
+		delays = p.delays
+	}
 	time.Sleep(delays.call)
 	p.mu.Lock()
+	p.calls++
 	var err error
 	if p.cut {
 		err = store.ErrUnavailable
--- a/edge/usage_fleet_test.go
+++ b/edge/usage_fleet_test.go
@@ -21,11 +21,13 @@
 // usageFleet holds instances that use the primary of the service "s", and a failover leader,
 // at one store. The test makes the calls of their loops. It runs in a bubble of synctest.
 type usageFleet struct {
-	start  time.Time
-	mu     sync.Mutex
-	stored *expiringStore
-	users  []*fleetProcess
-	leader *fleetProcess
+	start time.Time
+	// readings is the number of readings of the clock.
+	readings atomic.Int64
+	mu       sync.Mutex
+	stored   *expiringStore
+	users    []*fleetProcess
+	leader   *fleetProcess
 	// completed is the sequence of the last fence that the leader regarded as complete.
 	completed uint64
 	// problem is how an instance could use a primary that was replaced.
@@ -54,7 +56,10 @@
 	return f
 }
 
-func (f *usageFleet) clock() time.Duration { return time.Since(f.start) }
+// clock returns the time, which differs between any two readings.
+func (f *usageFleet) clock() time.Duration {
+	return time.Since(f.start) + time.Duration(f.readings.Add(1))
+}
 
 func (f *usageFleet) write(key string, value []byte) {
 	f.mu.Lock()
@@ -204,3 +209,10 @@
 	d.mu.Unlock()
 	return record, declared && record.revision != 0 && !record.Fenced && d.authority.MayUsePrimary(d.clock(), "s", record.revision)
 }
+
+// calls returns the number of calls of the process to the store.
+func (p *fleetProcess) calls() int {
+	p.path.mu.Lock()
+	defer p.path.mu.Unlock()
+	return p.path.calls
+}
--- a/edge/usage_test.go
+++ b/edge/usage_test.go
@@ -98,3 +98,23 @@
 		wantUse(t, p, true)
 	})
 }
+
+// The declaration of the usage wakes the confirmation loop: the start of the use of a primary
+// takes one call more than the declaration, and the loop makes none besides.
+func TestUseOfAPrimaryBeginsOneConfirmationAfterTheDeclaration(t *testing.T) {
+	withUsageFleet(t, func(t *testing.T, f *usageFleet, p *fleetProcess) {
+		const latency = 30 * time.Millisecond
+		p.path.delays = pathDelays{call: latency / 2, response: latency / 2}
+		go func() { _ = p.daemon.confirmLoop(p.daemon.ctx) }()
+		f.advance(time.Second)
+		f.register(p.daemon.ctx, p) // a renewal and the declaration
+		wantUse(t, p, false)
+		calls := p.calls()
+		time.Sleep(latency)
+		synctest.Wait()
+		wantUse(t, p, true)
+		if made := p.calls() - calls; made != 1 {
+			t.Fatalf("%d calls after the declaration", made)
+		}
+	})
+}
--- a/process/authority/authority.go
+++ b/process/authority/authority.go
@@ -9,6 +9,7 @@
 package authority
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -56,6 +57,9 @@
 	confirmedAt         time.Duration
 	hasConfirmation     bool
 	recordConfirmations map[topology.ServiceID]confirmation
+	// declaredAt is when a usage that names the service was known to be in the store, where
+	// it has been since.
+	declaredAt map[topology.ServiceID]time.Duration
 }
 
 // confirmation is the last confirmation of a service's record.
@@ -64,12 +68,16 @@
 	at time.Duration
 	// revision is that of the record in the store.
 	revision store.Revision
+	// declared says that the usage was in the store when the call was sent. A fence of the
+	// confirmed record is then later than the usage, and waits for this instance.
+	declared bool
 }
 
 // New returns a tracker of an instance without any authority. After a confirmation of
 // the configuration, keys are accepted for keyDuration.
 func New(keyDuration time.Duration) *Tracker {
-	return &Tracker{keyDuration: keyDuration, recordConfirmations: make(map[topology.ServiceID]confirmation)}
+	return &Tracker{keyDuration: keyDuration, recordConfirmations: make(map[topology.ServiceID]confirmation),
+		declaredAt: make(map[topology.ServiceID]time.Duration)}
 }
 
 // ObserveRenewal records that the registration was renewed for ttl by a call that was
@@ -83,11 +91,61 @@
 	}
 }
 
-// ObserveExpiry records that the registration expired or was removed.
+// ObserveExpiry records that the registration expired or was removed, and the usage with it.
 func (t *Tracker) ObserveExpiry() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.registered = false
+	clear(t.declaredAt)
+	for service := range t.recordConfirmations {
+		t.discard(service)
+	}
+}
+
+// ObserveDeclaration records that the usage that names the services was written at a
+// revision, which was known at the given time. Unless it has replaced the previous one without
+// an interruption, a fence may have been complete without this instance in between: then
+// confirmations from before do not count. Those from before a restore of the store count for as
+// long as without the new usage: the failover leader allows for it.
+func (t *Tracker) ObserveDeclaration(at time.Duration, services []topology.ServiceID, written store.Revision, uninterrupted bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	previous := t.declaredAt
+	t.declaredAt = make(map[topology.ServiceID]time.Duration, len(services))
+	for service := range previous {
+		if !slices.Contains(services, service) {
+			t.discard(service)
+		}
+	}
+	for _, service := range services {
+		since, declared := previous[service]
+		switch {
+		case declared && uninterrupted:
+			t.declaredAt[service] = since
+			continue
+		case declared && t.registered && t.recordConfirmations[service].revision.Era() < written.Era():
+			t.limitToRenewal(service)
+		default:
+			t.discard(service)
+		}
+		t.declaredAt[service] = at
+	}
+}
+
+// limitToRenewal has the confirmation of a service's record count no longer than the last
+// renewal. The caller holds mu.
+func (t *Tracker) limitToRenewal(service topology.ServiceID) {
+	c := t.recordConfirmations[service]
+	c.at = min(c.at, t.renewedAt)
+	t.recordConfirmations[service] = c
+}
+
+// discard has the confirmation of a service's record not count. The caller holds mu.
+func (t *Tracker) discard(service topology.ServiceID) {
+	if c, known := t.recordConfirmations[service]; known {
+		c.declared = false
+		t.recordConfirmations[service] = c
+	}
 }
 
 // ObserveConfirmation records that a call sent at requestedAt found the services' records
@@ -101,7 +159,8 @@
 	}
 	for service, revision := range records {
 		if c := t.recordConfirmations[service]; revision > c.revision || revision == c.revision && requestedAt > c.at {
-			t.recordConfirmations[service] = confirmation{at: requestedAt, revision: revision}
+			since, declared := t.declaredAt[service]
+			t.recordConfirmations[service] = confirmation{at: requestedAt, revision: revision, declared: declared && requestedAt > since}
 		}
 	}
 }
@@ -137,12 +196,14 @@
 }
 
 // MayUsePrimary reports whether the instance has the authority to use, at now, the
-// primary that the service's record names at a revision.
+// primary that the service's record names at a revision. It has none for a service that its
+// usage does not name.
 func (t *Tracker) MayUsePrimary(now time.Duration, service topology.ServiceID, revision store.Revision) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c, known := t.recordConfirmations[service]
-	return known && t.registrationValid(now) && now-t.renewedAt < PrimaryDuration && c.revision == revision && now-c.at < PrimaryDuration
+	c := t.recordConfirmations[service]
+	return c.declared && t.registrationValid(now) && now-t.renewedAt < PrimaryDuration &&
+		c.revision == revision && now-c.at < PrimaryDuration
 }
 
 // ConfirmationAge returns the time since the configuration was last confirmed, negative
@@ -161,8 +222,8 @@
 func (t *Tracker) PrimaryExpiry(service topology.ServiceID) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c, known := t.recordConfirmations[service]
-	if !known || !t.registered {
+	c := t.recordConfirmations[service]
+	if !c.declared || !t.registered {
 		return 0
 	}
 	return min(c.at, t.renewedAt) + PrimaryDuration
