Give no authority by the renewal of a lease that may have lost the usage

Cause: an instance that becomes an owner registers again under a shorter lease. If that write takes effect without a response, its registration and usage are under the new lease, which nobody renews, while the instance goes on renewing the earlier one. If the store then refuses its writes (429 for writes, which renewals do not count to) for 3.6 s, the usage ends and the renewals keep the authority.

Change: after a write under another lease without a known outcome the registration is in doubt. Renewals give no authority until the registration is written again, which is tried at once, and a forwarding instance does not adopt an earlier registration meanwhile.

Measured: TestRenewalOfALeaseThatMayHaveLostTheUsageGivesNoAuthority, before: "may use the primary: true, want false"; passes now.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -193,6 +193,9 @@
 	ownRevisions map[string]store.Revision
 	// declaredRevision is that of the usage as this process last wrote it.
 	declaredRevision store.Revision
+	// leaseInDoubt says that the registration and the usage may be under another lease than
+	// that of the registration: the response of their last write has not arrived.
+	leaseInDoubt bool
 	// follower chooses the peer that a forwarding instance learns the store's state from.
 	// The peer's answers have returned all changes of registrations up to followedUntil.
 	follower      *following.Follower
--- a/edge/own_keys.go
+++ b/edge/own_keys.go
@@ -54,6 +54,7 @@
 	if errors.Is(err, store.ErrLeaseExpired) {
 		d.registrationExpired(lease)
 	}
+	d.noteOwnLease(lease, len(values) > 0, err)
 	if err != nil {
 		d.storeFailed("put registration", err)
 		return false
@@ -62,6 +63,19 @@
 	return true
 }
 
+// noteOwnLease notes after a write whether this instance's keys are known to be under the
+// lease that it renews: all of them, if the write has included the registration.
+func (d *Daemon) noteOwnLease(written leaseGrant, all bool, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case err == nil:
+		d.leaseInDoubt = d.leaseInDoubt && !all
+	case !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrLeaseExpired):
+		d.leaseInDoubt = d.leaseInDoubt || written.id != d.lease.id
+	}
+}
+
 // usageWrite describes a successful write of the usage.
 type usageWrite struct {
 	revision store.Revision
--- a/edge/register.go
+++ b/edge/register.go
@@ -151,7 +151,7 @@
 	key := instanceKey(d.settings.Instance)
 	d.mu.Lock()
 	entry, lease := d.mirror.Get(key), d.lease
-	known := entry.Revision != 0 && entry.Revision == d.ownRevisions[key] && d.ownRevisions[usageKey(d.settings.Instance)] == 0
+	known := !d.leaseInDoubt && entry.Revision != 0 && entry.Revision == d.ownRevisions[key] && d.ownRevisions[usageKey(d.settings.Instance)] == 0
 	d.mu.Unlock()
 	var r registration
 	if !known || lease.id != 0 || entry.Lease == 0 || json.Unmarshal(entry.Value, &r) != nil {
@@ -191,15 +191,16 @@
 	era store.Era
 }
 
-// isRegistrationInDoubt reports whether the instance has to register again because the
-// store was restored. A forwarding instance first looks whether its registration has
-// survived, so that a restore costs a large fleet few calls.
+// isRegistrationInDoubt reports whether the instance has to register again because its keys
+// may be under another lease, or because the store was restored. After a restore, a forwarding
+// instance first looks whether its registration has survived, so that a restore costs a large
+// fleet few calls.
 func (d *Daemon) isRegistrationInDoubt(lease leaseGrant) bool {
 	role := d.role()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if lease.id == 0 || lease.era == d.era.number {
-		return false
+		return d.leaseInDoubt && lease.id != 0
 	}
 	if role != upkeep.Forwarding {
 		return true
@@ -272,9 +273,13 @@
 // observeRenewal records a renewal of the registration by a call that was sent at
 // requestedAt. After a restore of the store, the ID of a lease from before may be that of
 // another instance, or the registration may lack a usage that it had: a renewal then gives
-// no authority until the instance has registered again.
+// no authority until the instance has registered again. Nor does the renewal of a lease that may
+// not be that of the usage any more.
 func (d *Daemon) observeRenewal(requestedAt time.Duration, lease leaseGrant) {
-	if lease.era == d.currentEra() {
+	d.mu.Lock()
+	certain := lease.era == d.era.number && !d.leaseInDoubt
+	d.mu.Unlock()
+	if certain {
 		d.authority.ObserveRenewal(requestedAt, lease.ttl)
 	}
 }
--- a/edge/usage_fleet_test.go
+++ b/edge/usage_fleet_test.go
@@ -136,6 +136,9 @@
 		f.load(p)
 		return
 	}
+	d.mu.Lock()
+	d.forwardsAlways = true // until it owns a service, with a long lease
+	d.mu.Unlock()
 	role, current, unavailable := d.role(), d.registrationLease(), d.store.unavailable()
 	switch {
 	case current.id == 0, upkeep.NeedsNewLease(role, current.ttl) && !unavailable, d.isRegistrationInDoubt(current) && !unavailable:
--- a/edge/usage_test.go
+++ b/edge/usage_test.go
@@ -118,3 +118,29 @@
 		}
 	})
 }
+
+// An owner registers again under a shorter lease. The write takes effect, its response and
+// further writes are lost, and the lease ends, with the usage, while the instance renews the
+// earlier lease.
+func TestRenewalOfALeaseThatMayHaveLostTheUsageGivesNoAuthority(t *testing.T) {
+	withUsageFleet(t, func(t *testing.T, f *usageFleet, p *fleetProcess) {
+		if !p.daemon.putUsage(p.daemon.ctx, p.daemon.registrationLease(), p.daemon.usedServices) {
+			t.Fatal("not declared")
+		}
+		f.confirmNow(p)
+		p.path.loseResponses = true
+		f.registerNow(p)
+		p.path.loseResponses, p.path.refuse = false, true
+		for range 4 {
+			f.advance(authority.MinRegistrationTTL / 4)
+			p.daemon.renewRegistration(p.daemon.ctx, p.daemon.registrationLease())
+			f.confirmNow(p)
+		}
+		f.wantFenceComplete(t)
+		wantUse(t, p, false)
+		p.path.refuse = false
+		f.registerNow(p)
+		f.confirmNow(p)
+		wantUse(t, p, true)
+	})
+}
