Write an instance's own keys from one goroutine at a time

Cause: the announcement of a shutdown writes the registration with the usage that it has read before, beside the registration loop. A usage that is declared in between is replaced by the earlier one: the write retries after the conflict. The instance uses the primary until the response arrives, and, if the response is lost, until it ends. Likewise the keys may return to a lease that the registration loop has just replaced.

Change: whoever writes these keys waits for the other and reads the lease and the usage afterwards.

Measured: TestAnnouncementOfAShutdownDoesNotRemoveTheDeclaredUsage, before: "may use the primary, the stored usage is null"; passes now.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -144,6 +144,8 @@
 
 	// configuring is held while a configuration is applied.
 	configuring sync.Mutex
+	// writingKeys holds a value while this instance's keys are written; see lockOwnKeys.
+	writingKeys chan struct{}
 
 	// sentReport is the demand and excess of this instance's customers as last sent to the
 	// other rate sharers, at demandSentAt. Only the register loop uses them.
@@ -237,7 +239,8 @@
 		authority:   authority.New(o.Settings.MaxRevocationDelay - keyMargin),
 		incarnation: time.Now().UnixNano(),
 		confirmWake: make(chan struct{}, 1), failoverWake: make(chan struct{}, 1),
-		sharesWake: make(chan struct{}, 1), usageWake: make(chan struct{}, 1), serving: make(chan struct{}), draining: make(chan struct{}),
+		writingKeys: make(chan struct{}, 1),
+		sharesWake:  make(chan struct{}, 1), usageWake: make(chan struct{}, 1), serving: make(chan struct{}), draining: make(chan struct{}),
 		roleWake: make(chan struct{}, 1), ownerWake: make(chan struct{}, 1), followWake: make(chan struct{}, 1), demands: make(map[topology.InstanceID]share.Demands), excesses: make(map[topology.InstanceID]map[topology.CustomerID]float64),
 		mirror: mirror.New(), records: make(map[topology.ServiceID]storedRecord),
 		targets: make(map[topology.ServiceID]targetMap), knownTargets: make(map[topology.TargetID]knownTarget), unreadable: make(map[string]store.Revision),
--- a/edge/expiring_store_test.go
+++ b/edge/expiring_store_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/store"
+	"samphirehitch.example/samphirehitch/process/topology"
 )
 
 // expiringStore is a leaseStore whose leases expire, with a history of all changes. It is
@@ -99,3 +100,8 @@
 	}
 	return changes
 }
+
+// usage returns the stored usage of an instance, empty if there is none.
+func (s *expiringStore) usage(id topology.InstanceID) string {
+	return string(s.entries[usageKey(id)].Value)
+}
--- a/edge/own_keys.go
+++ b/edge/own_keys.go
@@ -10,6 +10,19 @@
 	"samphirehitch.example/samphirehitch/process/topology"
 )
 
+// lockOwnKeys waits until no other goroutine writes this instance's keys, and returns the
+// function that lets others write them. It returns false if the context is done first. The
+// lease and the usage to be written are to be read under it: the outcome of an earlier write
+// changes them.
+func (d *Daemon) lockOwnKeys(ctx context.Context) (unlock func(), ok bool) {
+	select {
+	case d.writingKeys <- struct{}{}:
+		return func() { <-d.writingKeys }, true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
 // putRegistration writes the registration under a lease, together with the usage. An
 // empty usage is written only to replace one that is stored, such as that of an earlier
 // process: forwarding instances need no key for it.
--- a/edge/register.go
+++ b/edge/register.go
@@ -82,13 +82,25 @@
 // declareUsage writes the usage if the services whose primaries the instance is to use
 // have changed.
 func (d *Daemon) declareUsage(ctx context.Context) {
-	d.mu.Lock()
-	services, declaredServices := d.usedServices, d.declaredServices
-	d.mu.Unlock()
-	if slices.Equal(services, declaredServices) {
+	if _, _, changed := d.usageToDeclare(); !changed {
 		return
 	}
-	d.putUsage(ctx, d.registrationLease(), services)
+	unlock, ok := d.lockOwnKeys(ctx)
+	if !ok {
+		return
+	}
+	defer unlock()
+	if services, lease, changed := d.usageToDeclare(); changed {
+		d.putUsage(ctx, lease, services)
+	}
+}
+
+// usageToDeclare returns the services whose primaries the instance is to use, the lease of
+// the registration, and whether the declared usage differs.
+func (d *Daemon) usageToDeclare() (services []topology.ServiceID, lease leaseGrant, changed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.usedServices, d.lease, d.lease.id != 0 && !slices.Equal(d.usedServices, d.declaredServices)
 }
 
 // isMirrorLoaded reports whether the store's content has been listed. Before that, the
@@ -117,14 +129,14 @@
 	if d.currentEra() != era {
 		return false // it is not known whether the lease was granted before the restore
 	}
-	earlier, lease := d.registrationLease(), leaseGrant{id: id, ttl: ttl, era: era}
-	if !d.putRegistration(ctx, lease, d.declaredUsage()) {
+	lease := leaseGrant{id: id, ttl: ttl, era: era}
+	earlier, ok := d.replaceRegistration(ctx, lease)
+	if !ok {
 		return false
 	}
-	replaced := d.setLease(lease)
 	d.endEarlierLease(ctx, earlier, lease)
 	d.observeRenewal(requestedAt, lease)
-	if replaced {
+	if earlier.id != 0 {
 		d.suspicions.registrationExpired() // they expire with the earlier lease
 	}
 	eventRegistered.Log(d.log, "lease", id, "ttl_ms", ttl.Milliseconds(), "role", role.String())
@@ -133,6 +145,22 @@
 	return true
 }
 
+// replaceRegistration writes the registration and the usage under another lease. It
+// returns the earlier lease and whether they were written.
+func (d *Daemon) replaceRegistration(ctx context.Context, lease leaseGrant) (earlier leaseGrant, ok bool) {
+	unlock, ok := d.lockOwnKeys(ctx)
+	if !ok {
+		return leaseGrant{}, false
+	}
+	defer unlock()
+	earlier = d.registrationLease()
+	if !d.putRegistration(ctx, lease, d.declaredUsage()) {
+		return earlier, false
+	}
+	d.setLease(lease)
+	return earlier, true
+}
+
 // fleetStarting reports whether no primary has been recorded yet. Then the other instances
 // are only just registering as well.
 func (d *Daemon) fleetStarting() bool {
@@ -242,14 +270,11 @@
 	return d.lease
 }
 
-// setLease records the lease of the registration, and reports whether it replaces
-// another one.
-func (d *Daemon) setLease(lease leaseGrant) (replaced bool) {
+// setLease records the lease of the registration.
+func (d *Daemon) setLease(lease leaseGrant) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	replaced = d.lease.id != 0
 	d.lease = lease
-	return replaced
 }
 
 // renewRegistration renews the registration's lease and reports whether it did.
@@ -324,6 +349,11 @@
 // announceLeaving marks the registration as leaving, so that other instances forward no
 // more requests to this one.
 func (d *Daemon) announceLeaving() {
+	unlock, ok := d.lockOwnKeys(d.ctx)
+	if !ok {
+		return
+	}
+	defer unlock()
 	d.mu.Lock()
 	lease, declaredServices := d.lease, d.declaredServices
 	d.mu.Unlock()
--- a/edge/usage_test.go
+++ b/edge/usage_test.go
@@ -144,3 +144,25 @@
 		wantUse(t, p, true)
 	})
 }
+
+// An instance that shuts down announces this while it declares its usage. The announcement
+// must not replace the usage by what it was before.
+func TestAnnouncementOfAShutdownDoesNotRemoveTheDeclaredUsage(t *testing.T) {
+	withUsageFleet(t, func(t *testing.T, f *usageFleet, p *fleetProcess) {
+		p.path.delays = pathDelays{call: 40 * time.Millisecond, response: 40 * time.Millisecond}
+		go p.daemon.announceLeaving()
+		time.Sleep(time.Millisecond)
+		f.registerNow(p)
+		f.confirmNow(p)
+		f.advance(150 * time.Millisecond)
+		f.mu.Lock()
+		stored := f.stored.usage("a")
+		f.mu.Unlock()
+		if _, may := mayUse(p.daemon); may && stored != `["s"]` {
+			t.Fatalf("may use the primary, the stored usage is %s", stored)
+		}
+		f.advance(time.Second)
+		f.confirmNow(p)
+		wantUse(t, p, true)
+	})
+}
