Bound the drain of a fenced primary by the confirmation of its own record

Cause: on a fence, the engine lets statements in flight complete until the last confirmation of the service's record expires, of whichever revision. If the process is suspended between the record's arrival and its application, and the confirmation loop goes on first, that is a confirmation of the fence itself: authority that had expired is there again, for up to 250 ms.

Change: PrimaryExpiry is asked for the revision whose primary is in use, as MayUsePrimary is.

The fakes of two test harnesses take the new argument.

--- a/process/authority/authority.go
+++ b/process/authority/authority.go
@@ -217,13 +217,14 @@
 	return now - t.confirmedAt
 }
 
-// PrimaryExpiry returns when the authority to use the service's primary expires if
-// nothing is confirmed or renewed until then, zero if there is none.
-func (t *Tracker) PrimaryExpiry(service topology.ServiceID) time.Duration {
+// PrimaryExpiry returns when the authority to use the primary that the service's record
+// names at a revision expires if nothing is confirmed or renewed until then, zero if there is
+// none.
+func (t *Tracker) PrimaryExpiry(service topology.ServiceID, revision store.Revision) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.recordConfirmations[service]
-	if !c.declared || !t.registered {
+	if !c.declared || c.revision != revision || !t.registered {
 		return 0
 	}
 	return min(c.at, t.renewedAt) + PrimaryDuration
--- a/process/authority/authority_test.go
+++ b/process/authority/authority_test.go
@@ -27,8 +27,8 @@
 	if !tracker.MayUsePrimary(PrimaryDuration-1, "s", 5) || tracker.MayUsePrimary(PrimaryDuration, "s", 5) {
 		t.Fatal("the authority does not expire with the renewal")
 	}
-	if tracker.PrimaryExpiry("s") != PrimaryDuration {
-		t.Fatalf("the authority expires at %s", tracker.PrimaryExpiry("s"))
+	if tracker.PrimaryExpiry("s", 5) != PrimaryDuration {
+		t.Fatalf("the authority expires at %s", tracker.PrimaryExpiry("s", 5))
 	}
 	tracker.ObserveRenewal(10*time.Second, MinRegistrationTTL)
 	if tracker.MayUsePrimary(time.Second+PrimaryDuration, "s", 5) {
@@ -120,7 +120,7 @@
 	}
 	check := func(step string, want bool) {
 		t.Helper()
-		if tracker.MayUsePrimary(time.Second, "s", 5) != want || (tracker.PrimaryExpiry("s") != 0) != want {
+		if tracker.MayUsePrimary(time.Second, "s", 5) != want || (tracker.PrimaryExpiry("s", 5) != 0) != want {
 			t.Errorf("%s: authority, want %t", step, want)
 		}
 	}
--- a/request/engine/harness_test.go
+++ b/request/engine/harness_test.go
@@ -48,7 +48,9 @@
 
 func (f *fakeAuthority) ConfirmationAge(time.Duration) time.Duration { return 0 }
 
-func (f *fakeAuthority) PrimaryExpiry(topology.ServiceID) time.Duration { return time.Hour }
+func (f *fakeAuthority) PrimaryExpiry(topology.ServiceID, store.Revision) time.Duration {
+	return time.Hour
+}
 
 func (f *fakeAuthority) setPrimary(valid bool) {
 	f.mu.Lock()
--- a/request/engine/service.go
+++ b/request/engine/service.go
@@ -30,8 +30,9 @@
 	// MayUsePrimary reports whether the primary that the service's record names at a
 	// revision may be used.
 	MayUsePrimary(now time.Duration, service topology.ServiceID, revision store.Revision) bool
-	// PrimaryExpiry returns when the authority to use the service's primary expires.
-	PrimaryExpiry(service topology.ServiceID) time.Duration
+	// PrimaryExpiry returns when the authority to use the primary that the service's record
+	// names at a revision expires, zero without any.
+	PrimaryExpiry(service topology.ServiceID, revision store.Revision) time.Duration
 }
 
 // service is the state of one service. Its mutex guards the fields that follow it.
@@ -120,7 +121,7 @@
 	}
 	if record.Fenced && !s.record.Fenced {
 		s.drainingPrimary, s.drainingSequence = s.record.Primary, s.record.FenceSequence
-		s.drainDeadline = s.authority.PrimaryExpiry(s.id)
+		s.drainDeadline = s.authority.PrimaryExpiry(s.id, s.revision)
 	}
 	if !record.Fenced {
 		s.drainingPrimary = ""
--- a/request/relay/harness_test.go
+++ b/request/relay/harness_test.go
@@ -34,9 +34,11 @@
 func (alwaysAuthorized) MayUsePrimary(time.Duration, topology.ServiceID, store.Revision) bool {
 	return true
 }
-func (alwaysAuthorized) ConfirmationAge(time.Duration) time.Duration             { return 0 }
-func (alwaysAuthorized) RegistrationValid(time.Duration) bool                    { return true }
-func (alwaysAuthorized) PrimaryExpiry(topology.ServiceID) time.Duration          { return time.Hour }
+func (alwaysAuthorized) ConfirmationAge(time.Duration) time.Duration { return 0 }
+func (alwaysAuthorized) RegistrationValid(time.Duration) bool        { return true }
+func (alwaysAuthorized) PrimaryExpiry(topology.ServiceID, store.Revision) time.Duration {
+	return time.Hour
+}
 func (alwaysAuthorized) ReportReachable(topology.ServiceID, topology.TargetID)   {}
 func (alwaysAuthorized) ReportUnreachable(topology.ServiceID, topology.TargetID) {}
 func (alwaysAuthorized) IsSuspected(topology.ServiceID, topology.TargetID) bool  { return false }
