--- a/edge/register.go
+++ b/edge/register.go
@@ -83,13 +83,25 @@
 // declareUsage writes the usage if the services whose primaries the instance is to use
 // have changed.
 func (d *Daemon) declareUsage(ctx context.Context) {
-	d.mu.Lock()
-	services, declaredServices := d.usedServices, d.declaredServices
-	d.mu.Unlock()
-	if slices.Equal(services, declaredServices) {
+	if _, _, changed := d.usageToDeclare(); !changed {
 		return
 	}
-	d.putUsage(ctx, d.registrationLease(), services)
+	unlock, ok := d.lockOwnKeys(ctx)
+	if !ok {
+		return
+	}
+	defer unlock()
+	if services, lease, changed := d.usageToDeclare(); changed {
+		d.putUsage(ctx, lease, services)
+	}
+}
+
+// usageToDeclare returns the services whose primaries the instance is to use, the lease of
+// the registration, and whether the declared usage differs.
+func (d *Daemon) usageToDeclare() (services []topology.ServiceID, lease leaseGrant, changed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.usedServices, d.lease, d.lease.id != 0 && !slices.Equal(d.usedServices, d.declaredServices)
 }
 
 // isMirrorLoaded reports whether the store's content has been listed. Before that, the
@@ -118,14 +130,14 @@
 	if d.currentEra() != era {
 		return false // it is not known whether the lease was granted before the restore
 	}
-	earlier, lease := d.registrationLease(), leaseGrant{id: id, ttl: ttl, era: era}
-	if !d.putRegistration(ctx, lease, d.declaredUsage()) {
+	lease := leaseGrant{id: id, ttl: ttl, era: era}
+	earlier, ok := d.replaceRegistration(ctx, lease)
+	if !ok {
 		return false
 	}
-	replaced := d.setLease(lease)
 	d.endEarlierLease(ctx, earlier, lease)
 	d.observeRenewal(requestedAt, lease)
-	if replaced {
+	if earlier.id != 0 {
 		d.suspicions.registrationExpired() // they expire with the earlier lease
 	}
 	eventRegistered.Log(d.log, "lease", id, "ttl_ms", ttl.Milliseconds(), "role", role.String())
@@ -134,6 +146,22 @@
 	return true
 }
 
+// replaceRegistration writes the registration and the usage under another lease. It
+// returns the earlier lease and whether they were written.
+func (d *Daemon) replaceRegistration(ctx context.Context, lease leaseGrant) (earlier leaseGrant, ok bool) {
+	unlock, ok := d.lockOwnKeys(ctx)
+	if !ok {
+		return leaseGrant{}, false
+	}
+	defer unlock()
+	earlier = d.registrationLease()
+	if !d.putRegistration(ctx, lease, d.declaredUsage()) {
+		return earlier, false
+	}
+	d.setLease(lease)
+	return earlier, true
+}
+
 // fleetStarting reports whether no primary has been recorded yet. Then the other instances
 // are only just registering as well.
 func (d *Daemon) fleetStarting() bool {
@@ -152,7 +180,7 @@
 	key := instanceKey(d.settings.Instance)
 	d.mu.Lock()
 	entry, lease := d.mirror.Get(key), d.lease
-	known := entry.Revision != 0 && entry.Revision == d.ownRevisions[key] && d.ownRevisions[usageKey(d.settings.Instance)] == 0
+	known := !d.leaseInDoubt && entry.Revision != 0 && entry.Revision == d.ownRevisions[key] && d.ownRevisions[usageKey(d.settings.Instance)] == 0
 	d.mu.Unlock()
 	var r registration
 	if !known || lease.id != 0 || entry.Lease == 0 || json.Unmarshal(entry.Value, &r) != nil {
@@ -192,15 +220,16 @@
 	era store.Era
 }
 
-// isRegistrationInDoubt reports whether the instance has to register again because the
-// store was restored. A forwarding instance first looks whether its registration has
-// survived, so that a restore costs a large fleet few calls.
+// isRegistrationInDoubt reports whether the instance has to register again because its keys
+// may be under another lease, or because the store was restored. After a restore, a forwarding
+// instance first looks whether its registration has survived, so that a restore costs a large
+// fleet few calls.
 func (d *Daemon) isRegistrationInDoubt(lease leaseGrant) bool {
 	role := d.role()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if lease.id == 0 || lease.era == d.era.number {
-		return false
+		return d.leaseInDoubt && lease.id != 0
 	}
 	if role != upkeep.Forwarding {
 		return true
@@ -242,14 +271,11 @@
 	return d.lease
 }
 
-// setLease records the lease of the registration, and reports whether it replaces
-// another one.
-func (d *Daemon) setLease(lease leaseGrant) (replaced bool) {
+// setLease records the lease of the registration.
+func (d *Daemon) setLease(lease leaseGrant) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	replaced = d.lease.id != 0
 	d.lease = lease
-	return replaced
 }
 
 // renewRegistration renews the registration's lease and reports whether it did.
@@ -273,9 +299,13 @@
 // observeRenewal records a renewal of the registration by a call that was sent at
 // requestedAt. After a restore of the store, the ID of a lease from before may be that of
 // another instance, or the registration may lack a usage that it had: a renewal then gives
-// no authority until the instance has registered again.
+// no authority until the instance has registered again. Nor does the renewal of a lease that may
+// not be that of the usage any more.
 func (d *Daemon) observeRenewal(requestedAt time.Duration, lease leaseGrant) {
-	if lease.era == d.currentEra() {
+	d.mu.Lock()
+	certain := lease.era == d.era.number && !d.leaseInDoubt
+	d.mu.Unlock()
+	if certain {
 		d.authority.ObserveRenewal(requestedAt, lease.ttl)
 	}
 }
@@ -299,7 +329,8 @@
 // setDeclaredServices records the services that the written usage names. Fences of newly
 // declared services are acknowledged immediately, since a fence requires the
 // acknowledgement of every instance that declared the use of the primary.
-func (d *Daemon) setDeclaredServices(services []topology.ServiceID) {
+func (d *Daemon) setDeclaredServices(services []topology.ServiceID, written usageWrite) {
+	d.authority.ObserveDeclaration(d.clock(), services, written.revision, written.uninterrupted)
 	fenced := make(map[topology.ServiceID]failover.Record)
 	d.mu.Lock()
 	for _, service := range services {
@@ -313,7 +344,7 @@
 	if changed {
 		eventUsageDeclared.Log(d.log, "services", services)
 	}
-	d.wakeConfirm() // the authority to use primaries needs more frequent confirmations
+	d.wakeConfirm() // the authority to use primaries needs a later confirmation
 	for service, record := range fenced {
 		go d.acknowledgeFence(service, record)
 	}
@@ -323,6 +354,11 @@
 // announceLeaving marks the registration as leaving, so that other instances forward no
 // more requests to this one.
 func (d *Daemon) announceLeaving() {
+	unlock, ok := d.lockOwnKeys(d.ctx)
+	if !ok {
+		return
+	}
+	defer unlock()
 	d.mu.Lock()
 	lease, declaredServices := d.lease, d.declaredServices
 	d.mu.Unlock()
