Publish a suspicion again if its entry ends with another lease

Cause: a published suspicion was compared by its value alone. The entry of an earlier process, or of this one under the lease that a role's longer or shorter one replaces, has the same value and another end.

Change: the lease of the entry is part of what is known of it; an entry under another lease than the registration's is written again, at its known revision. One call for each suspicion held across a change of the lease.

--- a/edge/suspicions.go
+++ b/edge/suspicions.go
@@ -35,8 +35,9 @@
 type publishedSuspicion struct {
 	// target is the suspected primary, empty for none.
 	target topology.TargetID
-	// revision is that of the entry, zero if there is none.
+	// revision is that of the entry, zero if there is none, and lease the one that it ends with.
 	revision store.Revision
+	lease    store.LeaseID
 	// uncertain reports that the response to a write was lost. The entry may have
 	// changed, or may still do so later.
 	uncertain bool
@@ -135,14 +136,12 @@
 // publishNext publishes or withdraws the suspicion of one service where the store
 // differs. It reports whether there may be another one.
 func (s *suspicions) publishNext(ctx context.Context) bool {
-	service, target, knownRevision, found := s.nextChange()
+	d := s.daemon
+	lease := d.registrationLease().id
+	service, target, knownRevision, found := s.nextChange(lease)
 	if !found {
 		return false
 	}
-	d := s.daemon
-	d.mu.Lock()
-	lease := d.lease.id
-	d.mu.Unlock()
 	if lease == 0 {
 		return sleep(ctx, suspicionInterval)
 	}
@@ -169,7 +168,7 @@
 		return sleep(ctx, suspicionInterval)
 	}
 	d.applyChanges([]store.Change{{Entry: store.Entry{Key: key, Value: []byte(target), Revision: revision, Lease: lease}}})
-	s.setPublished(service, publishedSuspicion{target: target, revision: revision})
+	s.setPublished(service, publishedSuspicion{target: target, revision: revision, lease: lease})
 	return true
 }
 
@@ -178,7 +177,7 @@
 func suspicionIn(current []store.Entry, key string) publishedSuspicion {
 	for _, entry := range current {
 		if entry.Key == key {
-			return publishedSuspicion{target: topology.TargetID(entry.Value), revision: entry.Revision}
+			return publishedSuspicion{target: topology.TargetID(entry.Value), revision: entry.Revision, lease: entry.Lease}
 		}
 	}
 	return publishedSuspicion{}
@@ -207,14 +206,14 @@
 	notify(s.wake)
 }
 
-// nextChange returns a service whose published suspicion differs from the actual one or
-// is uncertain, the target to publish, empty to withdraw the suspicion, and the last
-// known revision of the entry.
-func (s *suspicions) nextChange() (service topology.ServiceID, target topology.TargetID, knownRevision store.Revision, found bool) {
+// nextChange returns a service whose published suspicion differs from the actual one, is
+// uncertain or ends with another lease than the given one, the target to publish, empty to
+// withdraw the suspicion, and the last known revision of the entry.
+func (s *suspicions) nextChange(lease store.LeaseID) (service topology.ServiceID, target topology.TargetID, knownRevision store.Revision, found bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for service, target := range s.suspected {
-		if published := s.published[service]; published.target != target || published.uncertain {
+		if published := s.published[service]; published.target != target || published.lease != lease || published.uncertain {
 			return service, target, published.revision, true
 		}
 	}
