Failing test: a late fence acknowledgement replaces a later one

The acknowledgement of a fence is written without a condition. A write whose response was lost, of this process or an earlier one, may take effect after that of the next fence and replace it; nobody writes that again, and the leader waits until all authority has expired.

No rule is at stake: an acknowledgement names its fence, sequences are not used twice, and whoever has acknowledged a fence has seen it.

Evidence: the test, "fence 5 is acknowledged after the late write: <nil>".

--- a/edge/inherited_keys_test.go
+++ b/edge/inherited_keys_test.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"errors"
 	"testing"
 
+	"samphirehitch.example/samphirehitch/process/failover"
 	"samphirehitch.example/samphirehitch/process/store"
 )
 
@@ -28,3 +30,24 @@
 		t.Fatalf("published %q", s.suspicion())
 	}
 }
+
+// fence applies a fence of service s with a sequence number, which this instance acknowledges.
+func (d *Daemon) fence(sequence uint64) {
+	record := failover.Record{Primary: "a", Term: 1, Fenced: true, FenceSequence: sequence}
+	d.records["s"] = storedRecord{Record: record}
+	d.acknowledgeFence("s", record)
+}
+
+// The response to an acknowledgement is lost, and the write takes effect after the next fence
+// was acknowledged. The leader must not wait for that fence as if it were not.
+func TestLateFenceAcknowledgementDoesNotReplaceALaterOne(t *testing.T) {
+	s := &leaseStore{loseNextResponse: true}
+	d := newRegisteringDaemon(s)
+	d.setLease(leaseGrant{id: 1})
+	d.fence(5)
+	d.fence(6)
+	_, err := s.execute(s.delayed[0])
+	if ack := string(s.entries[fenceAckKey("s", "self")].Value); ack != fenceAckValue(6) || !errors.Is(err, store.ErrConflict) {
+		t.Fatalf("fence %s is acknowledged after the late write: %v", ack, err)
+	}
+}
