Failing test: a fence acknowledgement ends with an earlier lease

An instance that gets another lease while a fence is in force (its lease was lost, its role has changed, the store was restored) puts its registration and usage under the new lease, and not its acknowledgement. When the earlier lease ends, the leader takes the instance for one that has not acknowledged. A new process under the name does acknowledge again, when it declares the service.

--- a/edge/inherited_keys_test.go
+++ b/edge/inherited_keys_test.go
@@ -6,6 +6,8 @@
 
 	"samphirehitch.example/samphirehitch/process/failover"
 	"samphirehitch.example/samphirehitch/process/store"
+	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/process/upkeep"
 )
 
 // endLease removes the keys under a lease.
@@ -51,3 +53,48 @@
 		t.Fatalf("fence %s is acknowledged after the late write: %v", ack, err)
 	}
 }
+
+// awaitFenceAck waits for an acknowledgement of service s by this instance that was written
+// after a revision, and returns its lease.
+func (s *restorableStore) awaitFenceAck(after store.Revision) store.LeaseID {
+	s.t.Helper()
+	changes, _, err := s.daemon.store.WatchFor(s.t.Context(), fenceAckKey("s", "self"), after, watchWait)
+	if err != nil || len(changes) == 0 {
+		s.t.Fatalf("no acknowledgement: %v", err)
+	}
+	return changes[len(changes)-1].Lease
+}
+
+// putFence stores the record of service s with a fence.
+func (s *restorableStore) putFence(sequence uint64) {
+	s.t.Helper()
+	record := failover.Record{Primary: "a", Term: 1, Fenced: true, FenceSequence: sequence, Era: 1}
+	_, err := s.daemon.store.Transact(s.t.Context(), store.Transaction{Puts: []store.Put{{Key: recordKey("s"), Value: record.Encode()}}})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// An instance gets another lease while a fence is in force. The acknowledgement ends with the
+// earlier lease, and the leader must find it under the present one.
+func TestFenceAcknowledgementOutlivesTheEarlierLease(t *testing.T) {
+	s := newRestorableStore(t)
+	d := s.daemon
+	if !d.register(t.Context(), upkeep.Forwarding) || !d.putUsage(t.Context(), d.registrationLease(), []topology.ServiceID{"s"}) {
+		t.Fatal("not registered")
+	}
+	before := s.after
+	s.putFence(5)
+	s.receive()
+	if lease := s.awaitFenceAck(before); lease != d.registrationLease().id {
+		t.Fatalf("acknowledged under lease %d", lease)
+	}
+	s.receive()
+	before = s.after
+	if !d.register(t.Context(), upkeep.Using) {
+		t.Fatal("not registered again")
+	}
+	if lease := s.awaitFenceAck(before); lease != d.registrationLease().id {
+		t.Fatalf("acknowledged under lease %d, registered under %d", lease, d.registrationLease().id)
+	}
+}
