Acknowledge a fence again under another lease

Change: after each registration the fences in force that the instance has declared to use, and whose acknowledgements are under another lease, are acknowledged again.

--- a/edge/fence_ack.go
+++ b/edge/fence_ack.go
@@ -52,6 +52,23 @@
 	}
 }
 
+// acknowledgeFencesUnder acknowledges the fences in force again whose acknowledgements end with
+// another lease than the given one.
+func (d *Daemon) acknowledgeFencesUnder(lease store.LeaseID) {
+	fenced := make(map[topology.ServiceID]failover.Record)
+	d.mu.Lock()
+	for _, service := range d.declaredServices {
+		record := d.records[service]
+		if record.Fenced && d.mirror.Get(fenceAckKey(service, d.settings.Instance)).Lease != lease {
+			fenced[service] = record.Record
+		}
+	}
+	d.mu.Unlock()
+	for service, record := range fenced {
+		go d.acknowledgeFence(service, record)
+	}
+}
+
 // putFenceAck writes the acknowledgement of a fence to a key, provided that the key is still at
 // the last known revision. A write whose response was lost may take effect seconds later.
 // Without the condition it could replace the acknowledgement of a later fence.
--- a/edge/register.go
+++ b/edge/register.go
@@ -140,6 +140,7 @@
 	if earlier.id != 0 {
 		d.suspicions.registrationExpired() // they expire with the earlier lease
 	}
+	d.acknowledgeFencesUnder(id)
 	eventRegistered.Log(d.log, "lease", id, "ttl_ms", ttl.Milliseconds(), "role", role.String())
 	d.wakeFailover()
 	notify(d.followWake) // the mirror lacks the registration
