Failing test: a late renewal gives authority to an unregistered instance

The response to a renewal that was sent before gives the authority back, for up to 3.3 s, while no fence waits for the instance any more. What still runs for other instances until the process exits, at most 0.4 s later, counts as authorized. If the renewal is refused, the instance registers again, just before it exits.

The window is short, and the instance hears of a fence as before; the invariant that authority needs a usage in the store does not hold in it.

Evidence: the test, "a renewal gives authority, and the usage in the store is \"\"".

--- a/edge/inherited_keys_test.go
+++ b/edge/inherited_keys_test.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"samphirehitch.example/samphirehitch/process/failover"
 	"samphirehitch.example/samphirehitch/process/store"
@@ -98,3 +100,35 @@
 		t.Fatalf("acknowledged under lease %d, registered under %d", lease, d.registrationLease().id)
 	}
 }
+
+// revokingStore is a leaseStore that calls onRevoke when a lease is ended.
+type revokingStore struct {
+	*leaseStore
+	onRevoke func()
+}
+
+func (s revokingStore) Revoke(_ context.Context, lease store.LeaseID) error {
+	s.endLease(lease)
+	s.onRevoke()
+	return nil
+}
+
+// The response to a renewal arrives while the registration and the usage are removed at the end
+// of a shutdown. The instance must not use a primary without a usage in the store, and must not
+// register again.
+func TestUnregisteredInstanceGetsNoAuthority(t *testing.T) {
+	s := revokingStore{leaseStore: &leaseStore{}}
+	d := newRegisteringDaemon(&s)
+	if !d.register(t.Context(), upkeep.Using) || !d.putUsage(t.Context(), d.registrationLease(), []topology.ServiceID{"s"}) {
+		t.Fatal("not registered")
+	}
+	requestedAt, lease := d.clock(), d.registrationLease()
+	s.onRevoke = func() { d.observeRenewal(requestedAt, lease) }
+	d.unregister(time.Now().Add(time.Minute))
+	if d.authority.RegistrationValid(d.clock()) {
+		t.Fatalf("a renewal gives authority, and the usage in the store is %q", s.usage())
+	}
+	if d.register(t.Context(), upkeep.Using) || len(s.grants) > 1 {
+		t.Fatal("registered again")
+	}
+}
