Give no authority to an instance that removes its registration

Change: from the moment in which an instance that stops removes its registration, renewals count no more and it does not register again.

Measured: TestUnregisteredInstanceGetsNoAuthority fails before ("a renewal gives authority") and passes; package edge passes under the race detector.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -168,6 +168,8 @@
 	carried carriedRegistrations
 	// lease is that of the registration.
 	lease leaseGrant
+	// unregistered says that the registration is being removed at the end of a shutdown.
+	unregistered bool
 	// survivedLease is the lease under which the store was last seen to hold a registration
 	// of this instance that this process did not expect, with the era of that.
 	survivedLease leaseGrant
--- a/edge/register.go
+++ b/edge/register.go
@@ -115,6 +115,9 @@
 // register obtains a lease for the role and writes the registration and the usage under
 // it, in place of an earlier lease. It reports whether the instance is registered.
 func (d *Daemon) register(ctx context.Context, role upkeep.Role) bool {
+	if d.isUnregistered() {
+		return false
+	}
 	if role == upkeep.Forwarding && d.adoptRegistration(ctx) {
 		return true
 	}
@@ -266,6 +269,13 @@
 	}
 }
 
+// isUnregistered reports whether the registration is being removed at the end of a shutdown.
+func (d *Daemon) isUnregistered() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.unregistered
+}
+
 func (d *Daemon) registrationLease() leaseGrant {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -301,12 +311,12 @@
 // requestedAt. After a restore of the store, the ID of a lease from before may be that of
 // another instance, or the registration may lack a usage that it had: a renewal then gives
 // no authority until the instance has registered again. Nor does the renewal of a lease that may
-// not be that of the usage any more.
+// not be that of the usage any more, or one that is late and arrives once the registration is
+// being removed.
 func (d *Daemon) observeRenewal(requestedAt time.Duration, lease leaseGrant) {
 	d.mu.Lock()
-	certain := lease.era == d.era.number && !d.leaseInDoubt
-	d.mu.Unlock()
-	if certain {
+	defer d.mu.Unlock()
+	if lease.era == d.era.number && !d.leaseInDoubt && !d.unregistered {
 		d.authority.ObserveRenewal(requestedAt, lease.ttl)
 	}
 }
--- a/edge/shutdown.go
+++ b/edge/shutdown.go
@@ -161,6 +161,7 @@
 func (d *Daemon) unregister(deadline time.Time) {
 	d.mu.Lock()
 	lease := d.lease.id
+	d.unregistered = true
 	d.mu.Unlock()
 	d.authority.ObserveExpiry()
 	if lease == 0 {
