Failing test: a usage ends with the lease of an earlier process

What callers may see (rule ONE): a forwarding instance goes on renewing the lease of its earlier process. If that process stopped while the store was cut off from it, its call to end the lease may be executed seconds later (PROTOCOL: "may be executed seconds later"). If the instance has become a user of a primary meanwhile, and the registration under a lease of its own has failed once, it declares its usage under the adopted lease. The late call removes it, and no fence waits for the instance, which has authority for up to 3.3 s after its last renewal.

It takes four events within seconds: a stop without the store, a late call, a change of owners and a lost response.

Evidence: the test, "[s] is declared and in use, the store holds no usage".

--- a/edge/inherited_keys_test.go
+++ b/edge/inherited_keys_test.go
@@ -132,3 +132,42 @@
 		t.Fatal("registered again")
 	}
 }
+
+// storeRegistration stores the registration of an earlier process of the instance, and lists the
+// store.
+func (s *listingStore) storeRegistration(t *testing.T, d *Daemon, lease store.LeaseID) {
+	t.Helper()
+	earlier := d.registration(upkeep.For(upkeep.Forwarding).RegistrationTTL)
+	earlier.Incarnation--
+	s.put(store.Put{Key: instanceKey("self"), Value: registrationValue(t, earlier), Lease: lease})
+	if _, err := d.loadMirror(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A forwarding instance has adopted the lease of its earlier process, which has tried to end it
+// without a response. It becomes a user of a primary, and the call takes effect. The usage must
+// not end with that lease while the instance has authority.
+func TestUsageDoesNotEndWithAnAdoptedLease(t *testing.T) {
+	s := &listingStore{leaseStore: &leaseStore{}}
+	d := newRegisteringDaemon(s)
+	s.storeRegistration(t, d, 9)
+	if !d.register(t.Context(), upkeep.Forwarding) || d.registrationLease().id != 9 {
+		t.Fatal("not adopted")
+	}
+	d.usedServices = []topology.ServiceID{"s"}
+	s.loseNextResponse = true
+	d.register(t.Context(), d.role())
+	d.declareUsage(t.Context())
+	s.endLease(9)
+	if declared := d.declaredUsage(); len(declared) > 0 && s.usage() == "" {
+		t.Fatalf("%v is declared and in use, the store holds no usage", declared)
+	}
+	if !d.register(t.Context(), d.role()) {
+		t.Fatal("not registered under a lease of its own")
+	}
+	d.declareUsage(t.Context())
+	if s.usage() != `["s"]` {
+		t.Fatalf("the store holds %q", s.usage())
+	}
+}
