Declare no usage under the lease of an earlier process

Change: an adopted lease is marked, and no usage is written under it.

What it costs: if the registration under that lease fails, the instance becomes a user only when one succeeds, at the next attempt.

--- a/edge/register.go
+++ b/edge/register.go
@@ -81,7 +81,8 @@
 }
 
 // declareUsage writes the usage if the services whose primaries the instance is to use
-// have changed.
+// have changed. Under an adopted lease it writes none: a delayed call of the earlier process may
+// end that lease while this instance has authority. A user gets a lease of its own first.
 func (d *Daemon) declareUsage(ctx context.Context) {
 	if _, _, changed := d.usageToDeclare(); !changed {
 		return
@@ -97,11 +98,11 @@
 }
 
 // usageToDeclare returns the services whose primaries the instance is to use, the lease of
-// the registration, and whether the declared usage differs.
+// the registration, and whether the declared usage differs and may be written under it.
 func (d *Daemon) usageToDeclare() (services []topology.ServiceID, lease leaseGrant, changed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.usedServices, d.lease, d.lease.id != 0 && !slices.Equal(d.usedServices, d.declaredServices)
+	return d.usedServices, d.lease, d.lease.id != 0 && !d.lease.adopted && !slices.Equal(d.usedServices, d.declaredServices)
 }
 
 // isMirrorLoaded reports whether the store's content has been listed. Before that, the
@@ -193,7 +194,7 @@
 	if !d.describesThisInstance(r) || r.LeaseTTL != upkeep.For(upkeep.Forwarding).RegistrationTTL {
 		return false
 	}
-	adopted := leaseGrant{id: entry.Lease, ttl: r.LeaseTTL, era: entry.Revision.Era()}
+	adopted := leaseGrant{id: entry.Lease, ttl: r.LeaseTTL, era: entry.Revision.Era(), adopted: true}
 	if !d.renewRegistration(ctx, adopted) {
 		return false
 	}
@@ -222,6 +223,8 @@
 	ttl time.Duration
 	// era is the era of the store in which the registration was written, or found unchanged.
 	era store.Era
+	// adopted says that an earlier process of the instance has obtained the lease.
+	adopted bool
 }
 
 // isRegistrationInDoubt reports whether the instance has to register again because its keys
