--- a/edge/inherited_keys_test.go
+++ b/edge/inherited_keys_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/failover"
@@ -171,3 +172,48 @@
 		t.Fatalf("the store holds %q", s.usage())
 	}
 }
+
+// heldStore is a leaseStore whose first transaction waits until release is closed.
+type heldStore struct {
+	*leaseStore
+	release chan struct{}
+	held    bool
+}
+
+func (s *heldStore) Transact(ctx context.Context, t store.Transaction) (store.Revision, error) {
+	if first := !s.held; first {
+		s.held = true
+		<-s.release
+	}
+	return s.leaseStore.Transact(ctx, t)
+}
+
+// An instance is told to stop while it declares a usage or registers under another lease. Marking
+// the registration as leaving must neither remove the usage nor return it to the earlier lease.
+func TestLeavingMarkDoesNotRevertTheUsage(t *testing.T) {
+	for name, change := range map[string]func(d *Daemon){
+		"usage": func(d *Daemon) { d.declareUsage(d.ctx) },
+		"lease": func(d *Daemon) { d.register(d.ctx, upkeep.Using); d.declareUsage(d.ctx) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &heldStore{leaseStore: &leaseStore{}, release: make(chan struct{})}
+				d := newRegisteringDaemon(s)
+				d.setLease(leaseGrant{id: 100, ttl: upkeep.For(upkeep.Forwarding).RegistrationTTL})
+				d.usedServices = []topology.ServiceID{"s"}
+				d.stopping.Store(true)
+				go d.announceLeaving()
+				synctest.Wait()
+				go change(d)
+				synctest.Wait()
+				close(s.release)
+				synctest.Wait()
+				lease := d.registrationLease().id
+				if s.usage() != `["s"]` || s.entries[usageKey("self")].Lease != lease || s.entries[instanceKey("self")].Lease != lease {
+					t.Fatalf("usage %s under lease %d, registration under lease %d, renews lease %d", s.usage(),
+						s.entries[usageKey("self")].Lease, s.entries[instanceKey("self")].Lease, lease)
+				}
+			})
+		})
+	}
+}
