--- /dev/null
+++ b/edge/earlier_process_test.go
@@ -0,0 +1,135 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"samphirehitch.example/samphirehitch/process/authority"
+	"samphirehitch.example/samphirehitch/process/store"
+	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/process/upkeep"
+)
+
+// longLeases has the leases of a daemon outlast the test.
+func (d *Daemon) longLeases() { d.settings.MinLeaseTTL = time.Hour }
+
+// restart replaces the daemon by that of a new process of the instance, which has read the store.
+func (s *restorableStore) restart() (earlier *Daemon) {
+	s.t.Helper()
+	earlier = s.daemon
+	s.daemon = s.newDaemon("self")
+	s.daemon.incarnation = earlier.incarnation + 1
+	s.load()
+	return earlier
+}
+
+// use registers the daemon as a user of service s.
+func (s *restorableStore) use() {
+	s.t.Helper()
+	s.daemon.longLeases()
+	if !s.daemon.register(s.t.Context(), upkeep.Using) || !s.daemon.putUsage(s.t.Context(), s.daemon.registrationLease(), []topology.ServiceID{"s"}) {
+		s.t.Fatal("not registered")
+	}
+}
+
+// The acknowledgement of an earlier process counts for the new one as long as the fence is in
+// force. The new process must know of that fence before it declares a usage, and its own
+// acknowledgement must outlive the lease of the earlier one.
+func TestAcknowledgedFenceIsKnownToTheNextProcess(t *testing.T) {
+	s := newRestorableStore(t)
+	s.use()
+	before := s.after
+	s.putFence(5)
+	s.receive()
+	s.awaitFenceAck(before)
+	earlier := s.restart()
+	if record := s.daemon.records["s"]; !record.Fenced || record.FenceSequence != 5 {
+		t.Fatalf("the new process starts with %+v", record)
+	}
+	before = s.after
+	s.use()
+	if lease := s.awaitFenceAck(before); lease != s.daemon.registrationLease().id {
+		t.Fatalf("acknowledged under lease %d", lease)
+	}
+	if err := s.daemon.store.Revoke(t.Context(), earlier.registrationLease().id); err != nil {
+		t.Fatal(err)
+	}
+	leader := s.newDaemon("leader")
+	leader.leadership.fences = make(map[topology.ServiceID]fence)
+	s.daemon = leader
+	s.load()
+	if view := leader.failoverView(leader.clock()+time.Minute, "s"); view.InstanceCount != 1 || !view.FenceAcknowledged {
+		t.Fatalf("%d users, acknowledged %t", view.InstanceCount, view.FenceAcknowledged)
+	}
+}
+
+// lead has a daemon with a declared usage acquire the leadership, if it can, and returns its
+// token.
+func (s *restorableStore) lead(d *Daemon) store.Revision {
+	d.longLeases()
+	d.clock = func() time.Duration { return time.Hour }
+	d.declaredServices = []topology.ServiceID{"s"}
+	d.authority.ObserveRenewal(d.clock(), authority.MinRegistrationTTL)
+	for range 4 { // also one that has to end a key first
+		d.maintainLeadership(s.t.Context())
+	}
+	return store.Revision(d.leadership.token)
+}
+
+// A leader is killed and starts again under its name within the lease of the leadership. The new
+// process must not lead beside the earlier one, nor with a lower token, nor lose the leadership
+// to a delayed call of the earlier one.
+func TestNextProcessLeadsAfterTheLeaseWithAHigherToken(t *testing.T) {
+	s := newRestorableStore(t)
+	first := s.lead(s.daemon)
+	earlier := s.restart()
+	if token := s.lead(s.daemon); first == 0 || token != 0 {
+		t.Fatalf("token %s beside token %s", token, first)
+	}
+	lease := earlier.leadership.lease
+	if err := s.daemon.store.Revoke(t.Context(), lease); err != nil {
+		t.Fatal(err)
+	}
+	s.receive()
+	second := s.lead(s.daemon)
+	if second <= first {
+		t.Fatalf("token %s after token %s", second, first)
+	}
+	for name, late := range map[string]store.Swap{
+		"acquisition": {Key: keyLeadership, Value: []byte(earlier.leadershipValue()), Lease: lease},
+		"resignation": {Key: keyLeadership, Expect: first, Delete: true},
+	} {
+		if _, err := s.daemon.store.CompareAndSwap(t.Context(), late); !errors.Is(err, store.ErrConflict) {
+			t.Errorf("a late %s: %v", name, err)
+		}
+	}
+}
+
+// expiredStore is a leaseStore whose leases have ended.
+type expiredStore struct{ *leaseStore }
+
+func (expiredStore) KeepAlive(context.Context, store.LeaseID) error { return store.ErrLeaseExpired }
+
+// The registration and the usage have ended while the process was suspended. The instance must
+// have no authority before both are in the store again.
+func TestExpiredRegistrationGivesNoAuthorityBeforeTheUsageIsWritten(t *testing.T) {
+	s := expiredStore{&leaseStore{}}
+	d := newRegisteringDaemon(s)
+	if !d.register(t.Context(), upkeep.Using) || !d.putUsage(t.Context(), d.registrationLease(), []topology.ServiceID{"s"}) {
+		t.Fatal("not registered")
+	}
+	s.endLease(d.registrationLease().id)
+	d.renewRegistration(t.Context(), d.registrationLease())
+	if d.authority.RegistrationValid(d.clock()) {
+		t.Fatal("authority after the end of the lease")
+	}
+	s.loseNextResponse = true
+	if d.register(t.Context(), upkeep.Using) || d.authority.RegistrationValid(d.clock()) {
+		t.Fatal("authority by a registration that may not be in the store")
+	}
+	if !d.register(t.Context(), upkeep.Using) || !d.authority.RegistrationValid(d.clock()) || s.usage() != `["s"]` {
+		t.Fatalf("registered %t, usage %q", d.authority.RegistrationValid(d.clock()), s.usage())
+	}
+}
--- a/edge/inherited_keys_test.go
+++ b/edge/inherited_keys_test.go
@@ -83,6 +83,7 @@
 func TestFenceAcknowledgementOutlivesTheEarlierLease(t *testing.T) {
 	s := newRestorableStore(t)
 	d := s.daemon
+	d.longLeases()
 	if !d.register(t.Context(), upkeep.Forwarding) || !d.putUsage(t.Context(), d.registrationLease(), []topology.ServiceID{"s"}) {
 		t.Fatal("not registered")
 	}
--- a/request/relay/late_response_test.go
+++ b/request/relay/late_response_test.go
@@ -46,6 +46,25 @@
 	}
 }
 
+// An owner is killed in the middle of a transaction and starts again under its name, before the
+// forwarding instance has noticed. The new process must not run the rest of the transaction, and
+// the caller must not be told that it was committed.
+func TestNextProcessOfAnOwnerRunsNoTransactionOfTheEarlierOne(t *testing.T) {
+	for _, kind := range []statement.Kind{statement.Write, statement.Commit} {
+		f := newFleet(t)
+		first, _ := f.owners()
+		session := f.newSession()
+		f.mustRun(session, statement.Begin, statement.OK)
+		f.mustRun(session, statement.Write, statement.OK)
+		f.targets[first] = &recordingTarget{}
+		f.start(first)
+		f.mustRun(session, kind, statement.Aborted)
+		if received := f.targets[first].received(); len(received) > 0 {
+			t.Errorf("%s: the new process ran %v", kind, received)
+		}
+	}
+}
+
 // A response counts only if it comes from the instance to which the request was sent.
 func TestResponseOfAnotherInstanceIsIgnored(t *testing.T) {
 	f := newFleet(t)
