Failing test: a late usage under an adopted lease

A forwarding process that becomes a user, and fails to register under a short lease once, declares its usage under the long one. If the response is lost and the process is killed, the next one adopts the lease, and the late write stores a usage that no process has. The lease is renewed; each fence of the service waits until all authority has expired.

Evidence: the test, "the store holds [\"s\"] under lease 9".

--- a/edge/inherited_keys_test.go
+++ b/edge/inherited_keys_test.go
@@ -174,6 +174,30 @@
 	}
 }
 
+// A forwarding process has become a user of a primary. It is killed, and its usage is stored after
+// the next process has adopted the lease. No fence may wait for a usage that no process has.
+func TestLateUsageDoesNotAppearUnderAnAdoptedLease(t *testing.T) {
+	s := &listingStore{leaseStore: &leaseStore{}}
+	earlier, d := newRegisteringDaemon(s), newRegisteringDaemon(s)
+	s.storeRegistration(t, d, 9)
+	earlier.setLease(leaseGrant{id: 9, ttl: upkeep.For(upkeep.Forwarding).RegistrationTTL})
+	earlier.usedServices = []topology.ServiceID{"s"}
+	s.loseNextResponse = true
+	earlier.declareUsage(t.Context())
+	s.loseNextResponse = false
+	if !d.register(t.Context(), upkeep.Forwarding) || d.registrationLease().id != 9 {
+		t.Fatal("not adopted")
+	}
+	for _, late := range s.delayed {
+		if _, err := s.execute(late); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if s.usage() != "" {
+		t.Fatalf("the store holds %s under lease %d", s.usage(), s.entries[usageKey("self")].Lease)
+	}
+}
+
 // heldStore is a leaseStore whose first transaction waits until release is closed.
 type heldStore struct {
 	*leaseStore
@@ -200,7 +224,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := &heldStore{leaseStore: &leaseStore{}, release: make(chan struct{})}
 				d := newRegisteringDaemon(s)
-				d.setLease(leaseGrant{id: 100, ttl: upkeep.For(upkeep.Forwarding).RegistrationTTL})
+				d.setLease(leaseGrant{id: 100, ttl: upkeep.For(upkeep.Using).RegistrationTTL})
 				d.usedServices = []topology.ServiceID{"s"}
 				d.stopping.Store(true)
 				go d.announceLeaving()
