Declare a usage under a user's lease only

Change: no usage is written under a lease longer than a user's. Such an instance needs another lease anyway; its usage is written with or after the registration under it. A delayed usage is then under a lease of 3.6 s, which no other process adopts.

What it costs: as for adopted leases, a user whose registration fails becomes one at a later attempt.

Measured: TestLateUsageDoesNotAppearUnderAnAdoptedLease fails before ("the store holds [\"s\"] under lease 9") and passes; package edge passes under the race detector.

--- a/edge/register.go
+++ b/edge/register.go
@@ -81,8 +81,9 @@
 }
 
 // declareUsage writes the usage if the services whose primaries the instance is to use
-// have changed. Under an adopted lease it writes none: a delayed call of the earlier process may
-// end that lease while this instance has authority. A user gets a lease of its own first.
+// have changed. It writes none under an adopted lease, which a delayed call of the earlier process
+// may end while this instance has authority, nor under one that is longer than a user's and that
+// the next process may adopt together with a delayed usage. A user gets another lease first.
 func (d *Daemon) declareUsage(ctx context.Context) {
 	if _, _, changed := d.usageToDeclare(); !changed {
 		return
@@ -102,7 +103,9 @@
 func (d *Daemon) usageToDeclare() (services []topology.ServiceID, lease leaseGrant, changed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.usedServices, d.lease, d.lease.id != 0 && !d.lease.adopted && !slices.Equal(d.usedServices, d.declaredServices)
+	longest := max(upkeep.For(upkeep.Using).RegistrationTTL, d.settings.MinLeaseTTL)
+	suitable := d.lease.id != 0 && !d.lease.adopted && d.lease.ttl <= longest
+	return d.usedServices, d.lease, suitable && !slices.Equal(d.usedServices, d.declaredServices)
 }
 
 // isMirrorLoaded reports whether the store's content has been listed. Before that, the
