--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -26,8 +26,8 @@
 // fault injectors.
 type daemon struct {
 	// number numbers the daemons of a run from 0.
-	number                int
-	program, settingsPath string
+	number                      int
+	name, program, settingsPath string
 	// The daemon accepts callers at callerAddress and readiness probes at
 	// readinessAddress.
 	callerAddress, readinessAddress string
@@ -39,8 +39,10 @@
 	// command is the running process, nil if none runs.
 	command *exec.Cmd
 	// exited is closed when the process that was started last has exited.
-	exited  chan struct{}
-	logFile *os.File
+	exited chan struct{}
+	// suspended is set while the process is.
+	suspended bool
+	logFile   *os.File
 }
 
 // portsPerDaemon is the number of ports that a daemon listens on: metrics, peers, callers
@@ -59,7 +61,7 @@
 	}
 	address := func(offset int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(base+offset)) }
 	name, failureDomain := fmt.Sprintf("edge-%d", number+1), fmt.Sprintf("z%d", number%failureDomains+1)
-	d := &daemon{number: number, program: program, settingsPath: filepath.Join(directory, name+".toml"), callerAddress: address(2), readinessAddress: address(3), storeProxy: storeProxy}
+	d := &daemon{number: number, name: name, program: program, settingsPath: filepath.Join(directory, name+".toml"), callerAddress: address(2), readinessAddress: address(3), storeProxy: storeProxy}
 	err = platformtest.WriteSettings(d.settingsPath, platformtest.Instance{Name: name, FailureDomain: failureDomain, CallerAddress: d.callerAddress, ReadinessAddress: d.readinessAddress,
 		InternalPort: base, StoreAddress: storeProxy.Address(), PromotionAddress: promotionAddress})
 	if err != nil {
@@ -83,7 +85,7 @@
 		return eris.Wrap(err, "start daemon")
 	}
 	exited := make(chan struct{})
-	d.command, d.exited = command, exited
+	d.command, d.exited, d.suspended = command, exited, false
 	go func() {
 		_ = command.Wait() // returns an error for a killed process
 		d.mu.Lock()
@@ -103,6 +105,26 @@
 	}
 }
 
+// suspend suspends the process if one is running.
+func (d *daemon) suspend() {
+	d.signal(syscall.SIGSTOP)
+	d.setSuspended(true)
+}
+
+// resume resumes the process and reports whether it was suspended.
+func (d *daemon) resume() bool {
+	d.signal(syscall.SIGCONT)
+	return d.setSuspended(false)
+}
+
+// setSuspended records whether the process is suspended, and returns whether it was.
+func (d *daemon) setSuspended(suspended bool) (before bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before, d.suspended = d.suspended, suspended && d.command != nil
+	return before
+}
+
 // stop sends a signal and waits until the process has exited. After the timeout it kills
 // the process. It returns when the signal was sent, zero if no process was running.
 func (d *daemon) stop(sig syscall.Signal, timeout time.Duration) time.Time {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -13,10 +13,22 @@
 	// inject starts the fault and returns the function that reverts it.
 	inject      func() (revert func())
 	maxDuration time.Duration
-	// planned is set for planned work, around which no statement may be lost.
-	planned bool
+	kind        faultKind
 }
 
+// faultKind is what a fault may excuse.
+type faultKind uint8
+
+const (
+	// crash: a process ends, or a part fails, and excuses statements without an answer.
+	crash faultKind = iota
+	// plannedWork excuses nothing.
+	plannedWork
+	// disruption: a process is suspended or the network fails. It also excuses the commits that
+	// follow soon at a replaced primary.
+	disruption
+)
+
 // faults returns all kinds of faults. Each injection draws the instance, target or group
 // that it affects, and the mode of a proxy, from random.
 func (h *harness) faults(random *rand.Rand) []fault {
@@ -29,44 +41,46 @@
 	return []fault{
 		{"daemon suspended", func() func() {
 			d := randomDaemon()
-			d.signal(syscall.SIGSTOP)
-			return func() { d.signal(syscall.SIGCONT) }
-		}, 5 * time.Second, false},
+			d.suspend()
+			return func() { d.resume() }
+		}, 5 * time.Second, disruption},
 		{"daemon killed", func() func() {
 			d := randomDaemon()
 			d.stop(syscall.SIGKILL, stopTimeout)
 			return func() { h.recordError(d.start()) }
-		}, time.Second, false},
+		}, time.Second, crash},
 		{"daemon terminated", func() func() {
 			d := randomDaemon()
-			d.signal(syscall.SIGCONT)
+			if d.resume() {
+				h.history.addDisturbance()
+			}
 			h.terminate(d, stopTimeout)
 			return func() { h.recordError(d.start()) }
-		}, time.Second, true},
+		}, time.Second, plannedWork},
 		{"settings reloaded", func() func() {
 			randomDaemon().signal(syscall.SIGHUP)
 			return func() {}
-		}, 100 * time.Millisecond, true},
+		}, 100 * time.Millisecond, plannedWork},
 		{"store unavailable", func() func() {
 			h.store.SetUnavailable(true)
 			return func() { h.store.SetUnavailable(false) }
-		}, 4 * time.Second, false},
+		}, 4 * time.Second, crash},
 		{"daemon's store connections disturbed", func() func() {
 			return disturb(randomDaemon().storeProxy, randomMode(DropAll, DropResponses, CloseConnections, Delay))
-		}, 5 * time.Second, false},
+		}, 5 * time.Second, disruption},
 		{"target's connections disturbed", func() func() {
 			return disturb(h.targets[random.IntN(len(h.targets))].proxy, randomMode(DropAll, DropResponses, CloseConnections, Delay))
-		}, 3 * time.Second, false},
+		}, 3 * time.Second, disruption},
 		{"target down", func() func() {
 			m := h.targets[random.IntN(len(h.targets))].member
 			m.SetDown(true)
 			return func() { m.SetDown(false) }
-		}, 4 * time.Second, false},
+		}, 4 * time.Second, crash},
 		{"primary down", func() func() {
 			m := h.groups[random.IntN(len(h.groups))].CurrentPrimary()
 			m.SetDown(true)
 			return func() { m.SetDown(false) }
-		}, 4 * time.Second, false},
+		}, 4 * time.Second, crash},
 	}
 }
 
@@ -90,13 +104,11 @@
 		}
 		h.logEvent(fmt.Sprintf("store unavailable for %s, then restored from a copy that is %s old", outage.Round(time.Millisecond), age.Round(time.Millisecond)))
 		copiedAt := time.Now().Add(-age)
-		h.history.addDisturbance()
 		endFault := h.history.addFault()
 		h.store.SetUnavailable(true)
 		time.Sleep(outage)
 		h.store.Restore(copiedAt)
 		h.store.SetUnavailable(false)
-		h.history.addDisturbance()
 		endFault()
 	}
 }
@@ -119,9 +131,11 @@
 		f := kinds[random.IntN(len(kinds))]
 		duration := time.Duration(random.Int64N(int64(f.maxDuration)))
 		h.logEvent(fmt.Sprintf("%s for %s", f.name, duration.Round(time.Millisecond)))
-		h.history.addDisturbance()
+		if f.kind == disruption {
+			h.history.addDisturbance()
+		}
 		endFault := func() {}
-		if !f.planned {
+		if f.kind != plannedWork {
 			endFault = h.history.addFault()
 		}
 		revert := f.inject()
@@ -129,8 +143,10 @@
 		case <-stop:
 		case <-time.After(duration):
 		}
+		if f.kind == disruption {
+			h.history.addDisturbance()
+		}
 		revert()
-		h.history.addDisturbance()
 		endFault()
 	}
 }
--- a/soak/history.go
+++ b/soak/history.go
@@ -26,9 +26,9 @@
 // of the soak test.
 const maxStaleness = 1500 * time.Millisecond
 
-// resumeTolerance is how long after a disturbance, such as a suspension of its process,
-// an instance may still use a replaced primary. The platform's documentation excludes
-// commits within this time from the guarantee that there is a single primary.
+// resumeTolerance is how long after a disturbance, a suspension of its process or a fault
+// of its network, an instance may still use a replaced primary. The platform's documentation
+// excludes commits within this time from the guarantee that there is a single primary.
 const resumeTolerance = 300 * time.Millisecond
 
 // writeAttempt is one attempt to write a value to an item, with its outcome as the caller
@@ -74,7 +74,8 @@
 	statements map[string]sentStatement
 	// keyWithdrawnAt holds, by customer, when the customer's key was withdrawn.
 	keyWithdrawnAt map[string]time.Time
-	// disturbances are the times at which a fault was injected or reverted.
+	// disturbances are the times at which a suspension or a fault of the network was injected
+	// or reverted.
 	disturbances []time.Time
 	// successCount counts reads and acknowledged writes.
 	successCount int
@@ -108,7 +109,8 @@
 	h.successCount++
 }
 
-// addDisturbance records that a fault is injected or reverted now.
+// addDisturbance records that a suspension or a fault of the network is injected or reverted
+// now.
 func (h *history) addDisturbance() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -129,7 +131,7 @@
 //     that the daemon took is left unanswered, see checkUnanswered.
 //   - REFUSED: no write that was reported as not applied was committed.
 //   - ONE: no write is acknowledged that was committed at a replaced primary, except
-//     shortly after a disturbance, and fencing tokens never decrease.
+//     shortly after a disturbance, and fencing tokens never decrease. See also checkRecords.
 //   - STALE: every read sees the writes that its consistency level requires.
 //   - LOST and STALE in addition for what promotions keep and bring back, see checkPromotions.
 //   - UNASKED: targets execute only statements that callers sent, unchanged and for the
@@ -139,11 +141,13 @@
 func (h *history) check(groups []*platformtest.Group) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	c := checker{history: h, commitCounts: make(map[string]int), logPositions: make(map[string]int), superseded: make(map[string]bool)}
+	c := checker{history: h, commitCounts: make(map[string]int), logPositions: make(map[string]int), supersededAt: make(map[string]time.Time)}
 	for _, g := range groups {
 		for _, w := range g.Committed() {
 			c.commitCounts[w.Data]++
-			c.superseded[w.Data] = c.superseded[w.Data] || w.Superseded
+			if w.Superseded {
+				c.supersededAt[w.Data] = w.At
+			}
 		}
 		for i, w := range g.PrimaryLog() {
 			c.logPositions[w.Data] = i + 1
@@ -171,10 +175,10 @@
 	// position, from 1, in the log of the group's leader; a value that was not committed
 	// or that a promotion discarded has none.
 	commitCounts, logPositions map[string]int
-	// superseded is set if a value was committed at a member while another one was
-	// already the primary of a later term.
-	superseded map[string]bool
-	violations []string
+	// supersededAt is when a value was committed at a member while another one was already
+	// the primary of a later term.
+	supersededAt map[string]time.Time
+	violations   []string
 }
 
 func (c *checker) addViolation(format string, arguments ...any) {
@@ -185,12 +189,13 @@
 func (c *checker) checkWrites() {
 	for _, w := range c.writes {
 		commits := c.commitCounts[w.data]
+		supersededAt, superseded := c.supersededAt[w.data]
 		switch {
 		case commits > 1:
 			c.addViolation("TWICE: %s was committed %d times", w.data, commits)
 		case w.acknowledged && commits == 0:
 			c.addViolation("LOST: %s was acknowledged and never committed", w.data)
-		case w.acknowledged && c.superseded[w.data] && !c.nearDisturbance(w.at):
+		case w.acknowledged && superseded && !c.disturbedBefore(supersededAt):
 			c.addViolation("ONE: %s was committed at a replaced primary and acknowledged", w.data)
 		case commits > 0 && w.reportedNotApplied:
 			c.addViolation("REFUSED: %s was committed although its caller received an error that rules this out", w.data)
@@ -198,12 +203,11 @@
 	}
 }
 
-// nearDisturbance reports whether a disturbance occurred less than twice resumeTolerance
-// before a time, or less than resumeTolerance after it.
-func (c *checker) nearDisturbance(at time.Time) bool {
+// disturbedBefore reports whether a disturbance occurred at most resumeTolerance before a time.
+func (c *checker) disturbedBefore(at time.Time) bool {
 	return slices.ContainsFunc(c.disturbances, func(d time.Time) bool {
 		since := at.Sub(d)
-		return since > -resumeTolerance && since < 2*resumeTolerance
+		return since >= 0 && since <= resumeTolerance
 	})
 }
 
--- a/soak/log_faults.go
+++ b/soak/log_faults.go
@@ -31,18 +31,18 @@
 			_, replicas := roles()
 			replicas[0].member.SetDeaf(true)
 			return func() { replicas[0].member.SetDeaf(false) }
-		}, 4 * time.Second, false},
+		}, 4 * time.Second, crash},
 		{"target dark", func() func() {
 			t := h.targets[random.IntN(len(h.targets))]
 			setDark(t, true)
 			return func() { setDark(t, false) }
-		}, 4 * time.Second, false},
+		}, 4 * time.Second, disruption},
 		{"primary down, a replica dark, the other one deaf before", func() func() {
 			return darkenHolder(roles())
-		}, maxLogFaultDuration, false},
+		}, maxLogFaultDuration, disruption},
 		{"primary cut off, back when its successor is down and the other replica dark", func() func() {
 			return returnReplacedPrimary(roles())
-		}, maxLogFaultDuration, false},
+		}, maxLogFaultDuration, disruption},
 	}
 }
 
--- a/soak/log_faults_test.go
+++ b/soak/log_faults_test.go
@@ -24,7 +24,7 @@
 	h.history.addDisturbance()
 	h.awaitSuccesses()
 	stopCallers()
-	for _, violation := range append(h.history.check(h.groups), h.harnessErrors...) {
+	for _, violation := range h.violations() {
 		t.Error(violation)
 	}
 	for _, p := range h.groups[0].Promotions() {
--- a/soak/odd_entries_test.go
+++ b/soak/odd_entries_test.go
@@ -104,7 +104,7 @@
 		t.Logf("daemon %d: peak memory %s, %d successes in all", i+1, d.peakMemory(), h.history.successes())
 	}
 	stopCallers()
-	for _, violation := range append(h.history.check(h.groups), h.harnessErrors...) {
+	for _, violation := range h.violations() {
 		t.Error(violation)
 	}
 	for i := range h.daemons {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -116,7 +116,7 @@
 		return Report{}, err
 	}
 	h.run()
-	return Report{append(h.history.check(h.groups), h.harnessErrors...), h.history.summary(h.groups)}, nil
+	return Report{h.violations(), h.history.summary(h.groups)}, nil
 }
 
 // logEvent writes a line with the time since the start of the run to the fault log.
--- a/soak/withdrawn_key_test.go
+++ b/soak/withdrawn_key_test.go
@@ -16,7 +16,7 @@
 	h.withdrawKey()
 	time.Sleep(maxRevocationDelay + 2*time.Second) // transactions last for over 7.7 s
 	stopCallers()
-	for _, violation := range append(h.history.check(h.groups), h.harnessErrors...) {
+	for _, violation := range h.violations() {
 		t.Error(violation)
 	}
 	t.Log(h.history.summary(h.groups))
