Soak: faults around promotions, ended leaders and several starts within a lease

What was missing: no run ended a failover leader right after its order, and the ordered target always answered, so that the choice of the next leader never differed.

The orders, promotions and records of a run are at the end of faults.log. The faults draw from sources of their own, so that known seeds are the same without the flag.

--- a/cmd/samphirehitch-soak/main.go
+++ b/cmd/samphirehitch-soak/main.go
@@ -27,10 +27,11 @@
 	plannedStops := app.Flag("planned-stops", "Terminate and restart the daemons in series instead of injecting faults.").Bool()
 	synchronousReplicas := app.Flag("synchronous-replicas", "Replicas that must have received a commit before it is acknowledged.").Int()
 	logFaults := app.Flag("log-faults", "Add faults of replication to the others.").Bool()
+	promotionFaults := app.Flag("promotion-faults", "Have promotions take effect late, and end the failover leaders that order them.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	failedRuns := 0
 	for current := *seed; current < *seed+*runs; current++ {
-		report, err := run(*program, *directory, current, soak.Options{OtherProgram: *otherProgram, FaultDuration: *length, Daemons: *daemons, Callers: *callers, FaultInjectors: *faultInjectors, Restores: *restores, PlannedStopsOnly: *plannedStops, SynchronousReplicas: *synchronousReplicas, LogFaults: *logFaults})
+		report, err := run(*program, *directory, current, soak.Options{OtherProgram: *otherProgram, FaultDuration: *length, Daemons: *daemons, Callers: *callers, FaultInjectors: *faultInjectors, Restores: *restores, PlannedStopsOnly: *plannedStops, SynchronousReplicas: *synchronousReplicas, LogFaults: *logFaults, PromotionFaults: *promotionFaults})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "samphirehitch-soak:", err)
 			os.Exit(2)
--- a/soak/promoted_records.go
+++ b/soak/promoted_records.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"samphirehitch.example/samphirehitch/platform/platformtest"
@@ -71,3 +73,26 @@
 	}
 	return append(violations, h.harnessErrors...)
 }
+
+// promotionLog returns the orders, promotions and records of a group, by the time since the start
+// of the run.
+func (h *harness) promotionLog(group *platformtest.Group) []string {
+	lines := make(map[time.Time]string)
+	orders, _ := group.PromotionOrders()
+	for _, o := range orders {
+		lines[o.OrderedAt] = fmt.Sprintf("%s of %s ordered by %s, token %d", o.Target, group.Service, o.Holder, o.Token)
+	}
+	for _, p := range group.Promotions() {
+		lines[p.At] = fmt.Sprintf("%s leads term %d of %s", p.Member, p.Term, group.Service)
+	}
+	records, err := publishedRecords(h.store, group.Service)
+	h.recordError(err)
+	for _, r := range records {
+		lines[r.from] = fmt.Sprintf("record of %s: %s of term %d, fenced %v", group.Service, r.Primary, r.Term, r.Fenced)
+	}
+	var sorted []string
+	for _, at := range slices.SortedFunc(maps.Keys(lines), time.Time.Compare) {
+		sorted = append(sorted, fmt.Sprintf("%7.3f %s", at.Sub(h.startedAt).Seconds(), lines[at]))
+	}
+	return sorted
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -46,6 +47,9 @@
 	// LogFaults adds faults of replication to the others, after which the logs of a group's
 	// members differ.
 	LogFaults bool
+	// PromotionFaults has promotions take effect late, and adds series of failovers in which
+	// the leaders that order promotions are ended.
+	PromotionFaults bool
 	// FaultLog receives a line with the time of each fault.
 	FaultLog io.Writer
 }
@@ -116,6 +120,9 @@
 		return Report{}, err
 	}
 	h.run()
+	for _, g := range h.groups {
+		fmt.Fprintln(h.options.FaultLog, strings.Join(h.promotionLog(g), "\n"))
+	}
 	return Report{h.violations(), h.history.summary(h.groups)}, nil
 }
 
@@ -285,6 +292,12 @@
 	if h.options.Restores {
 		injectors.Go(func() { h.restoreStore(source(restoreSource), stop) })
 	}
+	if h.options.PromotionFaults {
+		h.slowDownPromotions()
+		for series := range promotionSeries {
+			injectors.Go(func() { h.replacePrimaries(source(promotionSeriesSource+uint64(series)), stop) })
+		}
+	}
 }
 
 // restoreSource is the random source of the restores, apart from those of the fault
@@ -340,49 +353,6 @@
 	h.logEvent("key withdrawn")
 }
 
-// routeDeadline is how long after its acknowledgement, without faults, a changed route may
-// take to be in force: the bound of the platform's pages and time for a busy machine.
-const routeDeadline = 10 * time.Second
-
-// changeRoutes adds a route and checks that every daemon serves it. A daemon that takes new
-// changes for old ones, such as after a restore of the store, never does.
-func (h *harness) changeRoutes() {
-	added := platformtest.Route{Host: "added", Service: "ledger", Type: string(levelPrimary)}
-	h.recordError(h.store.PutConfiguration(3, append(allDatabases(), added), h.services(), customers[:withdrawnCustomerIndex]))
-	for _, err := range h.awaitRoute(added) {
-		h.recordError(err)
-	}
-}
-
-// awaitRoute waits until every daemon serves a route that was added last. It returns an
-// error for each that does not by the deadline.
-func (h *harness) awaitRoute(added platformtest.Route) (failures []error) {
-	deadline := time.Now().Add(routeDeadline)
-	for i, d := range h.daemons {
-		for number := 0; !h.serves(d, added, fmt.Sprintf("%s.%d.%d", added.Host, i, number)); number++ {
-			if time.Now().After(deadline) {
-				failures = append(failures, eris.Errorf("CONFIG: the route added last is not served by daemon %d", i+1))
-				break
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
-	}
-	return failures
-}
-
-// serves reports whether a daemon runs a read over a route.
-func (h *harness) serves(d *daemon, route platformtest.Route, id string) bool {
-	conn, response, err := platformtest.DialCaller(d.callerAddress, route.Host, customers[0].Key, responseTimeout)
-	if err != nil || !response.OK() {
-		return false
-	}
-	defer conn.Close()
-	text := platformtest.ReadText("item-0")
-	h.history.addStatement(id, customers[0].Name, text)
-	response, err = conn.Do(id, text, responseTimeout)
-	return err == nil && response.OK()
-}
-
 // clearFaults ends all faults. Faults that overlapped on one daemon or target may have
 // been reverted in another order than they were injected, which can leave one in effect.
 func (h *harness) clearFaults() {
@@ -392,6 +362,8 @@
 		t.member.SetDown(false)
 		t.member.SetDeaf(false)
 		t.member.SetIsolated(false)
+		t.member.SetStatusBusy(false)
+		t.member.SetSlow(0)
 	}
 	for _, d := range h.daemons {
 		d.storeProxy.SetMode(Forward)
