Model of the usage of primaries: drawn states at the start, and steps that belong together

Its instances now start as users, as registered ones or anew, and declaring and confirming, or fencing and counting, may be one step.

--- a/edge/usage_model_test.go
+++ b/edge/usage_model_test.go
@@ -21,7 +21,10 @@
 			defer func() { panicked = recover() }()
 			f := newUsageFleet("a", "b")
 			defer f.stop()
-			for range rapid.IntRange(10, 120).Draw(rt, "events") {
+			for _, p := range f.users {
+				f.begin(rt, p)
+			}
+			for range rapid.IntRange(20, 120).Draw(rt, "events") {
 				f.disturb(rt)
 				synctest.Wait()
 				if f.check(); f.problem != "" {
@@ -39,9 +42,30 @@
 	})
 }
 
+// begin brings a process to a drawn state.
+func (f *usageFleet) begin(t *rapid.T, p *fleetProcess) {
+	state := rapid.SampledFrom([]string{"using", "registered", "started"}).Draw(t, "state")
+	if state == "started" {
+		return
+	}
+	f.load(p)
+	f.registerNow(p)
+	if state == "using" {
+		f.use(p)
+	}
+}
+
+// use has a process own the service, declare its usage and confirm the record.
+func (f *usageFleet) use(p *fleetProcess) {
+	f.own(p)
+	f.registerNow(p)
+	f.registerNow(p)
+	f.confirmNow(p)
+}
+
 // usageSteps are the steps of the model; frequent ones are repeated.
-var usageSteps = []string{"register", "register", "register", "confirm", "confirm", "receive", "own", "fence", "lead", "lead",
-	"advance", "advance", "path", "write late", "restart", "new leader"}
+var usageSteps = []string{"register", "confirm", "advance", "fence", "lead", "register", "confirm", "advance", "fence and lead",
+	"use", "path", "own", "receive", "restart", "write late", "new leader"}
 
 // disturb makes a drawn step.
 func (f *usageFleet) disturb(t *rapid.T) {
@@ -63,8 +87,16 @@
 		f.receive(p)
 	case "own":
 		f.own(p)
+	case "use":
+		if !p.registering.Load() && !p.confirming.Load() {
+			f.use(p)
+		}
 	case "fence":
 		f.fence()
+	case "fence and lead":
+		f.fence()
+		f.receive(f.leader)
+		f.replacePrimary()
 	case "lead":
 		f.receive(f.leader)
 		f.replacePrimary()
