Late promotions: one leader that gives its successor up breaks ONE without any end of a process

The leader orders c; the entry of c expires while the order is outstanding, and the same leader, under the same token, orders b, publishes it, and 0.55 s later c begins the next term. On the platform an entry expires after three heartbeats of silence, at times also while the store is down.

--- a/soak/promotion_faults_test.go
+++ b/soak/promotion_faults_test.go
@@ -116,3 +116,12 @@
 	s.behind.member.SetStatusBusy(false)
 	s.finish(t)
 }
+
+// Guards against late-promotion, hypothesis A, with one leader: it gave up the database that it had
+// ordered, whose entry had expired, and published another one before the first order took effect.
+func TestOrderOfAnUnlistedSuccessorReplacesNoPublishedPrimary(t *testing.T) {
+	s := startPromotionScenario(t, fastPromotion, slowPromotion)
+	time.Sleep(orderResponseTime)
+	s.store.Delete("servers/" + string(s.ahead.member.ID))
+	s.finish(t)
+}
