Failing test: a late leaving mark on an adopted registration

What callers would see: fewer instances that may own services. A process that stops marks its registration as leaving. If that write is late, and the next process has adopted the registration, all take the instance for one that leaves, and it owns nothing, for as long as it renews the lease.

Evidence: the test, "the instance is registered as leaving".

--- a/edge/inherited_keys_test.go
+++ b/edge/inherited_keys_test.go
@@ -198,6 +198,27 @@
 	}
 }
 
+// The earlier process has marked its registration as leaving, and the write takes effect after
+// the next process has adopted the registration. That process must not count as leaving for good.
+func TestLateLeavingMarkOnAnAdoptedRegistrationIsReplaced(t *testing.T) {
+	s := &listingStore{leaseStore: &leaseStore{}}
+	d := newRegisteringDaemon(s)
+	s.storeRegistration(t, d, 9)
+	if !d.register(t.Context(), upkeep.Forwarding) || d.isRegistrationInDoubt(d.registrationLease()) {
+		t.Fatal("not adopted, or registers again without a reason")
+	}
+	leaving := d.registration(d.registrationLease().ttl)
+	leaving.Leaving = true
+	s.put(store.Put{Key: instanceKey("self"), Value: registrationValue(t, leaving), Lease: 9})
+	d.applyChanges([]store.Change{{Entry: s.entries[instanceKey("self")]}})
+	if !d.isRegistrationInDoubt(d.registrationLease()) || !d.register(t.Context(), d.role()) {
+		t.Fatal("the instance is registered as leaving")
+	}
+	if lease := d.registrationLease(); lease.adopted || s.entries[instanceKey("self")].Lease != lease.id {
+		t.Fatalf("registered under lease %d, renews %+v", s.entries[instanceKey("self")].Lease, lease)
+	}
+}
+
 // heldStore is a leaseStore whose first transaction waits until release is closed.
 type heldStore struct {
 	*leaseStore
