Register again if a late write has changed an adopted registration

Change: an instance with an adopted lease registers under one of its own if the registration that it knows is no longer correct for it.

Measured: TestLateLeavingMarkOnAnAdoptedRegistrationIsReplaced fails before ("the instance is registered as leaving") and passes; package edge passes under the race detector.

--- a/edge/register.go
+++ b/edge/register.go
@@ -231,31 +231,38 @@
 }
 
 // isRegistrationInDoubt reports whether the instance has to register again because its keys
-// may be under another lease, or because the store was restored. After a restore, a forwarding
-// instance first looks whether its registration has survived, so that a restore costs a large
-// fleet few calls.
+// may be under another lease, because a delayed write of an earlier process has changed an adopted
+// registration, or because the store was restored. After a restore, a forwarding instance first
+// looks whether its registration has survived, so that a restore costs a large fleet few calls.
 func (d *Daemon) isRegistrationInDoubt(lease leaseGrant) bool {
 	role := d.role()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if lease.id == 0 || lease.era == d.era.number {
-		return d.leaseInDoubt && lease.id != 0
-	}
-	if role != upkeep.Forwarding {
-		return true
-	}
-	entry := d.mirror.Get(instanceKey(d.settings.Instance))
-	var stored registration
 	switch {
+	case lease.id == 0:
+		return false
+	case lease.era == d.era.number:
+		changed := d.mirror.Get(instanceKey(d.settings.Instance)).Revision != 0 && !d.mirrorsOwnRegistration(lease)
+		return d.leaseInDoubt || lease.adopted && changed && !d.stopping.Load()
+	case role != upkeep.Forwarding:
+		return true
 	case d.carried.era != d.era.number:
 		return false // not listed yet
-	case entry.Lease != lease.id || json.Unmarshal(entry.Value, &stored) != nil || !d.describesThisInstance(stored):
+	case !d.mirrorsOwnRegistration(lease):
 		return true
 	}
 	d.lease.era = d.era.number
 	return false
 }
 
+// mirrorsOwnRegistration reports whether the mirrored registration of this instance is correct
+// and under a lease. The caller holds d.mu.
+func (d *Daemon) mirrorsOwnRegistration(lease leaseGrant) bool {
+	entry := d.mirror.Get(instanceKey(d.settings.Instance))
+	var stored registration
+	return entry.Lease == lease.id && json.Unmarshal(entry.Value, &stored) == nil && d.describesThisInstance(stored)
+}
+
 // endEarlierLease ends the lease of a registration from before a restore of the store, if the
 // registration was found under it after the restore: a lease that was lost may be that of
 // another instance by now. A delayed write under the ended lease, whose condition may hold
