--- a/edge/register.go
+++ b/edge/register.go
@@ -242,8 +242,8 @@
 	case lease.id == 0:
 		return false
 	case lease.era == d.era.number:
-		changed := d.mirror.Get(instanceKey(d.settings.Instance)).Revision != 0 && !d.mirrorsOwnRegistration(lease)
-		return d.leaseInDoubt || lease.adopted && changed && !d.stopping.Load()
+		adopted := lease.adopted && !d.stopping.Load() && d.mirror.Get(instanceKey(d.settings.Instance)).Revision != 0
+		return d.leaseInDoubt || adopted && !d.mirrorsOwnRegistration(lease)
 	case role != upkeep.Forwarding:
 		return true
 	case d.carried.era != d.era.number:
