Read the age of a confirmation before the version that it is told for

What may be seen: a withdrawn key is accepted for longer than the configured delay on an instance that learns of configurations from a peer.

Cause: an instance tells its peers the version in force and the age of its confirmation, and reads the version first. If a later version comes into force and is confirmed in between, the peer counts the age of that confirmation for the earlier version, up to the confirmation interval too late.

Change: the age is read first. That of an earlier version says as much of a later one: if the earlier one was the latest at that time, so are all that follow from then on.

--- a/request/relay/configuration.go
+++ b/request/relay/configuration.go
@@ -47,8 +47,9 @@
 	if c == nil || c.Version <= req.Version {
 		return
 	}
+	age := r.Engine.Authority.ConfirmationAge(r.Clock()) // see confirmedConfiguration
 	entry := r.Configuration()
-	r.send(to, &message{ConfigurationResponse: &configurationResponse{Revision: entry.Revision, Value: entry.Value, ConfirmationAge: r.Engine.Authority.ConfirmationAge(r.Clock()), RequestSentAt: req.SentAt}})
+	r.send(to, &message{ConfigurationResponse: &configurationResponse{Revision: entry.Revision, Value: entry.Value, ConfirmationAge: age, RequestSentAt: req.SentAt}})
 }
 
 // handleConfigurationResponse applies a configuration from a peer. Its age counts from
@@ -82,9 +83,12 @@
 }
 
 // confirmedConfiguration returns the version of the configuration in force here and
-// the age of its confirmation by the store, or zeros without a confirmation.
+// the age of its confirmation by the store, or zeros without a confirmation. The age is read
+// first: it must not be that of a later version, while that of an earlier one says as much of
+// the versions after it.
 func (r *Relay) confirmedConfiguration() (uint64, time.Duration) {
-	c, age := r.Engine.Catalog(), r.Engine.Authority.ConfirmationAge(r.Clock())
+	age := r.Engine.Authority.ConfirmationAge(r.Clock())
+	c := r.Engine.Catalog()
 	if c == nil || age < 0 {
 		return 0, 0
 	}
