Drawn cuts, starts and loads against the customers' limit, which fail in islands and rolls

The simulated fleet of edge gets islands of peers, instances without the store, leases that expire, and instances at which most operations arrive; only an instance whose registration and keys are valid runs operations. A plan draws 3 to 12 instances, a customer's rate and burst, the load (up to five times the rate) and up to five events; what all instances admit is counted in every window of 5 s against (rate x window + burst) x 1.1 + 20. A plan that fails is reduced to the events that it needs.

- Islands: 53 of 800 drawn plans, 1.01 to 2 times the limit; one cut between peers is enough, and the store is in touch with both sides.
Cause: an instance divides the rate by its own present demand and the last reports of the others, however old they are, so that on each side the demand rises against a report that stands still.
Nothing ends a share but the registration, which both sides renew.
- Rolls beside a hot customer: 5 of 2,500 plans without cuts, up to 1.05 times what is allowed.
Cause: excesses are deducted for sharers only, and a leaving instance is none.

Existing tests of the simulated fleet pass.

--- a/edge/share_fleet_test.go
+++ b/edge/share_fleet_test.go
@@ -36,6 +36,8 @@
 	simMinExit        = 3500 * time.Millisecond
 	simMaxExit        = 5500 * time.Millisecond
 	simLeaseTTL       = 3600 * time.Millisecond
+	// simMaxRevocationDelay bounds for how long an instance accepts keys without the store.
+	simMaxRevocationDelay = 5 * time.Second
 )
 
 // simChange is a change of a registration in the store.
@@ -53,8 +55,15 @@
 	daemon     *Daemon
 	process    int
 	registered bool
-	// cutOff says that there are no links to the other instances.
+	// cutOff says that there are no links to the other instances. Else there are links to
+	// those of the same island.
 	cutOff bool
+	island int
+	// lacksStore says that the instance cannot call the store.
+	lacksStore bool
+	// lease is when the registration expires if it is not renewed, zero without one, and
+	// renewalAt when it is renewed next. They are used if the fleet has leases.
+	lease, renewalAt time.Duration
 	// watches says that the process watches the store. It knows a number of changes.
 	watches            bool
 	watched            int
@@ -80,6 +89,11 @@
 	// storeAway says that the store refuses reads and shows no changes; writes are
 	// applied, as leases are that expire meanwhile.
 	storeAway bool
+	// leases says that registrations expire unless the instances renew them, and that an
+	// instance without a valid one runs no operations.
+	leases bool
+	// favored are the instances at which most operations arrive, if any.
+	favored []*simInstance
 	// reportsDemand says that messages are reports of demand, which are delayed.
 	reportsDemand bool
 	// admitted holds when operations were admitted. Refused ones count only if an instance
@@ -114,7 +128,7 @@
 func (i *simInstance) Reset(topology.InstanceID)       {}
 func (i *simInstance) Reachable(id topology.InstanceID) bool {
 	to := i.fleet.find(id)
-	return to != nil && to.daemon != nil && !to.cutOff && !i.cutOff
+	return to != nil && to.daemon != nil && !to.cutOff && !i.cutOff && to.island == i.island
 }
 
 func (i *simInstance) Send(id topology.InstanceID, _ peer.Kind, payload any) {
@@ -158,20 +172,23 @@
 // start starts the process of an instance. It reads the store and registers.
 func (i *simInstance) start() {
 	f := i.fleet
-	if f.storeAway {
+	if i.storeAway() {
 		f.at(f.now+simRestartDelay, i.start)
 		return
 	}
 	i.process++
 	process := i.process
-	d := New(Options{Settings: entrysettings.Settings{Instance: i.id, CPUShare: 0.4, RateWindow: simWindow},
-		Adapter: Adapter{ConfigurationKey: "configuration", TargetPrefix: "target/"}, Store: simStore{fleet: f}, Log: logr.Discard(), Clock: func() time.Duration { return f.now }, Draw: f.random.Float64})
+	d := New(Options{Settings: entrysettings.Settings{Instance: i.id, CPUShare: 0.4, RateWindow: simWindow, MaxRevocationDelay: simMaxRevocationDelay},
+		Adapter: Adapter{ConfigurationKey: "configuration", TargetPrefix: "target/"}, Store: simStore{instance: i}, Log: logr.Discard(), Clock: func() time.Duration { return f.now }, Draw: f.random.Float64})
 	d.relay.Link = i
 	i.daemon, i.registered, i.watches = d, false, false
 	d.engine.SetCatalog(f.catalog)
 	i.list()
 	notify(d.sharesWake)
 	i.sharesAt, i.demandAt = f.now, f.now
+	if i.renewalAt = f.now + simRegistration; f.leases {
+		return
+	}
 	f.at(f.now+simRegistration, func() {
 		if i.process == process && i.daemon != nil && !f.storeAway {
 			r := i.daemon.registration(simLeaseTTL)
@@ -186,7 +203,7 @@
 // watch reads the store if the instance has not watched it, and else learns its changes.
 func (i *simInstance) watch() {
 	f, d := i.fleet, i.daemon
-	if f.storeAway {
+	if i.storeAway() {
 		return
 	}
 	if !i.watches {
@@ -215,20 +232,20 @@
 // simStore is the store as an instance reads it.
 type simStore struct {
 	store.Transactor
-	fleet *simFleet
+	instance *simInstance
 }
 
 func (s simStore) List(context.Context, string) (store.Listing, error) {
-	if s.fleet.storeAway {
+	if s.instance.storeAway() {
 		return store.Listing{}, errors.New("the store is away")
 	}
 	entries := make(map[string]store.Entry)
-	for _, change := range s.fleet.changes {
+	for _, change := range s.instance.fleet.changes {
 		if entries[change.Key] = change.Entry; change.Deleted {
 			delete(entries, change.Key)
 		}
 	}
-	return store.Listing{Revision: store.NewRevision(1, uint64(len(s.fleet.changes))), Entries: slices.Collect(maps.Values(entries))}, nil
+	return store.Listing{Revision: store.NewRevision(1, uint64(len(s.instance.fleet.changes))), Entries: slices.Collect(maps.Values(entries))}, nil
 }
 
 // terminate stops an instance as planned: it marks its registration, runs no more
@@ -239,7 +256,7 @@
 		return
 	}
 	i.daemon.stopping.Store(true)
-	if i.registered {
+	if i.registered && !i.lacksStore {
 		r := i.daemon.registration(simLeaseTTL)
 		f.write(i.id, &r)
 	}
@@ -247,7 +264,10 @@
 	f.at(f.now+simMinExit+f.below(simMaxExit-simMinExit), func() {
 		if i.process == process && i.daemon != nil {
 			i.daemon = nil
-			f.write(i.id, nil)
+			if !i.lacksStore {
+				f.write(i.id, nil)
+				i.lease = 0
+			}
 			f.at(f.now+simRestartDelay, i.start)
 		}
 	})
@@ -272,6 +292,9 @@
 // step processes what is due on an instance.
 func (i *simInstance) step() {
 	f, d := i.fleet, i.daemon
+	if f.leases {
+		i.renew()
+	}
 	if d.forwardsOnly() {
 		i.watches = false
 		peer, since, stale, _ := d.nextFollowed()
@@ -308,6 +331,12 @@
 
 // accepts reports whether an instance runs operations of others.
 func (i *simInstance) accepts() bool {
+	return i.takesCallers() && (!i.fleet.leases || i.daemon.canRunRequests())
+}
+
+// takesCallers reports whether an instance accepts callers' operations, to run or forward
+// them.
+func (i *simInstance) takesCallers() bool {
 	return i.daemon != nil && i.registered && !i.daemon.stopping.Load()
 }
 
@@ -332,9 +361,13 @@
 
 // operate sends one operation of the customer to a random instance in service.
 func (f *simFleet) operate() {
+	instances := f.instances
+	if len(f.favored) > 0 && f.random.Float64() < simFavoredPart {
+		instances = f.favored
+	}
 	var serving []*simInstance
-	for _, i := range f.instances {
-		if i.accepts() {
+	for _, i := range instances {
+		if i.takesCallers() {
 			serving = append(serving, i)
 		}
 	}
@@ -375,6 +408,7 @@
 			e.do()
 		}
 		for _, i := range f.instances {
+			i.expire()
 			if i.daemon != nil {
 				i.step()
 			}
