Failing test: a fence is acknowledged before the engine knows it

What callers may see (rule ONE): a changed record is noted, and then passed to the engine. If a usage is declared between the two, the fence is acknowledged from there: the engine has nothing to release, and may begin to use the primary under the earlier record until it hears of the fence, and complete its statements up to 0.25 s later. A newly started process declares its usages in the seconds in which fences of its earlier process are in force.

The window is the time between two steps of one goroutine.

--- a/edge/earlier_process_test.go
+++ b/edge/earlier_process_test.go
@@ -6,7 +6,10 @@
 	"testing"
 	"time"
 
+	"samphirehitch.example/samphirehitch/connection/client"
+	"samphirehitch.example/samphirehitch/platform/platformtest"
 	"samphirehitch.example/samphirehitch/process/authority"
+	"samphirehitch.example/samphirehitch/process/failover"
 	"samphirehitch.example/samphirehitch/process/store"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/process/upkeep"
@@ -133,3 +136,43 @@
 		t.Fatalf("registered %t, usage %q", d.authority.RegistrationValid(d.clock()), s.usage())
 	}
 }
+
+// newPrimaryUser returns a store whose daemon uses the primary a of service s, and a session whose
+// writes need it.
+func newPrimaryUser(t *testing.T) (*restorableStore, *client.Session) {
+	t.Helper()
+	s := newRestorableStore(t)
+	if err := s.PutConfiguration(2, []platformtest.Route{{Host: "h", Service: "s", Type: "primary"}},
+		map[string]platformtest.Service{"s": {Connections: 16}}, []platformtest.Customer{{Name: "k", Key: "key", Rate: 100, Burst: 100}}); err != nil {
+		t.Fatal(err)
+	}
+	s.putRecord(failover.Record{Primary: "a", Term: 1, Era: 1})
+	s.receive()
+	s.use()
+	if !s.daemon.confirmOnce(t.Context()) {
+		t.Fatal("not confirmed")
+	}
+	return s, client.NewSession(1, "h", "key")
+}
+
+// A fence is known and has not reached the engine when the use of the primary is declared. It must
+// not be acknowledged while the engine may still use the primary.
+func TestFenceIsAcknowledgedOnlyOnceTheEngineKnowsIt(t *testing.T) {
+	s, session := newPrimaryUser(t)
+	d := s.daemon
+	d.setDeclaredServices(nil)
+	d.mu.Lock()
+	current := d.records["s"]
+	current.Fenced, current.FenceSequence = true, 5
+	current.revision++
+	d.records["s"] = current
+	d.mu.Unlock()
+	before := s.after
+	d.setDeclaredServices([]topology.ServiceID{"s"})
+	s.awaitFenceAck(before)
+	// Without a declared use, operations wait only for the end of a fence that the engine knows.
+	d.engine.SetDeclaredServices(nil)
+	if !d.engine.CanRun(session, true) {
+		t.Fatal("the fence is acknowledged, and the engine does not know it")
+	}
+}
--- a/edge/inherited_keys_test.go
+++ b/edge/inherited_keys_test.go
@@ -71,7 +71,12 @@
 // putFence stores the record of service s with a fence.
 func (s *restorableStore) putFence(sequence uint64) {
 	s.t.Helper()
-	record := failover.Record{Primary: "a", Term: 1, Fenced: true, FenceSequence: sequence, Era: 1}
+	s.putRecord(failover.Record{Primary: "a", Term: 1, Fenced: true, FenceSequence: sequence, Era: 1})
+}
+
+// putRecord stores the record of service s.
+func (s *restorableStore) putRecord(record failover.Record) {
+	s.t.Helper()
 	_, err := s.daemon.store.Transact(s.t.Context(), store.Transaction{Puts: []store.Put{{Key: recordKey("s"), Value: record.Encode()}}})
 	if err != nil {
 		s.t.Fatal(err)
