Pass a fence to the engine before acknowledging it

Change: acknowledging a fence begins with passing the latest record to the engine, which ignores one that it knows.

Measured: TestFenceIsAcknowledgedOnlyOnceTheEngineKnowsIt fails before ("the fence is acknowledged, and the engine does not know it") and passes; package edge passes under the race detector.

--- a/edge/fence_ack.go
+++ b/edge/fence_ack.go
@@ -19,6 +19,10 @@
 // failover leader. It first waits for statements in flight, up to fenceDrainTimeout.
 // The acknowledgement is retried until it is written or the fence is lifted.
 func (d *Daemon) acknowledgeFence(service topology.ServiceID, record failover.Record) {
+	d.mu.Lock()
+	latest := d.records[service]
+	d.mu.Unlock()
+	d.engine.SetRecord(service, latest.Record, latest.revision) // it may not know the fence yet
 	deadline := d.clock() + fenceDrainTimeout
 	for !d.engine.ReleasePrimary(service, false) && d.clock() < deadline {
 		time.Sleep(5 * time.Millisecond)
