--- a/edge/earlier_process_test.go
+++ b/edge/earlier_process_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -149,6 +150,7 @@
 	s.putRecord(failover.Record{Primary: "a", Term: 1, Era: 1})
 	s.receive()
 	s.use()
+	s.daemon.usedServices = []topology.ServiceID{"s"}
 	if !s.daemon.confirmOnce(t.Context()) {
 		t.Fatal("not confirmed")
 	}
@@ -160,7 +162,7 @@
 func TestFenceIsAcknowledgedOnlyOnceTheEngineKnowsIt(t *testing.T) {
 	s, session := newPrimaryUser(t)
 	d := s.daemon
-	d.setDeclaredServices(nil)
+	d.setDeclaredServices(nil, usageWrite{})
 	d.mu.Lock()
 	current := d.records["s"]
 	current.Fenced, current.FenceSequence = true, 5
@@ -168,7 +170,7 @@
 	d.records["s"] = current
 	d.mu.Unlock()
 	before := s.after
-	d.setDeclaredServices([]topology.ServiceID{"s"})
+	d.setDeclaredServices([]topology.ServiceID{"s"}, usageWrite{})
 	s.awaitFenceAck(before)
 	// Without a declared use, operations wait only for the end of a fence that the engine knows.
 	d.engine.SetDeclaredServices(nil)
@@ -176,3 +178,41 @@
 		t.Fatal("the fence is acknowledged, and the engine does not know it")
 	}
 }
+
+// A registration has ended, with the usage. The record is confirmed, then fenced without waiting
+// for this instance, which registers again. The confirmation from before must not let it use the
+// fenced primary.
+func TestConfirmationFromBeforeARegistrationGivesNoAuthority(t *testing.T) {
+	for _, noticedFirst := range []bool{false, true} {
+		s, session := newPrimaryUser(t)
+		d := s.daemon
+		d.engine.SetDeclaredServices(d.declaredUsage())
+		if !d.engine.CanRun(session, true) {
+			t.Fatal("the primary is not used")
+		}
+		if err := d.store.Revoke(t.Context(), d.registrationLease().id); err != nil {
+			t.Fatal(err)
+		}
+		steps := []func() bool{
+			func() bool { return d.confirmOnce(t.Context()) },
+			func() bool { return !d.renewRegistration(t.Context(), d.registrationLease()) },
+		}
+		if noticedFirst {
+			slices.Reverse(steps)
+		}
+		if !steps[0]() || !steps[1]() {
+			t.Fatal("not confirmed, or renewed after the end of the lease")
+		}
+		s.putFence(1)
+		if !d.register(t.Context(), upkeep.Using) {
+			t.Fatal("not registered again")
+		}
+		d.engine.SetDeclaredServices(d.declaredUsage())
+		d.mu.Lock()
+		fenced := d.records["s"].Fenced
+		d.mu.Unlock()
+		if !fenced && d.engine.CanRun(session, true) {
+			t.Errorf("expiry noticed first %t: a fenced primary is used by a confirmation from before the usage was in the store", noticedFirst)
+		}
+	}
+}
