Notice a replaced primary that leads a later term

If that one is promoted again, by an order that takes effect later than any is known to or by somebody else, the record's primary goes on until it follows it, a second later. It is now left out until it was listed as replica.

TestReplacedPrimaryThatLeadsALaterTermIsNoticed: record d1 term 2, not fenced, primary d0 of term 3

--- a/process/failover/late_promotion_test.go
+++ b/process/failover/late_promotion_test.go
@@ -232,3 +232,18 @@
 	}
 	g.disturb(t)
 }
+
+// Guards against a primary that is replaced and leads a later term all the same, such as by an order
+// of somebody else, unnoticed until the record's primary follows it.
+func TestReplacedPrimaryThatLeadsALaterTermIsNoticed(t *testing.T) {
+	g := newLateGroup(t)
+	replaced := g.current
+	g.advance(10 * time.Second)
+	g.expectPrimary(t)
+	g.setSilent(replaced, false, false)
+	g.advance(10 * time.Second)
+	g.completePromotion(replaced)
+	g.problem = ""
+	g.advance(modelDemotionInterval - modelStep)
+	g.expectPrimary(t)
+}
--- a/process/failover/roles.go
+++ b/process/failover/roles.go
@@ -14,7 +14,7 @@
 // checkRoles returns the status request to targets whose listed roles differ from the record: a
 // promotion that was not ordered by this leader, or took effect later than expected, leaves the
 // record behind, and its primary goes on until it reaches the new one. The primary that
-// this leader has replaced keeps its role for a while.
+// this leader has replaced keeps its role for a while, and counts once it was listed as replica.
 func (c *Coordinator) checkRoles(now time.Duration, v View) Action {
 	if now < c.nextRoleCheckAt {
 		return Action{}
@@ -25,8 +25,11 @@
 		if id == v.Record.Primary {
 			expected = topology.RolePrimary
 		}
-		if t.Role != expected && id != c.replaced {
+		switch {
+		case id != c.replaced && t.Role != expected:
 			targets = append(targets, t)
+		case id == c.replaced && t.Role == topology.RoleReplica:
+			c.replaced = ""
 		}
 	}
 	if len(targets) == 0 {
