Wait for no order that has settled in a record in use

A leader that began with the next failover, however much later, counted it as requested just before, and waited for 2 s. All requests end before the record is published, so that an instance that has seen the record in use for 2 s knows that they have settled.

--- a/edge/failover.go
+++ b/edge/failover.go
@@ -67,6 +67,8 @@
 type storedRecord struct {
 	failover.Record
 	revision store.Revision
+	// seenAt is when this instance first saw the record at the revision.
+	seenAt time.Duration
 }
 
 func decodeStoredRecord(entry store.Entry) (storedRecord, error) {
@@ -190,7 +192,10 @@
 	defer d.mu.Unlock()
 	entry := d.mirror.Get(recordKey(service))
 	view := failover.View{Targets: d.targets[service], Revision: entry.Revision, OwnerCount: d.ownerCounts[service],
-		Era: d.era.number, PromotionsSettled: d.settled(now, promotionSettleTime)}
+		Era: d.era.number, PromotionsSettled: d.settled(now, promotionSettleTime), RecordSeenAt: now}
+	if known := d.records[service]; known.revision == entry.Revision {
+		view.RecordSeenAt = known.seenAt
+	}
 	if config := d.engine.Catalog(); config != nil {
 		view.SynchronousReplicas = config.Services[service].SynchronousReplicas
 	}
--- a/edge/failover_view_test.go
+++ b/edge/failover_view_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"samphirehitch.example/samphirehitch/platform"
 	"samphirehitch.example/samphirehitch/process/failover"
@@ -57,3 +58,26 @@
 		t.Fatalf("%+v, want %+v", latest, record)
 	}
 }
+
+// An order in a record that has long been in use has settled, whoever leads now. The age counts
+// from when the instance saw that revision, and is zero while the record is not in force here.
+func TestLeaderKnowsHowLongARecordIsInUse(t *testing.T) {
+	d, now := newDaemonInEra(t, 1)
+	record := failover.Record{Primary: "a", Term: 1, Era: 1}
+	d.applyRecord("s", record, store.NewRevision(1, 3))
+	seenAt := *now
+	*now += time.Minute
+	d.handleChangedKeys([]string{recordKey("s")})
+	if view := d.failoverView(*now, "s"); view.RecordSeenAt != seenAt {
+		t.Fatalf("the record is first seen at %s, want %s", view.RecordSeenAt, seenAt)
+	}
+	d.applyRecord("s", record, store.NewRevision(1, 4))
+	if view := d.failoverView(*now, "s"); view.RecordSeenAt != *now {
+		t.Fatalf("another revision is first seen at %s, want %s", view.RecordSeenAt, *now)
+	}
+	*now += time.Minute
+	d.put(recordKey("s"), record.Encode(), store.NewRevision(2, 1))
+	if view := d.failoverView(*now, "s"); view.RecordSeenAt != *now {
+		t.Fatalf("a record that is not verified is first seen at %s, want %s", view.RecordSeenAt, *now)
+	}
+}
--- a/edge/store_changes.go
+++ b/edge/store_changes.go
@@ -143,6 +143,7 @@
 		if record.Fenced && !(known.Fenced && known.FenceSequence == record.FenceSequence) && slices.Contains(d.declaredServices, service) {
 			fenced[service] = record.Record // another record of the same fence is acknowledged already
 		}
+		record.seenAt = d.clock()
 		d.records[service] = record
 		records[service] = record
 	})
--- a/process/failover/action.go
+++ b/process/failover/action.go
@@ -15,6 +15,8 @@
 	// store, zero when there is no record yet.
 	Record   Record
 	Revision store.Revision
+	// RecordSeenAt is when the instance first saw the record at that revision.
+	RecordSeenAt time.Duration
 	// Era is the era of the store.
 	Era store.Era
 	// Known are the latest records that users of the primary, and this leader, had verified
--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -237,7 +237,7 @@
 // fencePrimary returns the publication of a fence of the record's primary.
 func (c *Coordinator) fencePrimary(now time.Duration, v View, reason string) Action {
 	record := v.Record
-	if c.orders.settled(now, record) {
+	if c.orders.settledInUse(now, v) {
 		record.Order = nil
 	}
 	return publishFence(v, record, reason)
--- a/process/failover/group_model_test.go
+++ b/process/failover/group_model_test.go
@@ -255,7 +255,7 @@
 func (g *modelGroup) leaderView() View {
 	view := g.view
 	if g.mirrored != nil && g.now < g.mirroredUntil {
-		view.Record, view.Revision = g.mirrored.record, g.mirrored.revision
+		view.Record, view.Revision, view.RecordSeenAt = g.mirrored.record, g.mirrored.revision, g.now
 	}
 	return view
 }
@@ -275,6 +275,7 @@
 		maps.Copy(g.dropped, g.dropping)
 	}
 	g.view.Revision++
+	g.view.RecordSeenAt = g.now
 	return false
 }
 
--- a/process/failover/late_promotion_test.go
+++ b/process/failover/late_promotion_test.go
@@ -233,6 +233,33 @@
 	g.disturb(t)
 }
 
+// Guards against a wait for an order that has settled long ago: it stays in the record if its
+// response was lost, and each leader that begins with a failover waits for it.
+func TestSettledOrderDelaysNoLaterFailover(t *testing.T) {
+	var outages [2]time.Duration
+	for lost := range outages {
+		g := newModelGroup(3, 0)
+		g.lostResponses = map[ActionKind]int{PromoteTarget: lost}
+		first := g.current
+		g.advance(time.Second)
+		g.setSilent(first, true, false)
+		g.advance(10 * time.Second)
+		g.setSilent(first, false, false)
+		g.advance(time.Minute)
+		g.expectPrimary(t)
+		crashedAt, crashed := g.now, g.current
+		g.setSilent(crashed, true, false)
+		g.replaceLeader()
+		for g.problem == "" && (g.view.Record.Fenced || g.view.Record.Primary == crashed.id) {
+			g.advance(modelStep)
+		}
+		outages[lost] = g.now - crashedAt
+	}
+	if outages[1] > outages[0] {
+		t.Fatalf("the service is without a primary for %s, and for %s without the earlier order", outages[1], outages[0])
+	}
+}
+
 // Guards against a primary that is replaced and leads a later term all the same, such as by an order
 // of somebody else, unnoticed until the record's primary follows it.
 func TestReplacedPrimaryThatLeadsALaterTermIsNoticed(t *testing.T) {
--- a/process/failover/order.go
+++ b/process/failover/order.go
@@ -105,6 +105,12 @@
 	return r.Order != nil && *r.Order == o.own && o.accepted+o.unanswered == 0
 }
 
+// settledInUse reports the same for the order in the record of a primary that is in use: it was
+// published after the end of all requests, whoever has sent them.
+func (o *orders) settledInUse(now time.Duration, v View) bool {
+	return o.settled(now, v.Record) || !v.Record.Fenced && now-v.RecordSeenAt >= orderSettleTime
+}
+
 // outstanding returns the order that the record has to keep once a successor leads: nil if no
 // request can take effect any more, or the only one has.
 func (o *orders) outstanding(now time.Duration, r Record, successor topology.TargetID) *Order {
