Tests: a wait without end for an order; replace the reason of an order that has settled

TestSettledOrderIsNoReasonToWait failed: 'after 4s callers are told: the promotion of a database that does not respond may still take effect'. The reason becomes that none of the databases responds, once the order has settled; the test passes.

--- a/process/failover/late_promotion_test.go
+++ b/process/failover/late_promotion_test.go
@@ -274,3 +274,36 @@
 	g.advance(modelDemotionInterval - modelStep)
 	g.expectPrimary(t)
 }
+
+// Guards against a wait without end: each leader of a series waits anew for an order of which none of
+// them has sent a request.
+func TestSeriesOfLeadersEndsTheWaitForAnOrder(t *testing.T) {
+	g := newLateGroup(t)
+	g.setSilent(g.orders[0].successor, true, false)
+	begin := g.now
+	for g.view.Record.Fenced && g.now < begin+time.Minute {
+		g.replaceLeader()
+		g.advance(orderSettleTime - modelRequestTimeout)
+	}
+	if waited := g.now - begin; waited > 3*orderSettleTime {
+		t.Fatalf("the service waits for %s", waited)
+	}
+}
+
+// Guards against a reason that is not true any more: callers are told that a promotion may take
+// effect after it has settled.
+func TestSettledOrderIsNoReasonToWait(t *testing.T) {
+	g := newLateGroup(t)
+	g.replaceLeader()
+	for _, d := range g.databases {
+		g.setSilent(d, true, false)
+	}
+	g.advance(time.Second)
+	if g.view.Record.Waiting != waitingForOrder {
+		t.Fatalf("record %+v", g.view.Record)
+	}
+	g.advance(2 * orderSettleTime)
+	if g.view.Record.Waiting == waitingForOrder {
+		t.Fatalf("after %s callers are told: %s", 2*orderSettleTime, g.view.Record.Waiting)
+	}
+}
--- a/process/failover/successor.go
+++ b/process/failover/successor.go
@@ -103,6 +103,7 @@
 const (
 	waitingForHistory         = "the databases that respond hold a log that the service has left"
 	waitingForAcknowledgement = "the databases that respond may lack acknowledged commits"
+	waitingForResponse        = "none of the databases that could be promoted responds"
 	waitingForOrder           = "the promotion of a database that does not respond may still take effect"
 )
 
@@ -123,13 +124,17 @@
 }
 
 // publishWait returns the publication of the reason for which the service waits, so that
-// callers are refused at once and told so. While it is unknown, the last one stays.
+// callers are refused at once and told so. While it is unknown, the last one stays, except that an
+// order which has settled is none any more.
 func (c *Coordinator) publishWait(now time.Duration, v View, statuses map[topology.TargetID]TargetStatus) Action {
 	waiting := v.Record
 	waiting.Waiting = waitReason(v, statuses)
 	if !c.orders.settled(now, v.Record) {
 		waiting.Waiting = waitingForOrder
 	}
+	if waiting.Waiting == "" && v.Record.Waiting == waitingForOrder {
+		waiting.Waiting = waitingForResponse
+	}
 	if waiting.Waiting == "" || waiting.Waiting == v.Record.Waiting {
 		return Action{}
 	}
