Grant shares of a customer's rate for a time

Each instance divided the rate by its own present demand and the last reports of the others, so that nothing ended a share that the others could not see. Now an instance holds a base share, which follows from the registrations, and those that need less grant the rest to those that need more. A grant answers a report, ends 4 s after that was sent, on the receiver's clock, and is counted by the grantor for 4.6 s from the report's arrival: it ends before the grantor uses the share again, without a message. It ends earlier when the receiver's reports show a later one. It names the processes of both sides, since the account of a process that has started again is empty; the drawn test of process/share found that. The loop that computes the shares checks for ended grants itself.

Owners send twice as many reports, since those without demand report, too.

Instances of earlier versions send no grants and still divide by demand alone: while a fleet is replaced by this version, the shares of the two may add up to more than the limit (not measured).

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -207,12 +207,19 @@
 	// excesses are the last known numbers of operations that each has admitted in excess
 	// of its shares, also those of instances that no longer share the rates.
 	excesses map[topology.InstanceID]reportedExcess
+	// grants are the fractions of the rates that this instance has granted and been granted.
+	grants share.Grants
+	// awaitingReport are the peers that are to be sent a report at once: their demand has
+	// changed, or they have taken back a grant.
+	awaitingReport map[topology.InstanceID]bool
+	// sharesAt is when the shares were last computed.
+	sharesAt time.Duration
 	// division is the current division of the customers' rates.
 	division  rateDivision
 	borrowing share.BorrowBackoff
-	// sharersAdded says that some of the rate sharers have not been sent this instance's
+	// reportDue says that some of the rate sharers have not been sent this instance's
 	// demand.
-	sharersAdded atomic.Bool
+	reportDue atomic.Bool
 	// lastLogged is what logIfChanged last logged for each subject.
 	lastLogged map[string]string
 }
@@ -236,9 +243,10 @@
 		roleWake: make(chan struct{}, 1), ownerWake: make(chan struct{}, 1), followWake: make(chan struct{}, 1), demands: make(map[topology.InstanceID]share.Demands), excesses: make(map[topology.InstanceID]reportedExcess),
 		mirror: mirror.New(), records: make(map[topology.ServiceID]storedRecord),
 		targets: make(map[topology.ServiceID]targetMap), knownTargets: make(map[topology.TargetID]knownTarget), unreadable: make(map[string]store.Revision),
-		lastLogged: make(map[string]string), ownRevisions: make(map[string]store.Revision),
+		lastLogged: make(map[string]string), ownRevisions: make(map[string]store.Revision), awaitingReport: make(map[topology.InstanceID]bool),
 	}
 	d.store.probeInterval = func() time.Duration { return upkeep.For(d.role()).ProbeInterval }
+	d.grants.Incarnation = d.incarnation
 	d.follower = following.New(o.Settings.Instance, d.clock())
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.suspicions = newSuspicions(d)
--- a/edge/demand.go
+++ b/edge/demand.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"samphirehitch.example/samphirehitch/process/share"
@@ -28,16 +30,33 @@
 	if constrained {
 		interval = constrainedDemandInterval
 	}
-	changed := d.sharersAdded.Swap(false) || demandDiffers(report.Demand, d.sentReport.Demand) || demandDiffers(report.Excess, d.sentReport.Excess)
-	if len(report.Demand) == 0 && len(d.sentReport.Demand) == 0 || now-d.demandSentAt < interval && !changed {
-		return
-	}
-	d.demandSentAt, d.sentReport = now, report
-	d.observeDemand(d.settings.Instance, report)
+	changed := d.reportDue.Swap(false) || demandDiffers(report.Demand, d.sentReport.Demand) || demandDiffers(report.Excess, d.sentReport.Excess)
+	report.SentAt = now
 	d.mu.Lock()
-	receivers := d.rateSharers
+	receivers := slices.Sorted(maps.Keys(d.awaitingReport))
+	clear(d.awaitingReport)
+	due := changed || now-d.demandSentAt >= interval && (len(report.Demand)+len(d.sentReport.Demand) > 0 || len(d.demandedCustomers()) > 0)
+	if due {
+		receivers = d.rateSharers
+	}
 	d.mu.Unlock()
-	d.relay.SendDemand(receivers, report)
+	if due {
+		d.demandSentAt, d.sentReport = now, report
+		d.observeDemand(d.settings.Instance, report)
+	}
+	if len(receivers) > 0 {
+		d.sendReport(now, receivers, report)
+	}
+}
+
+// sendReport sends a report to rate sharers, each with what it is granted.
+func (d *Daemon) sendReport(now time.Duration, receivers []topology.InstanceID, report share.Report) {
+	grants := d.give(now, receivers)
+	for _, to := range receivers {
+		report.Grant = grants[to]
+		d.relay.SendDemand([]topology.InstanceID{to}, report)
+	}
+	notify(d.sharesWake)
 }
 
 // A change of a customer's demand is sent immediately if it exceeds
@@ -68,6 +87,13 @@
 // observeDemand records the demand and excess at an instance, this one or a peer.
 func (d *Daemon) observeDemand(from topology.InstanceID, report share.Report) {
 	d.mu.Lock()
+	if from != d.settings.Instance {
+		takenBack := d.grants.Observe(d.clock(), from, report)
+		if takenBack || demandDiffers(report.Demand, d.demands[from]) {
+			d.awaitingReport[from] = true
+			defer notify(d.usageWake)
+		}
+	}
 	d.demands[from], d.excesses[from] = report.Demand, reportedExcess{at: d.clock(), byCustomer: report.Excess}
 	d.mu.Unlock()
 	notify(d.sharesWake)
--- a/edge/share_fleet_test.go
+++ b/edge/share_fleet_test.go
@@ -180,7 +180,8 @@
 	process := i.process
 	d := New(Options{Settings: entrysettings.Settings{Instance: i.id, CPUShare: 0.4, RateWindow: simWindow, MaxRevocationDelay: simMaxRevocationDelay},
 		Adapter: Adapter{ConfigurationKey: "configuration", TargetPrefix: "target/"}, Store: simStore{instance: i}, Log: logr.Discard(), Clock: func() time.Duration { return f.now }, Draw: f.random.Float64})
-	d.relay.Link = i
+	d.relay.Link, d.incarnation = i, int64(process)
+	d.relay.Incarnation, d.grants.Incarnation = d.incarnation, d.incarnation
 	i.daemon, i.registered, i.watches = d, false, false
 	d.engine.SetCatalog(f.catalog)
 	i.list()
@@ -192,7 +193,6 @@
 	f.at(f.now+simRegistration, func() {
 		if i.process == process && i.daemon != nil && !f.storeAway {
 			r := i.daemon.registration(simLeaseTTL)
-			r.Incarnation = int64(process)
 			f.write(i.id, &r)
 			d.ownRevisions[instanceKey(i.id)] = store.NewRevision(1, uint64(len(f.changes)))
 			i.registered = true
@@ -307,6 +307,9 @@
 	} else {
 		i.watch()
 	}
+	if f.now%grantCheckInterval < simStep && d.grantsEnded(f.now) {
+		notify(d.sharesWake)
+	}
 	if f.now >= i.sharesAt {
 		select {
 		case <-d.sharesWake:
--- a/edge/share_islands_test.go
+++ b/edge/share_islands_test.go
@@ -39,7 +39,6 @@
 	if i.lease == 0 || !i.registered {
 		i.daemon.authority.ObserveExpiry()
 		r := i.daemon.registration(simLeaseTTL)
-		r.Incarnation = int64(i.process)
 		f.write(i.id, &r)
 		i.daemon.ownRevisions[instanceKey(i.id)] = store.NewRevision(1, uint64(len(f.changes)))
 		i.registered = true
--- a/edge/shares.go
+++ b/edge/shares.go
@@ -21,6 +21,9 @@
 // often start and stop in groups.
 const shareInterval = 100 * time.Millisecond
 
+// grantCheckInterval is the interval between checks whether grants have ended.
+const grantCheckInterval = 300 * time.Millisecond
+
 // shareLoop recomputes the owners of services and the shares of limits whenever
 // something that they depend on has changed.
 func (d *Daemon) shareLoop(ctx context.Context) error {
@@ -29,6 +32,10 @@
 		case <-ctx.Done():
 			return nil
 		case <-d.sharesWake:
+		case <-time.After(grantCheckInterval):
+			if !d.grantsEnded(d.clock()) {
+				continue
+			}
 		}
 		d.applyShares()
 		if !sleep(ctx, shareInterval) {
@@ -63,7 +70,7 @@
 		connections[id] = owners.ConnectionLimit(d.settings.Instance, id, service.MaxConnections)
 	}
 	d.engine.SetDeclaredServices(d.declaredUsage())
-	d.engine.SetShares(connections, d.rateShares(config, owners, sharers))
+	d.engine.SetShares(connections, d.rateShares(config, owners, sharers, registered))
 	if len(used) > 0 {
 		for _, id := range sharers {
 			d.mesh.RequestLink(id)
@@ -104,9 +111,9 @@
 	// be in flight on its primary.
 	all := slices.Concat(used, d.declaredServices)
 	slices.Sort(all)
-	// A new sharer that lacks the others' demands computes too large a share.
+	// A new sharer is granted nothing, and grants nothing, before it has a report.
 	if slices.ContainsFunc(sharers, func(id topology.InstanceID) bool { return !slices.Contains(d.rateSharers, id) }) {
-		d.sharersAdded.Store(true)
+		d.reportDue.Store(true)
 		defer notify(d.usageWake)
 	}
 	becomesUser := len(d.usedServices) == 0 && len(all) > 0
@@ -183,18 +190,21 @@
 // rateShares returns this instance's share of each customer's rate. An instance without
 // shares records the division, too, because it borrows every token: others may forward
 // operations to it before it knows that it is an owner.
-func (d *Daemon) rateShares(config *catalog.Catalog, owners owner.Assignment, sharers []topology.InstanceID) map[topology.CustomerID]engine.RateShare {
+func (d *Daemon) rateShares(config *catalog.Catalog, owners owner.Assignment, sharers []topology.InstanceID, registered map[topology.InstanceID]registration) map[topology.CustomerID]engine.RateShare {
 	shares := make(map[topology.CustomerID]engine.RateShare, len(config.Customers))
 	division := rateDivision{catalog: config, owners: owners, sharers: sharers, ownerOffsets: spreadCustomers(config)}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.division = division
 	d.dropOldExcesses()
+	d.setGrantPeers(sharers, registered)
+	now := d.clock()
+	d.sharesAt = now
 	if !slices.Contains(sharers, d.settings.Instance) {
 		return shares
 	}
 	for id := range config.Customers {
-		own := division.allocation(id, d.settings.Instance, d.demands).Fraction()
+		own := d.heldFraction(now, id)
 		shares[id] = engine.RateShare{Fraction: own, Deduction: division.deduction(id, d.settings.Instance, own, d.demands, d.excesses)}
 	}
 	return shares
@@ -214,16 +224,28 @@
 
 // allocation returns the input that determines an instance's share of a customer's rate.
 func (d rateDivision) allocation(id topology.CustomerID, at topology.InstanceID, demands map[topology.InstanceID]share.Demands) share.Allocation {
-	allocation := share.Allocation{Demand: demands[at][id], Rate: d.catalog.Customers[id].Rate, Services: len(d.catalog.Services), Instances: len(d.sharers)}
+	return share.Allocation{Demand: demands[at][id], TotalDemand: d.totalDemand(id, demands), Rate: d.catalog.Customers[id].Rate,
+		OwnedServices: d.ownedServices(id)[at], Services: len(d.catalog.Services), Instances: len(d.sharers)}
+}
+
+// totalDemand returns the demand for a customer's rate at all sharers.
+func (d rateDivision) totalDemand(id topology.CustomerID, demands map[topology.InstanceID]share.Demands) float64 {
+	total := 0.0
 	for _, sharer := range d.sharers {
-		allocation.TotalDemand += demands[sharer][id]
+		total += demands[sharer][id]
 	}
+	return total
+}
+
+// ownedServices returns for how many services each instance is the customer's owner.
+func (d rateDivision) ownedServices(id topology.CustomerID) map[topology.InstanceID]int {
+	owned := make(map[topology.InstanceID]int, len(d.sharers))
 	for service := range d.catalog.Services {
-		if owners := d.owners.Owners(service); len(owners) > 0 && owners[d.ownerOffsets[id]%len(owners)] == at {
-			allocation.OwnedServices++
+		if owners := d.owners.Owners(service); len(owners) > 0 {
+			owned[owners[d.ownerOffsets[id]%len(owners)]]++
 		}
 	}
-	return allocation
+	return owned
 }
 
 // deduction returns by how much the others' excesses reduce the share of an instance with the
--- a/process/share/share.go
+++ b/process/share/share.go
@@ -1,11 +1,15 @@
 // Package share divides the customers' rate limits among the instances of the
-// fleet and enforces the share of one instance. The instances send each other
-// their measured demands, and all compute the same division from them. Each instance admits operations by a token bucket for
-// its share. When its share of a customer's limit is used up, an instance can
+// fleet and enforces the share of one instance. Each
+// instance holds a base share, which follows from the registrations. The instances send each
+// other their measured demands, all compute the same division from them, and those with more
+// than they need grant it to the others for a time. Each instance admits operations by a token
+// bucket for its share. When its share of a customer's limit is used up, an instance can
 // request that others admit the operation on theirs.
 package share
 
 import (
+	"time"
+
 	"samphirehitch.example/samphirehitch/process/topology"
 )
 
@@ -37,9 +41,22 @@
 	// Excess holds, by customer, the operations that the instance has admitted in the
 	// window in excess of its present share.
 	Excess map[topology.CustomerID]float64
+	// SentAt is when the report was sent, on the sender's clock, and Incarnation that of the
+	// sender's process.
+	SentAt      time.Duration
+	Incarnation int64
+	// Grant is what the sender grants the receiver, nil for nothing.
+	Grant *Grant
+}
+
+// Base returns the instance's fraction of the limit without any demand, which it holds
+// without a grant.
+func (a Allocation) Base() float64 {
+	a.Demand, a.TotalDemand = 0, 0
+	return a.Fraction()
 }
 
-// Fraction returns this instance's share of the limit as a fraction. Every
+// Fraction returns the fraction of the limit that the instance is to have. Every
 // instance gets its demand and a part of the remainder. When the total demand
 // exceeds the limit, all demands are cut in proportion. The fractions of all
 // instances add up to one.
--- a/request/relay/message.go
+++ b/request/relay/message.go
@@ -16,7 +16,8 @@
 )
 
 // message is the message between the relays of two instances. Exactly one field is
-// set, except that Excess goes with Demand.
+// set, except that Excess, ReportSentAt, Grant and
+// Incarnation go with Demand.
 type message struct {
 	Request  *forwardRequest  `cbor:"1,keyasint,omitempty"`
 	Response *forwardResponse `cbor:"2,keyasint,omitempty"`
@@ -30,6 +31,11 @@
 	// Excess, sent with Demand, holds the operations that the sender has admitted in excess
 	// of its shares of the rates.
 	Excess map[topology.CustomerID]float64 `cbor:"13,keyasint,omitempty"`
+	// ReportSentAt is when the report of demand was sent, on the sender's clock, Grant what
+	// the sender grants the receiver, and Incarnation that of the sender's process.
+	ReportSentAt time.Duration `cbor:"14,keyasint,omitempty"`
+	Grant        *share.Grant  `cbor:"15,keyasint,omitempty"`
+	Incarnation  int64         `cbor:"16,keyasint,omitempty"`
 	// ConfigurationResponse is sent only when the configuration is newer than the
 	// requested one.
 	ConfigurationRequest  *configurationRequest  `cbor:"7,keyasint,omitempty"`
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -204,7 +204,7 @@
 func (r *Relay) SendDemand(to []topology.InstanceID, report share.Report) {
 	for _, id := range to {
 		if id != r.Self {
-			r.send(id, &message{Demand: report.Demand, Excess: report.Excess})
+			r.send(id, &message{Demand: report.Demand, Excess: report.Excess, ReportSentAt: report.SentAt, Grant: report.Grant, Incarnation: r.Incarnation})
 		}
 	}
 }
@@ -230,8 +230,8 @@
 		r.handleResponse(from, m.Response)
 	case m.Abort != nil:
 		go r.server.abort(remoteSessionID{instance: from, id: *m.Abort})
-	case len(m.Demand) > 0:
-		r.OnDemand(from, share.Report{Demand: m.Demand, Excess: m.Excess})
+	case len(m.Demand) > 0 || m.ReportSentAt > 0:
+		r.OnDemand(from, share.Report{Demand: m.Demand, Excess: m.Excess, SentAt: m.ReportSentAt, Grant: m.Grant, Incarnation: m.Incarnation})
 	case m.ConfigurationRequest != nil:
 		r.handleConfigurationRequest(from, m.ConfigurationRequest)
 	case m.ConfigurationResponse != nil:
--- a/request/relay/relay_test.go
+++ b/request/relay/relay_test.go
@@ -208,6 +208,15 @@
 	}
 }
 
+func TestGrantIsSentWithoutDemand(t *testing.T) {
+	f := newFleet(t)
+	grant := &share.Grant{Answers: time.Second, Fractions: map[topology.CustomerID]float64{"k": 0.5}}
+	f.network.relays["e"].SendDemand([]topology.InstanceID{"h1"}, share.Report{SentAt: time.Minute, Grant: grant})
+	if got := f.demands["e"]; got.SentAt != time.Minute || got.Incarnation != 1 || got.Grant == nil || got.Grant.Answers != time.Second || got.Grant.Fractions["k"] != 0.5 {
+		t.Fatalf("report %+v, want that of e", got)
+	}
+}
+
 // When the message that aborts a transaction is lost, the owner rolls the transaction
 // back after the callers' limit on idle transactions.
 func TestIdleRemoteTransactionIsRolledBack(t *testing.T) {
