Remember that another promotion was ordered under the fence

The order of d1 had taken effect while d1 was dark; once it had settled, the order of the next successor replaced it in the record. That one was rejected and withdrawn, so that nothing said that d1 may lead, and the fenced primary, back again, was used. The order now says whether another one came before it under the same fence; then it is not withdrawn, and the fenced primary is not used again.

--- a/process/failover/order.go
+++ b/process/failover/order.go
@@ -23,6 +23,9 @@
 	// Incarnation is the successor's when it was chosen, and Received the end of its log.
 	Incarnation int64          `json:"incarnation,omitempty"`
 	Received    topology.Point `json:"received"`
+	// AfterAnother says that the promotion of another target was ordered before under the same
+	// fence, and may have taken effect.
+	AfterAnother bool `json:"after_another,omitempty"`
 }
 
 // names reports whether the order is one for a target's present process. There may be no order.
@@ -99,10 +102,16 @@
 	return o.accepted+o.unanswered == 0 || now >= o.endedAt+orderSettleTime
 }
 
-// rejected reports whether the platform has rejected every request for the promotion that the
-// record names, all of which this leader has sent.
+// rejected reports whether the platform has rejected every request for a promotion under the
+// present fence, all of which this leader has sent.
 func (o *orders) rejected(r Record) bool {
-	return r.Order != nil && *r.Order == o.own && o.accepted+o.unanswered == 0
+	return r.Order != nil && *r.Order == o.own && !o.own.AfterAnother && o.accepted+o.unanswered == 0
+}
+
+// mayHaveReplaced reports whether the promotion of another target than the record's primary may
+// have taken effect under the present fence.
+func (o *orders) mayHaveReplaced(r Record) bool {
+	return r.Order != nil && (r.Order.AfterAnother || r.Order.Successor != r.Primary && !o.rejected(r))
 }
 
 // settledInUse reports the same for the order in the record of a primary that is in use: it was
@@ -122,7 +131,7 @@
 
 // publishOrder returns the publication of the order to promote a target.
 func (c *Coordinator) publishOrder(v View, target directory.Target) Action {
-	order := Order{Successor: target.ID, Incarnation: target.Incarnation, Received: c.choice.received}
+	order := Order{Successor: target.ID, Incarnation: target.Incarnation, Received: c.choice.received, AfterAnother: c.orders.mayHaveReplaced(v.Record)}
 	c.orders.write(order)
 	ordered := v.Record
 	ordered.Order, ordered.Waiting = &order, ""
--- a/process/failover/resume.go
+++ b/process/failover/resume.go
@@ -18,7 +18,7 @@
 		return Action{}
 	case now < c.phaseStart+waitNotice || c.replacementReason(now, v) != "":
 		return Action{}
-	case v.Record.Order != nil && v.Record.Order.Successor != v.Record.Primary && !c.orders.rejected(v.Record):
+	case c.orders.mayHaveReplaced(v.Record):
 		return Action{}
 	}
 	for _, other := range statuses {
--- a/process/failover/resume_test.go
+++ b/process/failover/resume_test.go
@@ -87,3 +87,25 @@
 		t.Fatalf("record %+v, promotions %v", r, f.promotions)
 	}
 }
+
+// Guards against two primaries: the promotion of a dark target has taken effect, that of the next
+// successor is rejected, and the fenced primary is back.
+func TestFencedPrimaryIsNotUsedAgainAfterAnotherOrderWasRejected(t *testing.T) {
+	g := newLateGroup(t)
+	old, dark := g.current, g.orders[0].successor
+	g.setSilent(dark, false, true)
+	for end := g.now + 10*time.Second; g.now < end && g.view.Record.Ordered() == dark.id; {
+		g.advance(modelStep)
+	}
+	if dark != g.current || g.view.Record.Ordered() == "" {
+		t.Fatalf("no other successor is ordered after %s leads: %+v", dark.id, g.view.Record)
+	}
+	g.setSilent(g.find(g.view.Record.Ordered()), true, false)
+	g.advance(5 * time.Second)
+	g.setSilent(old, false, false)
+	old.primary = true
+	g.advance(5 * time.Second)
+	if g.problem != "" || !g.view.Record.Fenced {
+		t.Fatalf("%s, record %+v", g.problem, g.view.Record)
+	}
+}
