Publish a promoted target only if no silent one can lead a later term

The later primary was dark when the earlier one was back, which was published: 'ONE: d2 is published although d3 leads'. A target that is primary is now published only if it leads a later term than when its promotion was ordered, or if the one that was ordered last responds without leading.

--- a/process/failover/choice.go
+++ b/process/failover/choice.go
@@ -17,6 +17,8 @@
 	// incarnation is the successor's when it was chosen, and received the end of its log.
 	incarnation int64
 	received    topology.Point
+	// ledTerm is the term that the successor led when it was chosen, zero if it was a replica.
+	ledTerm topology.Term
 	// checkedAt is when the successor was last chosen or checked.
 	checkedAt time.Duration
 }
@@ -28,7 +30,7 @@
 func (c *Coordinator) checkChoice(now time.Duration, v View, statuses map[topology.TargetID]TargetStatus) Action {
 	status, responded := statuses[c.successor]
 	switch {
-	case responded && status.Role == topology.RolePrimary && status.Term >= v.Record.Term:
+	case responded && c.isPromoted(now, v, status):
 		return c.startFollowUp(c.publishSuccessor(now, v, status))
 	case responded && !status.Received.Reaches(c.choice.received):
 		c.enterPhase(now, phaseChoosing)
@@ -37,3 +39,10 @@
 	}
 	return Action{}
 }
+
+// isPromoted reports whether the successor's status shows that its promotion has taken effect, or
+// that it was the present primary before.
+func (c *Coordinator) isPromoted(now time.Duration, v View, status TargetStatus) bool {
+	return status.Role == topology.RolePrimary && status.Term >= v.Record.Term &&
+		(status.Term > c.choice.ledTerm || c.orders.changedNothing(now))
+}
--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -379,7 +379,7 @@
 	}
 	if c.phase == phaseConfirming {
 		status, responded := r.Statuses[c.successor]
-		if !responded || status.Role != topology.RolePrimary || status.Term < v.Record.Term {
+		if !responded || !c.isPromoted(now, v, status) {
 			return Action{}
 		}
 		return c.startFollowUp(c.publishSuccessor(now, v, status))
@@ -403,7 +403,7 @@
 		}
 		return c.startFollowUp(c.publishWait(now, v, r.Statuses))
 	}
-	if status.Role == topology.RolePrimary && status.Term >= v.Record.Term {
+	if c.isLatestPrimary(v, successor, r.Statuses) {
 		c.successor = successor
 		return c.startFollowUp(c.publishSuccessor(now, v, status))
 	}
@@ -413,6 +413,9 @@
 	}
 	c.successor = successor
 	c.choice = choice{incarnation: v.Targets[successor].Incarnation, received: status.Received, checkedAt: now}
+	if status.Role == topology.RolePrimary {
+		c.choice.ledTerm = status.Term
+	}
 	c.enterPhase(now, phasePromoting)
 	return Action{}
 }
--- a/process/failover/late_promotion_test.go
+++ b/process/failover/late_promotion_test.go
@@ -307,3 +307,26 @@
 		t.Fatalf("after %s callers are told: %s", 2*orderSettleTime, g.view.Record.Waiting)
 	}
 }
+
+// Guards against two primaries: the promotions of two targets in a row have taken effect, the later
+// primary does not respond, and the earlier one is back.
+func TestEarlierOfTwoPromotedTargetsIsNotPublished(t *testing.T) {
+	g := newLateGroup(t)
+	first := g.orders[0].successor
+	g.setSilent(first, false, true)
+	for end := g.now + 10*time.Second; g.now < end && g.view.Record.Ordered() == first.id; {
+		g.advance(modelStep)
+	}
+	second := g.find(g.view.Record.Ordered())
+	for end := g.now + time.Second; g.now < end && len(g.orders) == 0; {
+		g.advance(modelStep)
+	}
+	g.setSilent(second, false, true)
+	g.advance(promotionTimeout)
+	if first == second || g.current != second {
+		t.Fatalf("%s leads after orders of %s and %s", g.current.id, first.id, second.id)
+	}
+	g.setSilent(first, false, false)
+	g.advance(10 * time.Second)
+	g.expectPrimary(t)
+}
--- a/process/failover/order.go
+++ b/process/failover/order.go
@@ -23,6 +23,8 @@
 	// Incarnation is the successor's when it was chosen, and Received the end of its log.
 	Incarnation int64          `json:"incarnation,omitempty"`
 	Received    topology.Point `json:"received"`
+	// LedTerm is the term that the successor led when it was chosen, zero if it was a replica.
+	LedTerm topology.Term `json:"led_term,omitempty"`
 	// AfterAnother says that the promotion of another target was ordered before under the same
 	// fence, and may have taken effect.
 	AfterAnother bool `json:"after_another,omitempty"`
@@ -120,6 +122,12 @@
 	return o.settled(now, v.Record) || !v.Record.Fenced && now-v.RecordSeenAt >= orderSettleTime
 }
 
+// changedNothing reports whether the platform has accepted a request and the promotion has not
+// taken effect in time: its target is the present primary.
+func (o *orders) changedNothing(now time.Duration) bool {
+	return o.accepted > 0 && now >= o.endedAt+orderSettleTime
+}
+
 // outstanding returns the order that the record has to keep once a successor leads: nil if no
 // request can take effect any more, or the only one has.
 func (o *orders) outstanding(now time.Duration, r Record, successor topology.TargetID) *Order {
@@ -131,7 +139,7 @@
 
 // publishOrder returns the publication of the order to promote a target.
 func (c *Coordinator) publishOrder(v View, target directory.Target) Action {
-	order := Order{Successor: target.ID, Incarnation: target.Incarnation, Received: c.choice.received, AfterAnother: c.orders.mayHaveReplaced(v.Record)}
+	order := Order{Successor: target.ID, Incarnation: target.Incarnation, Received: c.choice.received, LedTerm: c.choice.ledTerm, AfterAnother: c.orders.mayHaveReplaced(v.Record)}
 	c.orders.write(order)
 	ordered := v.Record
 	ordered.Order, ordered.Waiting = &order, ""
@@ -150,7 +158,7 @@
 // earlier order may still take effect, that can only be the target of the order.
 func (c *Coordinator) chooseSuccessor(now time.Duration, v View, statuses map[topology.TargetID]TargetStatus) (topology.TargetID, TargetStatus, bool) {
 	settled := c.orders.settled(now, v.Record)
-	if id, status := c.promotedPrimary(now, v, statuses); id != "" {
+	if id, status := c.promotedPrimary(now, v, statuses); id != "" && c.isLatestPrimary(v, id, statuses) {
 		return id, status, settled || id == v.Record.Order.Successor
 	}
 	if settled {
@@ -162,3 +170,21 @@
 		c.isCandidate(now, v, id, status) && holdsAcknowledged(v, status, statuses)
 	return id, status, suitable
 }
+
+// isLatestPrimary reports whether no target that does not respond can lead a later term than a
+// target which is primary: one whose promotion was ordered may, once the order has settled. The
+// target then has to be promoted again before it is used.
+func (c *Coordinator) isLatestPrimary(v View, id topology.TargetID, statuses map[topology.TargetID]TargetStatus) bool {
+	order, status := v.Record.Order, statuses[id]
+	if status.Role != topology.RolePrimary || status.Term < v.Record.Term {
+		return false
+	}
+	switch {
+	case order == nil, c.orders.rejected(v.Record):
+		return true
+	case order.Successor == id:
+		return status.Term > order.LedTerm
+	}
+	_, responded := statuses[order.Successor]
+	return responded && !order.AfterAnother
+}
