--- a/process/share/grants_test.go
+++ b/process/share/grants_test.go
@@ -78,7 +78,7 @@
 			},
 			"delivery": func(t *rapid.T) {
 				if len(sent) == 0 {
-					t.Skip("nothing is on its way")
+					t.Skip("nothing is on its way") // rapid draws another action
 				}
 				n := rapid.IntRange(0, len(sent)-1).Draw(t, "number")
 				deliver(sent[n])
