Start no loop of the ledger with a timer that is due

Cause: in a synctest bubble, a receive from a timer channel that is due runs the timer on the receiver's thread (runtime.maybeRunChan), with the race context of the bubble. Two goroutines that do so at once use one context on two threads, and the detector's shadow stack is corrupted. A program of ten lines without our code, 48 goroutines that receive from time.NewTimer(0) in a bubble, crashes in 48 ms; with GOMAXPROCS=1 it runs for 60 s. The 17 loops of each of three drivers began with time.NewTimer(0).

Change: a loop ticks first and then waits for the next tick; the first tick was immediate before.

--- a/process/ledger/driver.go
+++ b/process/ledger/driver.go
@@ -209,7 +209,9 @@
 }
 
 func (d *Driver) runShard(ctx context.Context, shard *lockedShard) error {
-	timer := time.NewTimer(0)
+	// The first tick does not wait for a timer that is due at once: the race detector of Go 1.26
+	// crashes when goroutines of a synctest bubble receive from such timers at the same time.
+	timer := time.NewTimer(d.tick(shard))
 	defer timer.Stop()
 	for {
 		select {
@@ -218,12 +220,16 @@
 		case <-timer.C:
 		case <-shard.wakeup:
 		}
-		var interval time.Duration
-		d.update(shard, func(now time.Duration, s *RateShard) { interval = s.Tick(now) })
-		timer.Reset(interval)
+		timer.Reset(d.tick(shard))
 	}
 }
 
+// tick applies a tick to a shard and returns the time to the next one.
+func (d *Driver) tick(shard *lockedShard) (interval time.Duration) {
+	d.update(shard, func(now time.Duration, s *RateShard) { interval = s.Tick(now) })
+	return interval
+}
+
 // wake makes the shard's loop tick soon. It never blocks.
 func (s *lockedShard) wake() {
 	select {
--- a/process/ledger/driver_test.go
+++ b/process/ledger/driver_test.go
@@ -140,3 +140,23 @@
 		p.Close()
 	})
 }
+
+// Guards against a crash of the race detector, which two goroutines of one bubble that receive
+// from timers that are due cause: no loop may start with such a timer.
+func TestLoopsOfManyDriversStartAtOnce(t *testing.T) {
+	for range 150 {
+		synctest.Test(t, func(t *testing.T) {
+			drivers, stop := startDrivers(t)
+			defer stop()
+			for _, d := range drivers {
+				d.SetRateLimits([]RateLimit{{Customer: "c", Rate: 30, Burst: 30}})
+			}
+			<-time.After(time.Second)
+			for i := range 30 {
+				if err := drivers["i1"].Admit(t.Context(), "c"); err != nil {
+					t.Fatalf("request %d of the burst: %v", i, err)
+				}
+			}
+		})
+	}
+}
