Keep the order of a promotion across a restore of the store

Callers would have had two primaries: the latest known record after a restore was chosen by term and fence, and the order, which is written under one fence, was lost with the restored record. Its target, dark, leads; the fenced primary is used again or another promoted target is published. Now the order that any record of the latest fence names stays; two different ones stand for 'another may have taken effect'.

--- a/process/failover/verification.go
+++ b/process/failover/verification.go
@@ -13,19 +13,37 @@
 // last restored.
 func (v View) verified() bool { return v.Revision != 0 && v.Record.Era == v.Era }
 
-// LatestKnown returns the latest record of the service, stored or known to a user.
+// LatestKnown returns the latest record of the service, stored or known to a user, with every order
+// under its fence that any of them names.
 func (v View) LatestKnown() Record {
 	latest, databases := v.Record, v.Record.Databases
 	for _, known := range v.Known {
 		databases = max(databases, known.Databases)
-		if known.Later(latest) {
+		switch {
+		case known.Later(latest):
 			latest = known
+		case !latest.Later(known):
+			latest.Order = mergeOrders(latest.Order, known.Order)
 		}
 	}
 	latest.Databases = databases
 	return latest
 }
 
+// mergeOrders returns the order that stands for two under one fence. Of two different ones it is not
+// known which is the later: the order that is returned names neither, so that every target has to be
+// promoted again before it is used.
+func mergeOrders(a, b *Order) *Order {
+	switch {
+	case a == nil:
+		return b
+	case b == nil || *a == *b:
+		return a
+	default:
+		return &Order{AfterAnother: true}
+	}
+}
+
 // verify returns the action that brings the record up to date after the store was
 // restored. What the restore has lost may include promotions. If this leader has led
 // throughout, the users know the latest record. Otherwise the targets are asked, once no
