Failing test: a fenced primary is used again after another was seen to lead

A target leads a later term than the record (a promotion later than any is known to take effect, or one of somebody else), the record is fenced for it, and the target goes dark. What the leader has seen is in no record: with no other target left, the primary of the earlier term is used again. Seen in the model: 'ONE: d2 is published although d1 leads'.

--- a/process/failover/resume_test.go
+++ b/process/failover/resume_test.go
@@ -109,3 +109,26 @@
 		t.Fatalf("%s, record %+v", g.problem, g.view.Record)
 	}
 }
+
+// Guards against two primaries: another target was seen to lead a later term, so that the primary is
+// fenced, and goes dark, so that the primary is used again.
+func TestFencedPrimaryIsNotUsedAgainOnceAnotherWasSeenToLead(t *testing.T) {
+	g := newLateGroup(t)
+	late := g.orders[0].successor
+	g.orders[0].effectAt = g.now + 5*time.Second
+	g.setSilent(late, false, true)
+	g.advance(5500 * time.Millisecond)
+	if late != g.current || g.view.Record.Fenced {
+		t.Fatalf("%s leads, record %+v", g.current.id, g.view.Record)
+	}
+	g.problem = "" // see TestPrimaryOfALaterTermThanTheRecordReplacesIt
+	g.setSilent(late, false, false)
+	for end := g.now + time.Second; g.now < end && !g.view.Record.Fenced; {
+		g.advance(modelStep)
+	}
+	g.setSilent(late, false, true)
+	g.advance(10 * time.Second)
+	if g.problem != "" || !g.view.Record.Fenced {
+		t.Fatalf("%s, record %+v", g.problem, g.view.Record)
+	}
+}
