Name a target that leads a later term in the fence

Two primaries in the model: the record was fenced since a target led a later term, the target went dark, and the primary of the earlier term was used again, since the record names no order. The fence now names the target as ordered, so that no other primary is used before that target responds or another one is promoted after it. It does not count as an order of this leader, whose requests may all have been rejected.

--- a/process/failover/roles.go
+++ b/process/failover/roles.go
@@ -40,13 +40,17 @@
 }
 
 // compareRoles returns the publication of a fence if a target leads a later term than the
-// record, or the record's primary follows one.
+// record, or the record's primary follows one. The fence names such a target as ordered: it may be
+// silent once a successor is chosen.
 func (c *Coordinator) compareRoles(now time.Duration, v View, statuses map[topology.TargetID]TargetStatus) Action {
 	for id, status := range statuses {
 		switch {
 		case v.Record.Fenced || status.Term <= v.Record.Term:
 		case id != v.Record.Primary && status.Role == topology.RolePrimary:
-			return c.fencePrimary(now, v, "another target leads a later term")
+			c.orders.own = Order{} // the promotion is not known to be this leader's
+			fence := c.fencePrimary(now, v, "another target leads a later term")
+			fence.Record.Order = mergeOrders(fence.Record.Order, &Order{Successor: id, Incarnation: v.Targets[id].Incarnation, Received: status.Received})
+			return fence
 		case id == v.Record.Primary && status.Role == topology.RoleReplica:
 			return c.fencePrimary(now, v, "the primary follows a later term")
 		}
