Failing test: a primary that was fenced after a restore is used again

The record that a restore has left is fenced if a target knows a later term, or is listed as primary and silent. Once that target is silent or not listed any more, the record's primary, which may have been replaced, is used again.

--- a/process/failover/verification_test.go
+++ b/process/failover/verification_test.go
@@ -188,3 +188,31 @@
 		}
 	}
 }
+
+// Guards against two primaries: a target that may lead a later term is silent after a restore, so that
+// the record's primary is fenced, and is not listed any more once the primary is looked at again.
+func TestPrimaryThatWasFencedAfterARestoreIsNotUsedAgain(t *testing.T) {
+	for name, change := range map[string]func(f *fixture){
+		"listed as primary": func(f *fixture) { f.view.Targets["b"] = directory.Target{ID: "b", Role: topology.RolePrimary} },
+		"followed by a replica": func(f *fixture) {
+			f.statuses["c"] = TargetStatus{Role: topology.RoleReplica, Term: 2, Received: pointAt(2, 60)}
+		},
+	} {
+		f := newRestoredFixture(t)
+		f.view.PromotionsSettled = true
+		delete(f.statuses, "b")
+		delete(f.statuses, "c")
+		change(f)
+		f.run(time.Second)
+		if r := f.view.Record; !r.Fenced {
+			t.Fatalf("%s: record %+v, want a fence", name, r)
+		}
+		delete(f.view.Targets, "b")
+		delete(f.statuses, "c")
+		f.view.FenceAcknowledged = true
+		f.run(10 * time.Second)
+		if r := f.view.Record; !r.Fenced {
+			t.Errorf("%s: record %+v, promotions %v", name, r, f.promotions)
+		}
+	}
+}
