Count a target that may lead a later term as ordered after a restore

Two primaries: after a restore the record was fenced since a target knew a later term or was silent as primary, and once that target was gone its primary was used again. The fence now names such a target as ordered, or an unknown one if a replica follows a term that none leads. A primary that is found beside its replica is published without another promotion, as before (new test).

--- a/process/failover/verification.go
+++ b/process/failover/verification.go
@@ -67,11 +67,13 @@
 }
 
 // verifiedRecord returns the publication of the record that the targets' statuses prove, or
-// of a fence if they prove none after several attempts: the primary is then replaced.
+// of a fence if they prove none after several attempts: the primary is then replaced. A target that
+// may lead a later term counts as ordered: it may be silent or gone once a successor is chosen.
 func (c *Coordinator) verifiedRecord(v View, statuses map[topology.TargetID]TargetStatus) Action {
 	latest := v.LatestKnown()
 	primary, responded := statuses[latest.Primary]
-	if responded && primary.Role == topology.RolePrimary && primary.Term == latest.Term && !laterTermPossible(v, statuses, latest) {
+	later := laterTermPossible(v, statuses, latest)
+	if responded && primary.Role == topology.RolePrimary && primary.Term == latest.Term && later == nil {
 		c.verifications = 0
 		latest.Era = v.Era
 		return Action{Kind: PublishRecord, Record: latest, Revision: v.Revision, Reason: "its primary responds"}
@@ -81,21 +83,30 @@
 		return Action{}
 	}
 	c.verifications = 0
+	latest.Order = mergeOrders(latest.Order, later)
 	return publishFence(v, latest, "no primary fits the record after a restore of the store")
 }
 
-// laterTermPossible reports whether a target may be primary of a later term than the
-// record's: one that knows of a later term, or one that is listed as primary and does not
-// respond.
-func laterTermPossible(v View, statuses map[topology.TargetID]TargetStatus, record Record) bool {
+// laterTermPossible returns what stands for the order of a later primary than the record's, nil if
+// there can be none. There may be one if a target knows of a later term, or is listed as primary and
+// does not respond.
+func laterTermPossible(v View, statuses map[topology.TargetID]TargetStatus, record Record) *Order {
+	var leader topology.TargetID
+	led := record.Term
+	for id := range v.Targets {
+		if status := statuses[id]; status.Role == topology.RolePrimary && status.Term > led {
+			leader, led = id, status.Term
+		}
+	}
+	var later *Order
 	for id, target := range v.Targets {
 		status, responded := statuses[id]
 		switch {
-		case responded && status.Term > record.Term:
-			return true
-		case !responded && id != record.Primary && target.Role == topology.RolePrimary:
-			return true
+		case responded && status.Term > led:
+			later = mergeOrders(later, &Order{AfterAnother: true}) // it follows one that does not respond
+		case id == leader, !responded && id != record.Primary && target.Role == topology.RolePrimary:
+			later = mergeOrders(later, &Order{Successor: id, Incarnation: target.Incarnation, Received: status.Received})
 		}
 	}
-	return false
+	return later
 }
--- a/process/failover/verification_test.go
+++ b/process/failover/verification_test.go
@@ -55,6 +55,19 @@
 	f.wantVerified("b", 2)
 }
 
+// Guards against a second promotion of a primary that is found, because a replica follows it.
+func TestPromotionLostInARestoreIsFoundBesideItsReplica(t *testing.T) {
+	f := newRestoredFixture(t)
+	f.view.PromotionsSettled, f.view.FenceAcknowledged = true, true
+	f.statuses["b"] = TargetStatus{Role: topology.RolePrimary, Term: 2, Received: pointAt(2, 60)}
+	f.statuses["c"] = TargetStatus{Role: topology.RoleReplica, Term: 2, Received: pointAt(2, 59)}
+	f.run(time.Second)
+	f.wantVerified("b", 2)
+	if len(f.promotions) != 0 {
+		t.Fatalf("promoted %v", f.promotions)
+	}
+}
+
 // runNeverNaming runs the coordinator and fails if it publishes a usable record of a primary.
 func (f *fixture) runNeverNaming(id topology.TargetID, duration time.Duration) {
 	f.t.Helper()
