Failing test: fences of a record that was deleted by hand are numbered from the start

The next record numbers its fences from the start, and acknowledgements, which name a fence by its number, stay as long as their users are registered. The first fence then counts as acknowledged at once, while users go on with the primary.

--- a/process/failover/acknowledgement_test.go
+++ b/process/failover/acknowledgement_test.go
@@ -163,3 +163,20 @@
 		t.Fatalf("record %+v", f.view.Record)
 	}
 }
+
+// Guards against an acknowledgement of an earlier fence that counts for a later one: the record is
+// deleted by hand, and the fences of the next one are numbered from the start.
+func TestFenceOfTheNextRecordHasASequenceOfItsOwn(t *testing.T) {
+	f := newFixture(t)
+	f.view.SuspectCount = 2
+	f.run(100 * time.Millisecond)
+	earlier := f.view.Record
+	f.coordinator, f.view.Record, f.view.Revision, f.view.SuspectCount = Coordinator{}, Record{}, 0, 0
+	f.run(100 * time.Millisecond)
+	f.view.Revision = 20 // revisions of the store are not used again
+	f.view.SuspectCount = 2
+	f.run(100 * time.Millisecond)
+	if r := f.view.Record; !earlier.Fenced || !r.Fenced || r.FenceSequence <= earlier.FenceSequence {
+		t.Fatalf("fence %d after fence %d of the deleted record", r.FenceSequence, earlier.FenceSequence)
+	}
+}
