Number the fences of a record above those of an earlier one

After a record was deleted by hand, the first fence of the next one had the number of an earlier fence: its acknowledgements counted, and the leader that had seen the earlier fence took its expiry of the authority too, so that a promotion could take effect while instances use the primary. The number of a fence now exceeds the revision of the record that it replaces, and revisions are not used again.

--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -252,9 +252,10 @@
 	return Action{Kind: PublishRecord, Record: record, Revision: v.Revision, Reason: "databases were added"}
 }
 
-// publishFence returns the publication of a record that fences the primary.
+// publishFence returns the publication of a record that fences the primary. The sequence exceeds the
+// record's revision, and so the sequences of an earlier record that was deleted.
 func publishFence(v View, record Record, reason string) Action {
-	record.Fenced, record.FenceSequence, record.Era = true, record.NextFenceSequence(v.Era), v.Era
+	record.Fenced, record.FenceSequence, record.Era = true, max(record.NextFenceSequence(v.Era), uint64(v.Revision)+1), v.Era
 	record.Databases, record.Waiting = max(record.Databases, v.databasesToRecord()), ""
 	return Action{Kind: PublishRecord, Record: record, Revision: v.Revision, Reason: reason}
 }
--- a/process/failover/record.go
+++ b/process/failover/record.go
@@ -90,7 +90,8 @@
 	// empty while one is expected soon.
 	Waiting string `json:"waiting,omitempty"`
 	// FenceSequence rises with each fence of the service. Acknowledgements name the fence
-	// by it. It is unique across restores of the store; see NextFenceSequence.
+	// by it. It is unique across restores of the store, see NextFenceSequence, and deletions of the
+	// record, see publishFence.
 	FenceSequence uint64 `json:"sequence"`
 	// Era is the era of the store in which the record was written or verified. After a
 	// restore of the store the record may be older than the state of the service, and does
