--- a/process/failover/verification_test.go
+++ b/process/failover/verification_test.go
@@ -55,6 +55,19 @@
 	f.wantVerified("b", 2)
 }
 
+// Guards against a second promotion of a primary that is found, because a replica follows it.
+func TestPromotionLostInARestoreIsFoundBesideItsReplica(t *testing.T) {
+	f := newRestoredFixture(t)
+	f.view.PromotionsSettled, f.view.FenceAcknowledged = true, true
+	f.statuses["b"] = TargetStatus{Role: topology.RolePrimary, Term: 2, Received: pointAt(2, 60)}
+	f.statuses["c"] = TargetStatus{Role: topology.RoleReplica, Term: 2, Received: pointAt(2, 59)}
+	f.run(time.Second)
+	f.wantVerified("b", 2)
+	if len(f.promotions) != 0 {
+		t.Fatalf("promoted %v", f.promotions)
+	}
+}
+
 // runNeverNaming runs the coordinator and fails if it publishes a usable record of a primary.
 func (f *fixture) runNeverNaming(id topology.TargetID, duration time.Duration) {
 	f.t.Helper()
@@ -188,3 +201,31 @@
 		}
 	}
 }
+
+// Guards against two primaries: a target that may lead a later term is silent after a restore, so that
+// the record's primary is fenced, and is not listed any more once the primary is looked at again.
+func TestPrimaryThatWasFencedAfterARestoreIsNotUsedAgain(t *testing.T) {
+	for name, change := range map[string]func(f *fixture){
+		"listed as primary": func(f *fixture) { f.view.Targets["b"] = directory.Target{ID: "b", Role: topology.RolePrimary} },
+		"followed by a replica": func(f *fixture) {
+			f.statuses["c"] = TargetStatus{Role: topology.RoleReplica, Term: 2, Received: pointAt(2, 60)}
+		},
+	} {
+		f := newRestoredFixture(t)
+		f.view.PromotionsSettled = true
+		delete(f.statuses, "b")
+		delete(f.statuses, "c")
+		change(f)
+		f.run(time.Second)
+		if r := f.view.Record; !r.Fenced {
+			t.Fatalf("%s: record %+v, want a fence", name, r)
+		}
+		delete(f.view.Targets, "b")
+		delete(f.statuses, "c")
+		f.view.FenceAcknowledged = true
+		f.run(10 * time.Second)
+		if r := f.view.Record; !r.Fenced {
+			t.Errorf("%s: record %+v, promotions %v", name, r, f.promotions)
+		}
+	}
+}
