Failover: probe a primary whose entry goes, whether or not it was suspected

Cause: an instance suspects a primary when a connection to it fails, or when a probe does that another instance's suspicion causes. Both need the primary to be listed. If its entry goes first, requests no longer connect to it and the probe is left out, so that the suspicions stay below the quorum and the leader waits until the entry has been missing for 2.5 s. Each next leader waits anew.

Change: users of a primary probe it at its last known address when its entry goes, when a record names a primary that is not listed, and when another one suspects it. A primary that responds, as after an outage of the store, is not suspected.

--- a/edge/store_changes.go
+++ b/edge/store_changes.go
@@ -159,6 +159,9 @@
 	for _, service := range d.declaredUsage() {
 		if record, changed := records[service]; changed && !record.Fenced {
 			d.wakeConfirm() // the primary may be used once the new record is confirmed
+			if !d.isListed(service, record.Primary) {
+				go d.suspicions.verify(d.ctx, service)
+			}
 		}
 	}
 }
--- a/edge/suspicions.go
+++ b/edge/suspicions.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// verify probes a primary that another instance suspects, so that the failover leader
-// soon knows whether this instance cannot reach it either.
+// verify probes a primary that another instance suspects, or that is no longer listed, so that
+// the failover leader soon knows whether this instance cannot reach it either.
 func (s *suspicions) verify(ctx context.Context, service topology.ServiceID) {
 	s.mu.Lock()
 	running := s.verifying[service]
@@ -105,9 +105,9 @@
 	}()
 	d := s.daemon
 	d.mu.Lock()
-	target, listed := d.targets[service][d.records[service].Primary]
+	target, known := d.lastKnownTarget(service, d.records[service].Primary)
 	d.mu.Unlock()
-	if !listed {
+	if !known {
 		return
 	}
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/edge/targets.go
+++ b/edge/targets.go
@@ -54,14 +54,51 @@
 			listed[t.Service][t.ID], used[t.Service][t.ID] = t, t
 		}
 	}
+	delisted := d.delistedPrimaries(listed)
 	d.targets, d.usedTargets = listed, used
 	d.mu.Unlock()
+	for _, id := range delisted {
+		go d.suspicions.verify(d.ctx, id)
+	}
 	for id, targets := range used {
 		d.engine.SetTargets(id, targets)
 		d.logIfChanged(eventTargetsChanged, "targets of "+string(id), "service", id, "targets", targets.String())
 	}
 }
 
+// delistedPrimaries returns the services of the declared usage whose primary was listed until
+// now. Requests no longer connect to it, so that they do not tell whether it can be reached.
+// The caller holds d.mu.
+func (d *Daemon) delistedPrimaries(listed map[topology.ServiceID]targetMap) []topology.ServiceID {
+	var services []topology.ServiceID
+	for _, id := range d.declaredServices {
+		primary := d.records[id].Primary
+		_, before := d.targets[id][primary]
+		if _, now := listed[id][primary]; before && !now {
+			services = append(services, id)
+		}
+	}
+	return services
+}
+
+// isListed reports whether a target of a service is listed.
+func (d *Daemon) isListed(service topology.ServiceID, id topology.TargetID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, listed := d.targets[service][id]
+	return listed
+}
+
+// lastKnownTarget returns a target of a service as it is listed, or as it was listed last. The
+// caller holds d.mu.
+func (d *Daemon) lastKnownTarget(service topology.ServiceID, id topology.TargetID) (directory.Target, bool) {
+	if t, listed := d.targets[service][id]; listed {
+		return t, true
+	}
+	known, seen := d.knownTargets[id]
+	return known.Target, seen && known.Service == service
+}
+
 // hasUnreadableEntry reports whether a target's entry is there and cannot be decoded, so that
 // it is not missing. The caller holds d.mu.
 func (d *Daemon) hasUnreadableEntry(id topology.TargetID, _ directory.Target) bool {
