Tests: the model's pool closes idle connections before it uses them again

fakePool used a connection that a revocation or a release had made idle for the next demand before it looked at its limit, so with lasting demand it never came down to a lowered limit. pool.coordinator.dispatch closes idle connections above the limit first, then leases the rest; the model does the same now. The check of the total is as it was.

--- a/process/ledger/connections_test.go
+++ b/process/ledger/connections_test.go
@@ -33,17 +33,17 @@
 	return PoolUsage{Limit: p.limit, Open: p.open + p.closing, Demand: p.demand, AppliedSequence: p.applied}
 }
 
-// fitToLimit opens connections for the demand and begins to close idle ones in
-// excess of the limit. It returns how many it closes.
+// fitToLimit begins to close idle connections in excess of the limit and then uses
+// and opens others for the demand. It returns how many it closes.
 func (p *fakePool) fitToLimit() int {
 	p.inUse = min(p.inUse, p.open)
+	excess := max(0, min(p.open-p.limit, p.open-p.inUse))
+	p.open -= excess
+	p.closing += excess
 	for p.inUse < p.demand && (p.inUse < p.open || p.open+p.closing < p.limit) {
 		p.open = max(p.open, p.inUse+1)
 		p.inUse++
 	}
-	excess := max(0, min(p.open-p.limit, p.open-p.inUse))
-	p.open -= excess
-	p.closing += excess
 	return excess
 }
 
