Hand over the connections of slots that are given up

The instance that stays acquired the drained one's slots at once but left their connections unused for 32 s, until any loan of the holder before had expired. If it has no share of its own in use, because it joined late, or its one slot was given up by another instance less than 32 s before, it then has no connection at all. What it had borrowed is lost as well.

The holder that gives up a slot now sends the list of its loans of each share to its peers, as it does with token buckets, once its connections of the share are closed. The next holder uses the rest at once. A handover counts only for the lease with the next epoch and once; a borrower's later request reduces its loan. A closed instance returns what it borrowed even if a request is outstanding, and a borrower reports to a new holder if one was: lists would otherwise keep loans that nobody has. View.Peers names whom a handover may reach: an instance that has connected and sent no heartbeat yet may be the next holder.

--- a/daemon/run.go
+++ b/daemon/run.go
@@ -91,6 +91,7 @@
 func (d *Daemon) releaseShares() {
 	d.ledger.Drain()
 	d.services.close()
+	d.ledger.PoolsClosed()
 	ctx, cancel := context.WithTimeout(context.Background(), slotReleaseTimeout)
 	defer cancel()
 	if err := d.membership.Drain(ctx); err != nil {
--- a/demo/lifecycle_test.go
+++ b/demo/lifecycle_test.go
@@ -73,11 +73,37 @@
 func TestDrainInterruptsNoRequest(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
+	writeThroughDrain(ctx, t, startReady(ctx, t, drainShape(2)))
+}
+
+// An instance that had joined late held no slot whose connections it could use, and the drained
+// one's stayed unused for 32 s: callers were refused although the targets were idle.
+func TestDrainHandsOverToAnInstanceThatJoinedLate(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	d := startReady(ctx, t, drainShape(1))
+	if _, err := d.StartDaemon("entry-2", d.Shape.failureDomain(1)); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.AwaitReady(ctx, testTimeout); err != nil {
+		t.Fatal(err)
+	}
+	writeThroughDrain(ctx, t, d)
+}
+
+// drainShape is a deployment of one service whose customers stay far below their rates.
+func drainShape(daemons int) Shape {
 	shape := Kuttanad()
-	shape.Daemons = 2
-	shape.Services = 1
+	shape.Daemons, shape.Services = daemons, 1
 	shape.Rate, shape.Burst = 10000, 10000
-	d := startReady(ctx, t, shape)
+	return shape
+}
+
+// writeThroughDrain stops the first of two daemons while callers write through it. Every request
+// must be completed or be refused as not run by the first daemon, and callers then reconnect
+// through the second one.
+func writeThroughDrain(ctx context.Context, t *testing.T, d *Deployment) {
+	t.Helper()
 	const callers, requests = 8, 40
 	var interrupted, refused, completed atomic.Int64
 	var running sync.WaitGroup
--- a/process/ledger/connection_account.go
+++ b/process/ledger/connection_account.go
@@ -112,6 +112,8 @@
 	// lastSequence and lastLimit belong to the last LimitChange emitted.
 	lastSequence uint64
 	lastLimit    int
+	// handovers are those of given up shares whose connections may still be open.
+	handovers []ConnectionHandover
 }
 
 // limit is how many connections the pool may open.
@@ -191,7 +193,7 @@
 func (a *connectionAccount) expireLoans(now time.Duration) {
 	for _, s := range a.remote {
 		if s.held > 0 && now-s.loanRequestedAt >= ConnectionLoanTTL {
-			s.held, s.returning = 0, 0
+			s.held, s.returning, s.unconfirmed = 0, 0, true
 		}
 	}
 }
--- a/process/ledger/connection_driver.go
+++ b/process/ledger/connection_driver.go
@@ -44,8 +44,6 @@
 		sync.Mutex
 		state *ConnectionCoordinator
 		pools map[topology.TargetID]*attachedPool
-		// incarnations holds the last known incarnation of each instance.
-		incarnations map[topology.InstanceID]uint64
 	}
 }
 
@@ -54,7 +52,6 @@
 	d.wakeup = make(chan struct{}, 1)
 	d.mu.state = NewConnectionCoordinator(incarnation)
 	d.mu.pools = make(map[topology.TargetID]*attachedPool)
-	d.mu.incarnations = make(map[topology.InstanceID]uint64)
 }
 
 // SetConnectionLimits replaces the connection limits of all targets.
@@ -99,6 +96,13 @@
 	d.conns.update(func(now time.Duration, c *ConnectionCoordinator) { c.SetDraining(now) })
 }
 
+// PoolsClosed records after Drain that every pool is closed for good and has no connection open.
+// It returns what is still borrowed. Shares are handed over as soon as membership gives up
+// their slots.
+func (d *Driver) PoolsClosed() {
+	d.conns.update(func(now time.Duration, c *ConnectionCoordinator) { c.SetClosed(now) })
+}
+
 // wake makes the loop run soon. It never blocks.
 func (d *connectionDriver) wake() {
 	select {
@@ -134,13 +138,9 @@
 	d.update(func(now time.Duration, c *ConnectionCoordinator) {
 		c.SetSlots(now, slots)
 		for _, m := range v.Live {
-			if m.Incarnation > d.mu.incarnations[m.ID] {
-				d.mu.incarnations[m.ID] = m.Incarnation
-				c.InstanceRestarted(now, m.ID, m.Incarnation)
-			}
+			c.InstanceRestarted(now, m.ID, m.Incarnation)
 		}
 		for _, id := range v.Removed {
-			delete(d.mu.incarnations, id)
 			c.InstanceRemoved(now, id)
 		}
 	})
--- a/process/ledger/connection_lender.go
+++ b/process/ledger/connection_lender.go
@@ -47,6 +47,9 @@
 	lease      *slotLease
 	size       int
 	usableFrom time.Duration
+	// handedOver is set once the holder before has handed over all loans, under whatever epoch
+	// they were granted.
+	handedOver bool
 	borrowers  []*connectionBorrower
 }
 
@@ -102,7 +105,7 @@
 func (s *localShare) reconcileKept(now time.Duration, b *connectionBorrower, r *ConnectionRequest) {
 	kept := max(r.Kept, 0)
 	switch {
-	case r.Epoch == s.lease.epoch:
+	case r.Epoch == s.lease.epoch || s.handedOver:
 		b.lent = min(b.lent, kept)
 	case now < s.usableFrom && now < s.lease.expiresAt:
 		b.lent = 0
--- a/process/ledger/connections.go
+++ b/process/ledger/connections.go
@@ -37,8 +37,16 @@
 	// leases holds the leases of this instance by slot.
 	leases map[int]*slotLease
 	// holders names the holder of each slot, empty when none is known.
-	holders  []topology.InstanceID
-	draining bool
+	holders []topology.InstanceID
+	// self is this instance, once it has held a slot; peers lists the others.
+	self  topology.InstanceID
+	peers []topology.InstanceID
+	// incarnations holds the last known incarnation of each instance.
+	incarnations map[topology.InstanceID]uint64
+	// handovers holds the last handover of each share that arrived.
+	handovers map[shareID]receivedShare
+	// draining is set by SetDraining, closed by SetClosed.
+	draining, closed bool
 	// lastRequestID is the ID of the last connection request to any slot.
 	lastRequestID uint64
 	outbox        map[topology.InstanceID]*Message
@@ -52,6 +60,8 @@
 		accounts:      make(map[topology.TargetID]*connectionAccount),
 		removed:       make(map[topology.TargetID]bool),
 		leases:        make(map[int]*slotLease),
+		incarnations:  make(map[topology.InstanceID]uint64),
+		handovers:     make(map[shareID]receivedShare),
 		lastRequestID: incarnation,
 		outbox:        make(map[topology.InstanceID]*Message),
 	}
@@ -110,11 +120,14 @@
 		}
 		c.leases[next.Index] = &slotLease{slot: next.Index, epoch: next.Epoch, expiresAt: next.ExpiresAt}
 	}
-	for slot := range c.leases {
+	for slot, lease := range c.leases {
 		if !leased[slot] {
-			delete(c.leases, slot)
+			c.endLease(now, lease)
+		} else if holder := slots.Holders[slot]; holder != "" {
+			c.self = holder
 		}
 	}
+	c.peers = otherInstances(c.self, slots.Holders, slots.Peers)
 	for _, a := range c.accounts {
 		c.assignShares(now, a)
 	}
@@ -139,7 +152,9 @@
 			continue
 		}
 		if lease, holding := c.leases[slot]; holding {
-			local = append(local, a.localShare(now, lease, sizes[slot]))
+			s := a.localShare(now, lease, sizes[slot])
+			c.restoreShare(now, a, s)
+			local = append(local, s)
 			continue
 		}
 		remote = append(remote, a.remoteShare(slot, holder, sizes[slot]))
@@ -171,11 +186,13 @@
 }
 
 // remoteShare returns the account's state for a slot held by another instance.
-// When the holder changes, a pending request is dropped; connections held stay.
+// When the holder changes, a pending request is dropped, which the holder before may have granted;
+// connections held stay.
 func (a *connectionAccount) remoteShare(slot int, holder topology.InstanceID, size int) *remoteShare {
 	for _, s := range a.remote {
 		if s.slot == slot {
 			if s.holder != holder {
+				s.unconfirmed = s.unconfirmed || s.pending
 				s.holder, s.pending, s.nextRequestAt = holder, false, 0
 			}
 			s.size = size
@@ -221,14 +238,15 @@
 	}
 }
 
-// refresh expires loans, grants reserved connections once the pool has closed
-// them, sends the requests and recalls that are due, and emits a limit change
+// refresh expires loans, grants reserved connections and hands over shares once
+// the pool has closed them, sends the requests and recalls that are due, and emits a limit change
 // when the limit differs from the pool's.
 func (c *ConnectionCoordinator) refresh(now time.Duration, a *connectionAccount) {
 	a.expireLoans(now)
 	a.markReturns(now, c.draining)
-	if a.poolInSync(now) {
+	if c.closed || a.poolInSync(now) {
 		c.grantReserved(now, a)
+		c.sendHandovers(a)
 	}
 	a.planRequests(now, c.draining, func(s *remoteShare, additional int) { c.sendRequest(now, a, s, additional) })
 	c.recallLoans(now, a)
@@ -240,6 +258,9 @@
 // connections are open than may stay open.
 func (c *ConnectionCoordinator) emitLimitChange(now time.Duration, a *connectionAccount) {
 	limit, maxOpen := a.limit(now), a.maxOpen(now)
+	if c.closed {
+		limit, maxOpen = 0, 0
+	}
 	applied := a.usage.AppliedSequence == a.lastSequence
 	revoke := applied && a.usage.Open > maxOpen
 	changed := limit != a.lastLimit || (applied && a.usage.Limit != limit)
@@ -314,6 +335,9 @@
 			c.refresh(now, a)
 		}
 	}
+	for i := range m.ConnectionHandovers {
+		c.receiveHandover(now, &m.ConnectionHandovers[i])
+	}
 }
 
 // findRemoteShare returns the target's share of the slot with its account, or
@@ -355,6 +379,9 @@
 // InstanceRestarted clears the loans of earlier processes of an instance, whose
 // request IDs are below incarnation.
 func (c *ConnectionCoordinator) InstanceRestarted(now time.Duration, id topology.InstanceID, incarnation uint64) {
+	if !c.isReplaced(id, incarnation) {
+		return
+	}
 	for _, a := range c.accounts {
 		for _, s := range a.local {
 			s.clearLoansBefore(id, incarnation)
@@ -365,6 +392,7 @@
 
 // InstanceRemoved clears the loans of an instance that will not come back.
 func (c *ConnectionCoordinator) InstanceRemoved(now time.Duration, id topology.InstanceID) {
+	delete(c.incarnations, id)
 	for _, a := range c.accounts {
 		for _, s := range a.local {
 			s.removeBorrower(id)
--- a/process/ledger/driver.go
+++ b/process/ledger/driver.go
@@ -95,7 +95,7 @@
 // MembershipChanged applies a new view of the fleet. It can be given to
 // membership.Driver.Subscribe.
 func (d *Driver) MembershipChanged(v membership.View) {
-	slots := &SlotAssignment{Holders: v.Holders, Leases: make([]SlotLease, len(v.SlotLeases))}
+	slots := &SlotAssignment{Holders: v.Holders, Peers: v.Peers, Leases: make([]SlotLease, len(v.SlotLeases))}
 	for i, lease := range v.SlotLeases {
 		slots.Leases[i] = SlotLease{Index: lease.Index, Epoch: lease.Epoch, ExpiresAt: lease.ExpiresAt}
 	}
@@ -162,7 +162,7 @@
 			d.shards[i].wake()
 		}
 	}
-	if len(m.ConnectionRequests)+len(m.ConnectionGrants)+len(m.ConnectionRecalls) > 0 {
+	if len(m.ConnectionRequests)+len(m.ConnectionGrants)+len(m.ConnectionRecalls)+len(m.ConnectionHandovers) > 0 {
 		d.conns.receive(from, &m)
 	}
 }
--- a/process/ledger/fleet_membership_test.go
+++ b/process/ledger/fleet_membership_test.go
@@ -101,7 +101,7 @@
 		event(c)
 		now := inst.localTime(m.now)
 		view := c.View(now)
-		slots := &SlotAssignment{Holders: view.Holders}
+		slots := &SlotAssignment{Holders: view.Holders, Peers: view.Peers}
 		for _, lease := range view.SlotLeases {
 			slots.Leases = append(slots.Leases, SlotLease{Index: lease.Index, Epoch: lease.Epoch, ExpiresAt: lease.ExpiresAt})
 		}
--- a/process/ledger/ledger.go
+++ b/process/ledger/ledger.go
@@ -16,7 +16,9 @@
 // A target's connections are divided into shares in the same way. A lent
 // connection comes back only when the borrower returns it or its process is
 // known to be gone, because a connection can stay open after the borrower's loan
-// has expired.
+// has expired. A holder that gives up its slot hands over the list of its loans,
+// with which the next one uses the share at once; without it the next one waits
+// until every loan has ended.
 //
 // The state machines hold no lock, clock or network: one for each shard of the
 // customers manages rates, and one manages all connections. Driver runs them,
@@ -86,6 +88,8 @@
 	Holders []topology.InstanceID
 	// Leases lists the leases of the slots that this instance holds.
 	Leases []SlotLease
+	// Peers lists the other instances that may run.
+	Peers []topology.InstanceID
 }
 
 // SlotLease is the lease that this instance has on one slot.
--- a/process/ledger/message.go
+++ b/process/ledger/message.go
@@ -114,8 +114,27 @@
 	Count  int               `cbor:"3,keyasint"`
 }
 
-// Message carries requests, grants and recalls from the ledger of one instance
-// to that of another.
+// ConnectionHandover reports the loans of a share of a target's connections whose slot the sender
+// has given up before the lease expired. The sender has closed its connections of the share and
+// lends no more of them.
+type ConnectionHandover struct {
+	Target topology.TargetID `cbor:"1,keyasint"`
+	Slot   int               `cbor:"2,keyasint"`
+	// Epoch is that of the lease; the next holder's is one higher.
+	Epoch uint64           `cbor:"3,keyasint"`
+	Loans []HandedOverLoan `cbor:"4,keyasint,omitempty"`
+}
+
+// HandedOverLoan is the loan of a share to one borrower.
+type HandedOverLoan struct {
+	Borrower topology.InstanceID `cbor:"1,keyasint"`
+	// LastRequestID is that of the borrower's last request that arrived.
+	LastRequestID uint64 `cbor:"2,keyasint"`
+	Lent          int    `cbor:"3,keyasint"`
+}
+
+// Message carries requests, grants, recalls and handovers from the ledger of one
+// instance to that of another.
 type Message struct {
 	TokenRequests      []TokenRequest      `cbor:"1,keyasint,omitempty"`
 	TokenGrants        []TokenGrant        `cbor:"2,keyasint,omitempty"`
@@ -124,4 +143,6 @@
 	ConnectionGrants   []ConnectionGrant   `cbor:"5,keyasint,omitempty"`
 	ConnectionRecalls  []ConnectionRecall  `cbor:"6,keyasint,omitempty"`
 	TokenHandovers     []TokenHandover     `cbor:"7,keyasint,omitempty"`
+
+	ConnectionHandovers []ConnectionHandover `cbor:"8,keyasint,omitempty"`
 }
--- a/process/membership/coordinator.go
+++ b/process/membership/coordinator.go
@@ -353,7 +353,7 @@
 
 // View returns the state as of now.
 func (c *Coordinator) View(now time.Duration) View {
-	v := View{Holders: make([]topology.InstanceID, len(c.slots))}
+	v := View{Peers: c.knownPeers(), Holders: make([]topology.InstanceID, len(c.slots))}
 	self := Member{Instance: c.cfg.Self, Incarnation: c.cfg.Incarnation}
 	v.Live = append(v.Live, self)
 	for id, p := range c.peers {
--- a/process/membership/heartbeat.go
+++ b/process/membership/heartbeat.go
@@ -26,8 +26,8 @@
 	return h
 }
 
-// heartbeatRecipients returns the peers that get the next heartbeat.
-func (c *Coordinator) heartbeatRecipients() []topology.InstanceID {
+// knownPeers returns the other instances that may run, sorted by ID.
+func (c *Coordinator) knownPeers() []topology.InstanceID {
 	var ids []topology.InstanceID
 	for id, p := range c.peers {
 		if id != c.cfg.Self.ID && (p.listed || p.heartbeatSeen || p.connected) {
@@ -35,6 +35,12 @@
 		}
 	}
 	slices.Sort(ids)
+	return ids
+}
+
+// heartbeatRecipients returns the peers that get the next heartbeat.
+func (c *Coordinator) heartbeatRecipients() []topology.InstanceID {
+	ids := c.knownPeers()
 	if len(ids) <= fullMeshInstances {
 		return ids
 	}
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -125,6 +125,9 @@
 	// Live lists the instances believed alive, this one included, sorted
 	// by ID.
 	Live []Member
+	// Peers lists the other instances that may run: those listed, connected or
+	// heard of, sorted by ID.
+	Peers []topology.InstanceID
 	// Holders names the holder of each slot, empty when none is known.
 	Holders []topology.InstanceID
 	// SlotLeases lists the leases of this instance.
--- a/process/membership/view.go
+++ b/process/membership/view.go
@@ -5,6 +5,7 @@
 // equal reports whether two views have the same content.
 func (v *View) equal(other *View) bool {
 	return slices.Equal(v.Live, other.Live) &&
+		slices.Equal(v.Peers, other.Peers) &&
 		slices.Equal(v.Holders, other.Holders) &&
 		slices.Equal(v.SlotLeases, other.SlotLeases) &&
 		slices.Equal(v.Removed, other.Removed)
