Hand token buckets over to instances without a slot too

Callers of an instance that held no slot when its peer drained were refused with 53400 far below their rate: only the holders of other slots got the handover, so the instance, which acquired all slots at once, began with empty buckets for 319 ms. It now goes to all peers that may run, as for connections.

Failed before: TestHandoverReachesAnInstanceWithoutSlot (no message), and 8 requests of TestDrainHandsOverToAnInstanceThatJoinedLate with 53400 in two of the runs of the commit before. After: 8 of 8 runs of it and of TestDrainInterruptsNoRequest pass, GOMAXPROCS=2, at a load of about 50 on 8 cores.

--- a/process/ledger/drain_test.go
+++ b/process/ledger/drain_test.go
@@ -107,6 +107,22 @@
 	}
 }
 
+// Only the holders of other slots got a handover: an instance that held none began with empty
+// buckets and refused requests below the rate for 319 ms.
+func TestHandoverReachesAnInstanceWithoutSlot(t *testing.T) {
+	former := NewRateShard(1)
+	slots := SlotAssignment{
+		Holders: []topology.InstanceID{"i0"}, Peers: []topology.InstanceID{"i1"}, Leases: []SlotLease{{Epoch: 1, ExpiresAt: noExpiry}},
+	}
+	former.SetSlots(0, &slots)
+	former.SetLimits(0, []RateLimit{{Customer: "a", Rate: 8, Burst: 8}})
+	slots.Leases = nil
+	former.SetSlots(time.Minute, &slots)
+	if m := former.TakeOutbox()["i1"]; m == nil || len(m.TokenHandovers) != 1 {
+		t.Errorf("the instance without slot got %+v, want a handover", m)
+	}
+}
+
 // Drains in series under changing load, over a network that loses, duplicates and delays messages:
 // the handed over tokens must not exist twice, nor admit more than the rates. The oracles and
 // checkTokens panic.
--- a/process/ledger/rate_handover.go
+++ b/process/ledger/rate_handover.go
@@ -24,7 +24,7 @@
 }
 
 // handOver sends the state of the parts under a lease that this instance gives up while it is
-// valid to the holders of the other slots, one of which will acquire the slot. From
+// valid to the other instances, one of which will acquire the slot. From
 // then on nothing of the parts is spent or lent here. A lost message costs what it did
 // before: the next holder starts with empty buckets.
 func (s *RateShard) handOver(now time.Duration, lease *slotLease, self topology.InstanceID) {
@@ -40,13 +40,12 @@
 			}
 		}
 	}
-	sent := map[topology.InstanceID]bool{"": true, self: true}
-	for _, holder := range s.holders {
-		if !sent[holder] && len(handovers) > 0 {
-			sent[holder] = true
-			m := s.messageTo(holder)
-			m.TokenHandovers = append(m.TokenHandovers, handovers...)
-		}
+	if len(handovers) == 0 {
+		return
+	}
+	for _, id := range otherInstances(self, s.holders, s.peers) {
+		m := s.messageTo(id)
+		m.TokenHandovers = append(m.TokenHandovers, handovers...)
 	}
 }
 
--- a/process/ledger/rate_shard.go
+++ b/process/ledger/rate_shard.go
@@ -42,7 +42,9 @@
 	leases map[int]*slotLease
 	// holders names the holder of each slot, empty when none is known.
 	holders []topology.InstanceID
-	outbox  map[topology.InstanceID]*Message
+	// peers lists the other instances that may run.
+	peers  []topology.InstanceID
+	outbox map[topology.InstanceID]*Message
 	// lastRequestID is the ID of the last token request to any slot.
 	lastRequestID uint64
 	// handovers holds the last handover of each part that arrived.
@@ -110,7 +112,7 @@
 		changed = changed || s.holders[i] != holder
 	}
 	previousHolders := s.holders
-	s.holders = slots.Holders
+	s.holders, s.peers = slots.Holders, slots.Peers
 	leased := make(map[int]bool, len(slots.Leases))
 	for _, next := range slots.Leases {
 		leased[next.Index] = true
