Relay: the first statement of a transaction goes to the present owner

Callers saw: around each planned stop some transactions are refused with BUSY "no connection became free in time" after 1 s.

Cause: BEGIN at an owner opened the transaction there for good, although nothing is sent to a target before its first statement. 0.2 s after SIGTERM the instance has ceased to be an owner and has given its connections up but one. A first statement that comes later waits for that one.

Change: the first statement decides where the transaction runs, as it does for transactions of forwarding instances. What has begun to run stays.

First failure, on the code before: TestTransactionBegunAtAnOwnerRunsAtItsSuccessor: "the successor's target received [], want [begin write]".

Race detector: request/relay and request/engine pass.

--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -206,15 +206,23 @@
 		return nil, r.refuse(refusedNoOwner, o, statement.Idle)
 	case to == r.Self && !r.configurationCurrent():
 		return nil, r.refuse(refusedOutdatedConfiguration, o, statement.Idle)
-	case to == r.Self:
-		return r.Engine.Begin(s, readOnly, o)
+	}
+	t := &transaction{relay: r, session: s, number: r.lastTransaction.Add(1), route: route, readOnly: readOnly}
+	if to == r.Self {
+		local, response := r.Engine.Begin(s, readOnly, o)
+		if local == nil {
+			return nil, response
+		}
+		t.local = local
+		return t, response
 	}
 	o.Reason, o.Service, o.Customer = "deferred to the first statement", route.Service, route.Customer
-	return &transaction{relay: r, session: s, number: r.lastTransaction.Add(1), route: route, readOnly: readOnly}, statement.Response{State: statement.Open}
+	return t, statement.Response{State: statement.Open}
 }
 
 // transaction is a transaction of a caller here. Its first statement decides whether
-// another instance runs it or this one.
+// another instance runs it or this one: since BEGIN this one may have ceased to own the service
+// and hold no connections any more.
 type transaction struct {
 	relay   *Relay
 	session *client.Session
@@ -225,8 +233,11 @@
 	// owner is the instance that runs the transaction, empty before its first
 	// statement and when this instance runs it.
 	owner topology.InstanceID
-	// local is the transaction when this instance runs it, otherwise nil.
+	// local is the transaction when this instance runs it, or has admitted it as an owner and its
+	// first statement has not come yet; otherwise nil.
 	local engine.Transaction
+	// runsHere is set once a first statement was left to this instance.
+	runsHere bool
 }
 
 // Run implements the engine's Transaction.
@@ -240,7 +251,7 @@
 
 func (t *transaction) run(st statement.Statement, o *engine.Outcome) statement.Response {
 	switch {
-	case t.local != nil:
+	case t.runsHere:
 		return t.local.Run(st, o)
 	case t.owner != "":
 		return t.forwardLater(st, o)
@@ -254,9 +265,13 @@
 	return t.local.Run(st, o)
 }
 
-// beginLocally opens the transaction at this instance's engine. It returns false when
-// the transaction is refused.
+// beginLocally opens the transaction at this instance's engine, unless BEGIN has. It returns
+// false when the transaction is refused.
 func (t *transaction) beginLocally(o *engine.Outcome) (statement.Response, bool) {
+	if t.local != nil {
+		t.runsHere = true
+		return statement.Response{}, true
+	}
 	if !t.relay.configurationCurrent() {
 		return t.relay.refuse(refusedOutdatedConfiguration, o, statement.Failed), false
 	}
@@ -265,7 +280,7 @@
 		response.State = statement.Failed
 		return response, false
 	}
-	t.local = local
+	t.local, t.runsHere = local, true
 	return response, true
 }
 
@@ -290,7 +305,7 @@
 		response, outcome := r.forward(to, t.session, selector.prepare(req), t.route.StatementTimeout, o)
 		switch outcome {
 		case outcomeCompleted:
-			t.owner = to
+			t.owner, t.local = to, nil
 			return response, true
 		case outcomeNoResponse:
 			t.sendAbort(to)
@@ -332,7 +347,7 @@
 func (t *transaction) Commit(st statement.Statement, o *engine.Outcome) statement.Response {
 	var response statement.Response
 	switch {
-	case t.local != nil:
+	case t.runsHere:
 		response = t.local.Commit(st, o)
 	case t.owner != "":
 		response = t.forwardLater(st, o)
