--- a/soak/caller.go
+++ b/soak/caller.go
@@ -88,9 +88,10 @@
 func (c *caller) connect() bool {
 	candidates := c.rotation()
 	daemon := candidates[c.random.IntN(len(candidates))]
+	sentAt := time.Now()
 	conn, response, err := platformtest.DialCaller(c.addresses[daemon], c.database.Host, c.customer.Key, responseTimeout)
 	if err == nil && !response.OK() {
-		c.history.addRefusal(response)
+		c.history.addRefusal(refusal{response: response, customer: c.customer.Name, daemon: daemon, sentAt: sentAt, at: time.Now()})
 	}
 	if err != nil || !response.OK() {
 		return false
@@ -137,7 +138,7 @@
 	case err != nil:
 		c.history.addUnanswered(unansweredStatement{id: id, text: text, daemon: c.daemon, sentAt: sentAt, endedAt: time.Now(), transactionBegunAt: c.transactionBegunAt})
 	case !response.OK():
-		c.history.addRefusal(response)
+		c.history.addRefusal(refusal{response: response, customer: c.customer.Name, daemon: c.daemon, sentAt: sentAt, at: time.Now(), inTransaction: !c.transactionBegunAt.IsZero()})
 	}
 	return response, err == nil
 }
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -105,6 +105,16 @@
 	}
 }
 
+// pid returns the ID of the process, zero if none runs.
+func (d *daemon) pid() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.command == nil {
+		return 0
+	}
+	return d.command.Process.Pid
+}
+
 // suspend suspends the process if one is running.
 func (d *daemon) suspend() {
 	d.signal(syscall.SIGSTOP)
--- a/soak/planned_stops.go
+++ b/soak/planned_stops.go
@@ -77,6 +77,7 @@
 // stopAndRestart stops a daemon as the platform does, and starts it again after a delay.
 func (h *harness) stopAndRestart(d *daemon, restartDelay time.Duration) {
 	h.logEvent(fmt.Sprintf("SIGTERM daemon %d", d.number+1))
+	defer h.history.addStop()()
 	h.terminate(d, platformtest.TerminationGrace)
 	h.logEvent(fmt.Sprintf("daemon %d has exited", d.number+1))
 	time.Sleep(restartDelay)
--- a/soak/planned_stops_test.go
+++ b/soak/planned_stops_test.go
@@ -10,3 +10,8 @@
 func TestPlannedStopsLeaveNoStatementUnanswered(t *testing.T) {
 	runSoak(t, buildDaemon(t), Options{Seed: 1, FaultDuration: 14 * time.Second, Daemons: 5, Callers: 360, PlannedStopsOnly: true})
 }
+
+// A transaction that was begun at an owner before its SIGTERM is refused for lack of a connection.
+func TestPlannedStopsCostCallersNothing(t *testing.T) {
+	runSoak(t, buildDaemon(t), Options{Seed: 30201, FaultDuration: 14 * time.Second, Daemons: 6, Callers: 60, PlannedStopsOnly: true})
+}
--- a/soak/promoted_records.go
+++ b/soak/promoted_records.go
@@ -63,6 +63,10 @@
 // store that was restored are not checked: the changes that a restore has lost are missing.
 func (h *harness) violations() []string {
 	violations := h.history.check(h.groups)
+	if h.options.PlannedStopsOnly {
+		h.plannedRun.daemons, h.plannedRun.spendsLimits = len(h.daemons), h.options.Callers > len(h.groups)*plannedConnectionsPerTarget
+		violations = append(violations, h.history.checkPlannedStops(h.groups, h.plannedRun)...)
+	}
 	for _, g := range h.groups {
 		if h.options.Restores {
 			break
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -87,6 +87,7 @@
 	balancer         *balancer
 	ports            portAllocator
 	startedAt        time.Time
+	plannedRun       plannedRun
 
 	// mu guards harnessErrors and writes to options.FaultLog.
 	mu sync.Mutex
@@ -247,6 +248,7 @@
 	stopCallers, stopFaults, stopRegistration := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	var callers, injectors, registration sync.WaitGroup
 	registration.Go(func() { h.registerTargets(stopRegistration) })
+	registration.Go(func() { h.monitorStalls(stopRegistration) })
 	h.balancer = newBalancer(h.daemons)
 	registration.Go(func() { h.balancer.run(stopRegistration) })
 	for i := range h.options.Callers {
@@ -260,6 +262,7 @@
 		}
 	}
 	h.awaitSuccesses()
+	h.plannedRun.servedFrom = time.Now()
 	h.logEvent("serving")
 	h.startInjectors(&injectors, stopFaults)
 	time.Sleep(h.options.FaultDuration / 2)
@@ -346,6 +349,7 @@
 
 // withdrawKey removes a customer, and with it the customer's key, from the configuration.
 func (h *harness) withdrawKey() {
+	h.plannedRun.keyWithdrawnFrom = time.Now()
 	h.recordError(h.putConfiguration(2, customers[:withdrawnCustomerIndex]))
 	h.history.mu.Lock()
 	h.history.keyWithdrawnAt[customers[withdrawnCustomerIndex].Name] = time.Now()
--- a/soak/unanswered.go
+++ b/soak/unanswered.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"maps"
-	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -47,6 +46,11 @@
 // faultInterval is the time of an unplanned fault. Its end is zero until it has ended.
 type faultInterval struct{ start, end time.Time }
 
+// overlaps reports whether the fault was active between two times.
+func (f *faultInterval) overlaps(start, end time.Time) bool {
+	return !f.start.After(end) && (f.end.IsZero() || !f.end.Before(start))
+}
+
 // lossRecord holds the part of a history that concerns unanswered statements. It is
 // guarded by the history's mutex.
 type lossRecord struct {
@@ -54,10 +58,16 @@
 	terminations []termination
 	// faults holds the unplanned faults.
 	faults []*faultInterval
-	// refusals counts the error responses by their code and detail.
-	refusals map[string]int
-	// transactionsCut counts the transactions whose connection ended between statements.
-	transactionsCut int
+	// stops are the times from the SIGTERM of a daemon in a series until the balancer may find it
+	// ready again.
+	stops []*faultInterval
+	// stalls are the times in which a thread of a process waited for a processor.
+	stalls []faultInterval
+	// refusals are the error responses.
+	refusals []refusal
+	// transactionCuts are the times at which the connection of a transaction was found to have
+	// ended between statements.
+	transactionCuts []time.Time
 }
 
 func (h *history) addUnanswered(u unansweredStatement) {
@@ -74,36 +84,31 @@
 
 // addFault records that an unplanned fault begins now, and returns the function that
 // records its end.
-func (h *history) addFault() (end func()) {
+func (h *history) addFault() (end func()) { return h.beginInterval(&h.faults, 0) }
+
+// addStop records that a daemon of a series is stopped now, and returns the function that
+// records its next start.
+func (h *history) addStop() (end func()) { return h.beginInterval(&h.stops, probeInterval) }
+
+// beginInterval adds an interval that begins now, and returns the function that has it end after a
+// delay.
+func (h *history) beginInterval(intervals *[]*faultInterval, delay time.Duration) (end func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	interval := &faultInterval{start: time.Now()}
-	h.faults = append(h.faults, interval)
+	*intervals = append(*intervals, interval)
 	return func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		interval.end = time.Now()
-	}
-}
-
-// portPattern matches the port of a loopback address in the detail of an error.
-var portPattern = regexp.MustCompile(`\b:\d{4,5}\b`)
-
-// addRefusal counts an error response.
-func (h *history) addRefusal(response platformtest.Response) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.refusals == nil {
-		h.refusals = make(map[string]int)
+		interval.end = time.Now().Add(delay)
 	}
-	h.refusals[response.Code+" "+portPattern.ReplaceAllString(response.Detail, ":PORT")]++
 }
 
-// addTransactionCut counts a transaction whose connection ended between statements.
+// addTransactionCut records a transaction whose connection ended between statements.
 func (h *history) addTransactionCut() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.transactionsCut++
+	h.transactionCuts = append(h.transactionCuts, time.Now())
 }
 
 // outcome says why an unanswered statement is a violation, or why it is none.
@@ -190,9 +195,7 @@
 
 // faultBetween reports whether an unplanned fault was active between two times.
 func (l *lossRecord) faultBetween(start, end time.Time) bool {
-	return slices.ContainsFunc(l.faults, func(f *faultInterval) bool {
-		return !f.start.After(end) && (f.end.IsZero() || !f.end.Before(start))
-	})
+	return slices.ContainsFunc(l.faults, func(f *faultInterval) bool { return f.overlaps(start, end) })
 }
 
 // summary returns a line with the numbers of unanswered statements by their outcome and of
@@ -206,8 +209,12 @@
 		o, _ := h.classify(u, executions[u.id])
 		outcomes[string(o)]++
 	}
-	return fmt.Sprintf("%d statements, %d unanswered (%s), %d transactions cut between statements; refusals: %s",
-		len(h.statements), len(h.unanswered), formatCounts(outcomes), h.transactionsCut, formatCounts(h.refusals))
+	refusals := make(map[string]int)
+	for _, r := range h.refusals {
+		refusals[r.reason()]++
+	}
+	return fmt.Sprintf("%d statements, %d unanswered (%s), %d transactions cut between statements, %d stalls of the machine; refusals: %s",
+		len(h.statements), len(h.unanswered), formatCounts(outcomes), len(h.transactionCuts), len(h.stalls), formatCounts(refusals))
 }
 
 // formatCounts returns the entries of a map in descending order of their counts.
