--- a/edge/share_islands_test.go
+++ b/edge/share_islands_test.go
@@ -248,3 +248,10 @@
 func TestLimitHoldsInIslands(t *testing.T) {
 	testDrawnPlans(t, append(seedsBelow(50), 78, 88, 93, 98, 104), eventPeersCut, eventPeersCut, eventStoreCut, eventCrash, eventRoll, eventLoad)
 }
+
+// Seven of eight instances lost the store, so that the other one held the whole limit. When they were
+// registered again, their buckets counted the time before with their present shares: 2,795 operations
+// were in a window, 2,655 allowed.
+func TestLimitHoldsWhenInstancesAreRegisteredAgain(t *testing.T) {
+	testDrawnPlans(t, append(seedsBelow(10), 50104), eventStoreCut, eventStoreCut, eventStoreCut, eventLoad)
+}
