Give an instance no share of a rate without a valid registration

An instance now has no share from the end of its registration on, so that its part of the window grows from its return, as after a move of a share. The simulated fleet without leases renews its registrations once, as they never end there.

--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -221,8 +221,10 @@
 	// awaitingReport are the peers that are to be sent a report at once: their demand has
 	// changed, or they have taken back a grant.
 	awaitingReport map[topology.InstanceID]bool
-	// sharesAt is when the shares were last computed.
-	sharesAt time.Duration
+	// sharesAt is when the shares were last computed, and sharesRegistered whether the registration
+	// was valid then.
+	sharesAt         time.Duration
+	sharesRegistered bool
 	// division is the current division of the customers' rates.
 	division  rateDivision
 	borrowing share.BorrowBackoff
--- a/edge/grants.go
+++ b/edge/grants.go
@@ -37,11 +37,12 @@
 	return held
 }
 
-// grantsEnded reports whether grants have ended since the shares were computed.
-func (d *Daemon) grantsEnded(now time.Duration) bool {
+// sharesOutdated reports whether grants have ended, or this instance has lost or regained a valid
+// registration, since the shares were computed.
+func (d *Daemon) sharesOutdated(now time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.grants.EndedBetween(d.sharesAt, now)
+	return d.grants.EndedBetween(d.sharesAt, now) || d.sharesRegistered != d.authority.RegistrationValid(now)
 }
 
 // base returns the fraction of a customer's rate that an instance holds without a grant.
--- a/edge/register.go
+++ b/edge/register.go
@@ -331,6 +331,9 @@
 	defer d.mu.Unlock()
 	if lease.era == d.era.number && !d.leaseInDoubt && !d.unregistered {
 		d.authority.ObserveRenewal(requestedAt, lease.ttl)
+		if !d.sharesRegistered {
+			notify(d.sharesWake)
+		}
 	}
 }
 
--- a/edge/share_fleet_test.go
+++ b/edge/share_fleet_test.go
@@ -196,6 +196,7 @@
 			f.write(i.id, &r)
 			d.ownRevisions[instanceKey(i.id)] = store.NewRevision(1, uint64(len(f.changes)))
 			i.registered = true
+			d.observeRenewal(f.now, leaseGrant{ttl: time.Hour, era: d.currentEra()})
 		}
 	})
 }
@@ -307,7 +308,7 @@
 	} else {
 		i.watch()
 	}
-	if f.now%grantCheckInterval < simStep && d.grantsEnded(f.now) {
+	if f.now%grantCheckInterval < simStep && d.sharesOutdated(f.now) {
 		notify(d.sharesWake)
 	}
 	if f.now >= i.sharesAt {
--- a/edge/shares.go
+++ b/edge/shares.go
@@ -33,7 +33,7 @@
 			return nil
 		case <-d.sharesWake:
 		case <-time.After(grantCheckInterval):
-			if !d.grantsEnded(d.clock()) {
+			if !d.sharesOutdated(d.clock()) {
 				continue
 			}
 		}
@@ -187,8 +187,8 @@
 	return owner.SpreadCustomers(customers)
 }
 
-// rateShares returns this instance's share of each customer's rate. An instance without
-// shares records the division, too, because it borrows every token: others may forward
+// rateShares returns this instance's share of each customer's rate. Without a valid registration it
+// has none, since the others may hold all of the limit. An instance without shares records the division, too, because it borrows every token: others may forward
 // operations to it before it knows that it is an owner.
 func (d *Daemon) rateShares(config *catalog.Catalog, owners owner.Assignment, sharers []topology.InstanceID, registered map[topology.InstanceID]registration) map[topology.CustomerID]engine.RateShare {
 	shares := make(map[topology.CustomerID]engine.RateShare, len(config.Customers))
@@ -199,8 +199,8 @@
 	d.dropOldExcesses()
 	d.setGrantPeers(sharers, registered)
 	now := d.clock()
-	d.sharesAt = now
-	if !slices.Contains(sharers, d.settings.Instance) {
+	d.sharesAt, d.sharesRegistered = now, d.authority.RegistrationValid(now)
+	if !d.sharesRegistered || !slices.Contains(sharers, d.settings.Instance) {
 		return shares
 	}
 	for id := range config.Customers {
