Name the databases that a promotion waits for

With synchronous replicas a service waits until enough databases respond, and nothing said which. Records of earlier versions get the names from the next listing.

TestWaitNamesTheDatabasesThatMayHoldAcknowledgedCommits fails without the note of the wait ('{Missing:0 Databases:[]}, want {Missing:1 Databases:[a c]}') and passes.

--- a/edge/failover_actions.go
+++ b/edge/failover_actions.go
@@ -18,8 +18,11 @@
 		now := d.clock()
 		view := d.failoverView(now, service)
 		d.leadership.mu.Lock()
+		before := coordinator.Waits()
 		action = coordinator.HandleResult(now, view, result)
+		after := coordinator.Waits()
 		d.leadership.mu.Unlock()
+		d.logWait(service, before, after)
 	}
 	d.wakeFailover()
 }
--- a/edge/late_leader_test.go
+++ b/edge/late_leader_test.go
@@ -34,14 +34,21 @@
 	}
 }
 
-// Guards against two actions of one service at a time: the leadership lapses while a promotion is
-// being requested, and is regained under its token.
-func TestRegainedLeadershipGoesOnWithItsFailovers(t *testing.T) {
+// newLeader returns a failover leader, of token 10, with the coordinator of the service s.
+func newLeader(t *testing.T, coordinator *failover.Coordinator) *Daemon {
+	t.Helper()
 	d := newTestDaemon(t)
 	d.setLeadershipLease(1, d.clock())
 	d.setLeadership(true, 10)
-	coordinator := &failover.Coordinator{}
 	d.leadership.coordinators["s"] = coordinator
+	return d
+}
+
+// Guards against two actions of one service at a time: the leadership lapses while a promotion is
+// being requested, and is regained under its token.
+func TestRegainedLeadershipGoesOnWithItsFailovers(t *testing.T) {
+	coordinator := &failover.Coordinator{}
+	d := newLeader(t, coordinator)
 	d.setLeadership(false, 10)
 	d.setLeadership(true, 10)
 	if d.leadership.coordinators["s"] != coordinator {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -65,6 +65,7 @@
 	gauge("store_era", "Highest era of the responses of the platform's store; it rises when the store is restored from an older copy.", func() float64 {
 		return float64(d.currentEra())
 	})
+	m.registry.MustRegister(waitCollector{leadership: &d.leadership})
 	gauge("configuration_version", "Version of the configuration in force.", func() float64 {
 		if config := d.engine.Catalog(); config != nil {
 			return float64(config.Version)
--- a/process/failover/acknowledgement.go
+++ b/process/failover/acknowledgement.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 
 	"samphirehitch.example/samphirehitch/process/directory"
 	"samphirehitch.example/samphirehitch/process/topology"
@@ -11,25 +13,11 @@
 // that were listed at the same time, since one that is silent is soon not listed any more. A
 // database that drains and its replacement have the same address and one log.
 func (v View) groupSize() int {
-	return max(v.Record.Databases, listedDatabases(v.Targets), v.SynchronousReplicas+1)
+	return max(v.Record.Databases, len(listedDatabases(v.Targets)), v.SynchronousReplicas+1)
 }
 
-// databasesToRecord returns the Databases of the service's next record.
-func (v View) databasesToRecord() int {
-	if v.SynchronousReplicas == 0 {
-		return v.Record.Databases
-	}
-	return max(v.Record.Databases, listedDatabases(v.Targets))
-}
-
-// listedDatabases returns the number of databases that are listed.
-func listedDatabases(targets map[topology.TargetID]directory.Target) int {
-	databases := make(map[string]bool)
-	for id, t := range targets {
-		databases[database(id, t)] = true
-	}
-	return len(databases)
-}
+// neededDatabases returns the number of databases whose logs a candidate's log has to reach.
+func (v View) neededDatabases() int { return v.groupSize() - v.SynchronousReplicas }
 
 // database identifies a database across its replacement at the same address.
 func database(id topology.TargetID, t directory.Target) string { return cmp.Or(t.Address, string(id)) }
@@ -52,16 +40,27 @@
 	if v.SynchronousReplicas == 0 {
 		return true
 	}
+	primary, responded := statuses[v.Record.Primary]
+	if responded && primary.Role == topology.RolePrimary && primary.Term == v.Record.Term &&
+		v.Record.shareOf(primary.Received).complete && candidate.reaches(v.Record, primary) {
+		return true
+	}
+	return len(reachedDatabases(v, candidate, statuses)) >= v.neededDatabases()
+}
+
+// reaches reports whether the log reaches the part of another one that belongs to the history.
+func (s TargetStatus) reaches(r Record, other TargetStatus) bool {
+	part := r.shareOf(other.Received)
+	return part.known && part.end <= s.Received.Position
+}
+
+// reachedDatabases returns the databases whose logs a candidate's log reaches, sorted.
+func reachedDatabases(v View, candidate TargetStatus, statuses map[topology.TargetID]TargetStatus) []string {
 	reached := make(map[string]bool)
 	for id, status := range statuses {
-		part := v.Record.shareOf(status.Received)
-		if !part.known || part.end > candidate.Received.Position {
-			continue
-		}
-		if id == v.Record.Primary && status.Role == topology.RolePrimary && status.Term == v.Record.Term && part.complete {
-			return true
+		if candidate.reaches(v.Record, status) {
+			reached[database(id, v.Targets[id])] = true
 		}
-		reached[database(id, v.Targets[id])] = true
 	}
-	return len(reached) >= v.groupSize()-v.SynchronousReplicas
+	return slices.Sorted(maps.Keys(reached))
 }
--- a/process/failover/acknowledgement_test.go
+++ b/process/failover/acknowledgement_test.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -48,11 +49,9 @@
 	return f
 }
 
-// Found by the independent review, case 2: the primary has crashed, and the replica that has
-// acknowledged its commits is dark, so that its entry expires too.
-func TestReplicaThatMayLackAcknowledgedCommitsWaitsForTheDarkOne(t *testing.T) {
-	f := newSynchronousFixture(t)
-	holder, dark := f.statuses["c"], f.view.Targets["c"]
+// losePrimaryAndHolder has the primary and the replica that has acknowledged its commits fall silent,
+// so that their entries expire.
+func (f *fixture) losePrimaryAndHolder() {
 	delete(f.statuses, "a")
 	delete(f.statuses, "c")
 	f.view.SuspectCount = 2
@@ -60,6 +59,14 @@
 	delete(f.view.Targets, "a")
 	delete(f.view.Targets, "c")
 	f.run(5 * time.Second)
+}
+
+// Found by the independent review, case 2: the primary has crashed, and the replica that has
+// acknowledged its commits is dark, so that its entry expires too.
+func TestReplicaThatMayLackAcknowledgedCommitsWaitsForTheDarkOne(t *testing.T) {
+	f := newSynchronousFixture(t)
+	holder, dark := f.statuses["c"], f.view.Targets["c"]
+	f.losePrimaryAndHolder()
 	if len(f.promotions) != 0 {
 		t.Fatalf("record %+v, promotions %v", f.view.Record, f.promotions)
 	}
@@ -163,3 +170,31 @@
 		t.Fatalf("record %+v", f.view.Record)
 	}
 }
+
+// The same of the names of the databases.
+func TestNamesOfDatabasesSurviveARestore(t *testing.T) {
+	f := newRestoredFixture(t)
+	f.view.Record.Names = []string{"a", "d"}
+	f.view.Known = []Record{{Primary: "a", Term: 1, Era: 2, Names: []string{"a", "e"}}}
+	f.view.SynchronousReplicas, f.view.PromotionsSettled = 1, true
+	f.run(100 * time.Millisecond)
+	f.wantVerified("a", 1)
+	if want := []string{"a", "b", "c", "d", "e"}; !slices.Equal(f.view.Record.Names, want) {
+		t.Fatalf("%v, want %v", f.view.Record.Names, want)
+	}
+}
+
+// Guards against a wait of which nobody is told what it is for.
+func TestWaitNamesTheDatabasesThatMayHoldAcknowledgedCommits(t *testing.T) {
+	f := newSynchronousFixture(t)
+	f.losePrimaryAndHolder()
+	if wait, want := f.coordinator.Waits(), (Wait{Missing: 1, Databases: []string{"a", "c"}}); !wait.Equal(want) {
+		t.Fatalf("%+v, want %+v", wait, want)
+	}
+	f.view.Targets["c"] = directory.Target{ID: "c", Role: topology.RoleReplica}
+	f.statuses["c"] = TargetStatus{Role: topology.RoleReplica, Term: 1, Received: pointAt(1, 50)}
+	f.run(200 * time.Millisecond)
+	if wait := f.coordinator.Waits(); f.view.Record.Primary != "c" || !wait.Equal(Wait{}) {
+		t.Fatalf("record %+v waits for %+v", f.view.Record, wait)
+	}
+}
--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -84,6 +84,9 @@
 	entryMissing      bool
 	// nextNoticeAt is when callers may be told again why the service waits.
 	nextNoticeAt time.Duration
+	// wait is the wait for databases that was last noted, and nextWaitAt when it may be noted again.
+	wait       Wait
+	nextWaitAt time.Duration
 	// successor is the target selected to become primary, and choice what that rests on.
 	successor topology.TargetID
 	choice    choice
@@ -229,7 +232,7 @@
 		if check := c.checkRoles(now, v); check.Kind != NoAction {
 			return check
 		}
-		return recordDatabases(v)
+		return publishDatabases(v)
 	}
 	return c.fencePrimary(now, v, reason)
 }
@@ -243,20 +246,11 @@
 	return publishFence(v, record, reason)
 }
 
-// recordDatabases returns the publication of the number of databases if it has risen.
-func recordDatabases(v View) Action {
-	record := v.Record
-	if record.Databases = v.databasesToRecord(); record.Databases == v.Record.Databases {
-		return Action{}
-	}
-	return Action{Kind: PublishRecord, Record: record, Revision: v.Revision, Reason: "databases were added"}
-}
-
 // publishFence returns the publication of a record that fences the primary.
 func publishFence(v View, record Record, reason string) Action {
 	record.Fenced, record.FenceSequence, record.Era = true, record.NextFenceSequence(v.Era), v.Era
-	record.Databases, record.Waiting = max(record.Databases, v.databasesToRecord()), ""
-	return Action{Kind: PublishRecord, Record: record, Revision: v.Revision, Reason: reason}
+	record.Waiting = ""
+	return Action{Kind: PublishRecord, Record: v.recordDatabases(record), Revision: v.Revision, Reason: reason}
 }
 
 // replacementReason returns why the primary is to be replaced, empty when it is
@@ -394,6 +388,7 @@
 		return Action{}
 	}
 	successor, status, found := c.chooseSuccessor(now, v, r.Statuses)
+	c.noteWait(now, v, found, r.Statuses)
 	if !found {
 		if resumption := c.resumePrimary(now, v, r.Statuses); resumption.Kind != NoAction {
 			return c.startFollowUp(resumption)
--- a/process/failover/record.go
+++ b/process/failover/record.go
@@ -80,6 +80,10 @@
 	// Databases is the greatest number of databases that were listed at the same time while
 	// replicas had to acknowledge commits.
 	Databases int `json:"databases,omitempty"`
+	// Names are the addresses of the databases that were listed then, sorted. They may be more than
+	// Databases, after one has replaced another at another address, and fewer in a record of an
+	// earlier version.
+	Names []string `json:"names,omitempty"`
 	// Fenced forbids the use of the primary until a record without a fence is
 	// published.
 	Fenced bool `json:"fenced,omitempty"`
--- a/process/failover/successor.go
+++ b/process/failover/successor.go
@@ -12,7 +12,7 @@
 // while. A primary that is listed and does not respond may have the highest one, so it is
 // waited for until it is no longer listed.
 func (c *Coordinator) firstRecord(v View, r Result) Action {
-	var first Action
+	var first Record
 	for _, asked := range r.Action.Targets {
 		target, listed := v.Targets[asked.ID]
 		if _, responded := r.Statuses[asked.ID]; !responded && listed && target.Role == topology.RolePrimary && !target.Draining {
@@ -20,12 +20,14 @@
 		}
 	}
 	for id, status := range r.Statuses {
-		if status.Role == topology.RolePrimary && status.Term > first.Record.Term {
-			first = Action{Kind: PublishRecord, Reason: "first record",
-				Record: Record{Primary: id, Term: status.Term, TermStart: status.Received, Terms: []TermBegin{beginOf(status.Term, status.Received)}, Databases: v.databasesToRecord(), Era: v.Era}}
+		if status.Role == topology.RolePrimary && status.Term > first.Term {
+			first = Record{Primary: id, Term: status.Term, TermStart: status.Received, Terms: []TermBegin{beginOf(status.Term, status.Received)}, Era: v.Era}
 		}
 	}
-	return first
+	if first.Primary == "" {
+		return Action{}
+	}
+	return Action{Kind: PublishRecord, Record: v.recordDatabases(first), Reason: "first record"}
 }
 
 // publishSuccessor returns the publication of the record that names the successor
@@ -36,8 +38,8 @@
 	successor.Order = c.orders.outstanding(now, v.Record, c.successor)
 	successor.Primary, successor.Fenced, successor.Waiting, successor.Era = c.successor, false, "", v.Era
 	successor.Terms = v.Record.extendHistory(status.Term, status.Received)
-	successor.Term, successor.TermStart, successor.Databases = status.Term, status.Received, v.databasesToRecord()
-	return Action{Kind: PublishRecord, Record: successor, Revision: v.Revision, Reason: "the successor is primary"}
+	successor.Term, successor.TermStart = status.Term, status.Received
+	return Action{Kind: PublishRecord, Record: v.recordDatabases(successor), Revision: v.Revision, Reason: "the successor is primary"}
 }
 
 // requestStatuses requests the status of all candidates, and of the old primary,
--- a/process/failover/verification.go
+++ b/process/failover/verification.go
@@ -15,14 +15,14 @@
 
 // LatestKnown returns the latest record of the service, stored or known to a user.
 func (v View) LatestKnown() Record {
-	latest, databases := v.Record, v.Record.Databases
+	latest, databases, names := v.Record, v.Record.Databases, v.Record.Names
 	for _, known := range v.Known {
-		databases = max(databases, known.Databases)
+		databases, names = max(databases, known.Databases), mergeNames(names, known.Names)
 		if known.Later(latest) {
 			latest = known
 		}
 	}
-	latest.Databases = databases
+	latest.Databases, latest.Names = databases, names
 	return latest
 }
 
