Let an operator name lost databases without turning the protection off

With synchronous replicas the number of databases that count never fell, so that a service whose databases were removed, or lost for good, waited for ever after the next loss of its primary; the way out was syncReplicas 0, which promotes whatever responds. An operator now names the databases that are gone for good at samphirehitch/lost/SERVICE, in the term of the record. The leader accepts those that count and are not listed, each once for a written declaration.

No acknowledged commit is lost by it. While databases are lost, a candidate reaches the logs of n-k databases as before, or of all that are left if those are fewer, so that a commit is missing only if all its holders are lost. n falls once the primary and k replicas hold all of the log that the primary had when the others were lost already: earlier commits are then on k+1 of those that are left, and later ones are acknowledged by k+1 of them.

Not done, as it is unsafe: learning from a lapsed entry. A database that is cut off from the store, such as a replaced primary, follows and acknowledges all the while.

A declaration that cannot hold is refused and reported (2105).

--- a/edge/failover.go
+++ b/edge/failover.go
@@ -207,6 +207,7 @@
 		}
 		view.Record = record
 	}
+	d.addDeclaredLoss(service, &view)
 	if entry.Revision == 0 || view.Record.Era != view.Era {
 		d.addKnownRecords(service, &view)
 	}
--- a/edge/failover_actions.go
+++ b/edge/failover_actions.go
@@ -22,7 +22,7 @@
 		action = coordinator.HandleResult(now, view, result)
 		after := coordinator.Waits()
 		d.leadership.mu.Unlock()
-		d.logWait(service, before, after)
+		d.logWait(service, view.Record.Term, before, after)
 	}
 	d.wakeFailover()
 }
@@ -38,7 +38,7 @@
 	switch action.Kind {
 	case failover.PublishRecord:
 		eventFailoverStep.Log(d.log, "step", "publish", "service", service, "primary", action.Record.Primary, "fenced", action.Record.Fenced,
-			"sequence", action.Record.FenceSequence, "term", action.Record.Term, "ordered", action.Record.Ordered(), "why", action.Reason)
+			"sequence", action.Record.FenceSequence, "term", action.Record.Term, "ordered", action.Record.Ordered(), "databases", action.Record.Databases, "lost", action.Record.Lost, "why", action.Reason)
 		result.Failed = !d.publishRecord(ctx, service, action, token)
 	case failover.RequestStatuses:
 		result.Statuses = d.requestStatuses(ctx, service, action)
--- a/edge/failover_view_test.go
+++ b/edge/failover_view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"testing"
 	"time"
 
@@ -81,3 +82,26 @@
 		t.Fatalf("a record that is not verified is first seen at %s, want %s", view.RecordSeenAt, *now)
 	}
 }
+
+// An operator's declaration of lost databases reaches the failovers of its service. One that cannot hold is
+// counted once and does nothing.
+func TestDeclarationOfLostDatabasesReachesTheFailover(t *testing.T) {
+	d, now := newDaemonInEra(t, 1)
+	d.applyRecord("s", failover.Record{Primary: "a", Term: 7, Era: 1}, store.NewRevision(1, 3))
+	d.put(lostKey("s"), []byte(`{"term":7,"databases":["host:1"]}`), store.NewRevision(1, 4))
+	if view := d.failoverView(*now, "s"); view.Declared.Term != 7 || !slices.Equal(view.Declared.Databases, []string{"host:1"}) || view.DeclaredAt != store.NewRevision(1, 4) {
+		t.Fatalf("%+v", view)
+	}
+	if view := d.failoverView(*now, "other"); view.Declared.Term != 0 {
+		t.Fatalf("another service has it: %+v", view.Declared)
+	}
+	d.put(lostKey("s"), []byte(`{"term":7,"databases":["host"]}`), store.NewRevision(1, 5))
+	for range 2 {
+		if view := d.failoverView(*now, "s"); view.Declared.Term != 0 || view.Record.Term != 7 {
+			t.Fatalf("%+v", view)
+		}
+	}
+	if len(d.unreadable) != 1 {
+		t.Fatalf("unreadable entries: %v", d.unreadable)
+	}
+}
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -29,6 +29,8 @@
 	// Records of primaries that an instance had verified before a restore of the store, by
 	// instance.
 	prefixKnown = prefixProject + "known/"
+	// Operators' declarations of lost databases, by service. Instances only read them.
+	prefixLost = prefixProject + "lost/"
 	// keySettledEra holds the era of the store since whose begin authority.FenceWait has
 	// passed.
 	keySettledEra = prefixProject + "era"
@@ -42,6 +44,8 @@
 
 func usageKey(id topology.InstanceID) string { return prefixUsages + string(id) }
 
+func lostKey(id topology.ServiceID) string { return prefixLost + string(id) }
+
 func recordKey(id topology.ServiceID) string { return prefixRecords + string(id) }
 
 func fenceAckKey(service topology.ServiceID, id topology.InstanceID) string {
--- a/edge/waiting.go
+++ b/edge/waiting.go
@@ -14,13 +14,13 @@
 )
 
 // logWait logs that the databases for which a service waits have changed.
-func (d *Daemon) logWait(service topology.ServiceID, before, after failover.Wait) {
+func (d *Daemon) logWait(service topology.ServiceID, term topology.Term, before, after failover.Wait) {
 	switch {
 	case before.Equal(after):
 	case after.Missing == 0:
 		eventWaitEnded.Log(d.log, "service", service)
 	default:
-		eventDatabasesAwaited.Log(d.log, "service", service, "missing", after.Missing, "databases", after.Databases)
+		eventDatabasesAwaited.Log(d.log, "service", service, "term", term, "missing", after.Missing, "databases", after.Databases)
 	}
 }
 
--- a/process/failover/acknowledgement.go
+++ b/process/failover/acknowledgement.go
@@ -10,14 +10,18 @@
 )
 
 // groupSize returns the number of databases that may hold the log of the service: the most
-// that were listed at the same time, since one that is silent is soon not listed any more. A
-// database that drains and its replacement have the same address and one log.
+// that were listed at the same time, since one that is silent is soon not listed any more. Lost
+// databases that still count go with those that are listed. A database that drains and its
+// replacement have the same address and one log.
 func (v View) groupSize() int {
-	return max(v.Record.Databases, len(listedDatabases(v.Targets)), v.SynchronousReplicas+1)
+	return max(v.recordDatabases(v.Record).Databases, v.SynchronousReplicas+1)
 }
 
-// neededDatabases returns the number of databases whose logs a candidate's log has to reach.
-func (v View) neededDatabases() int { return v.groupSize() - v.SynchronousReplicas }
+// neededDatabases returns the number of databases whose logs a candidate's log has to reach: all that
+// are left if more databases are lost than a commit may lose.
+func (v View) neededDatabases() int {
+	return min(v.groupSize()-v.SynchronousReplicas, v.remainingDatabases())
+}
 
 // database identifies a database across its replacement at the same address.
 func database(id topology.TargetID, t directory.Target) string { return cmp.Or(t.Address, string(id)) }
--- a/process/failover/action.go
+++ b/process/failover/action.go
@@ -34,6 +34,9 @@
 	// SynchronousReplicas is the number of replicas that must receive a commit before it is
 	// acknowledged.
 	SynchronousReplicas int
+	// Declared is the operator's declaration of lost databases, and DeclaredAt its revision.
+	Declared   LossDeclaration
+	DeclaredAt store.Revision
 	// InstanceCount is the number of instances that have declared the service, as
 	// they may use its primary.
 	InstanceCount int
--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -87,6 +87,8 @@
 	// wait is the wait for databases that was last noted, and nextWaitAt when it may be noted again.
 	wait       Wait
 	nextWaitAt time.Duration
+	// remainder is what is known of the databases that are left while others are lost.
+	remainder remainder
 	// successor is the target selected to become primary, and choice what that rests on.
 	successor topology.TargetID
 	choice    choice
@@ -232,7 +234,10 @@
 		if check := c.checkRoles(now, v); check.Kind != NoAction {
 			return check
 		}
-		return publishDatabases(v)
+		if published := publishDatabases(v); published.Kind != NoAction {
+			return published
+		}
+		return c.checkRemainder(now, v)
 	}
 	return c.fencePrimary(now, v, reason)
 }
@@ -382,7 +387,10 @@
 		return c.checkChoice(now, v, r.Statuses)
 	}
 	if c.phase == phaseSteady {
-		return c.startFollowUp(c.compareRoles(now, v, r.Statuses))
+		if fence := c.compareRoles(now, v, r.Statuses); fence.Kind != NoAction {
+			return c.startFollowUp(fence)
+		}
+		return c.startFollowUp(c.releaseLost(v, r.Statuses))
 	}
 	if c.phase != phaseChoosing {
 		return Action{}
@@ -396,6 +404,9 @@
 		if c.orders.rejected(v.Record) {
 			return c.startFollowUp(withdrawOrder(v))
 		}
+		if loss := publishLoss(v); loss.Kind != NoAction {
+			return c.startFollowUp(loss)
+		}
 		return c.startFollowUp(c.publishWait(now, v, r.Statuses))
 	}
 	if c.isLatestPrimary(v, successor, r.Statuses) {
--- a/process/failover/databases.go
+++ b/process/failover/databases.go
@@ -13,27 +13,28 @@
 const maxNames = 64
 
 // recordDatabases returns a record with the number of databases and their names, which rise with
-// those that are listed.
+// those that are listed. One that is listed is not lost.
 func (v View) recordDatabases(r Record) Record {
 	if v.SynchronousReplicas == 0 {
 		return r
 	}
 	listed := listedDatabases(v.Targets)
-	r.Databases = max(r.Databases, len(listed))
 	if names := mergeNames(r.Names, listed); len(names) <= maxNames {
 		r.Names = names
 	}
+	r.Lost = withoutNames(r.Lost, listed)
+	r.Databases = max(r.Databases, len(listed)+len(r.Lost))
 	return r
 }
 
 // publishDatabases returns the publication of the number of databases and their names if they
 // have changed.
 func publishDatabases(v View) Action {
-	record := v.recordDatabases(v.Record)
+	record := v.acceptLoss(v.recordDatabases(v.Record))
 	if record.Equal(v.Record) {
 		return Action{}
 	}
-	return Action{Kind: PublishRecord, Record: record, Revision: v.Revision, Reason: "databases were added"}
+	return Action{Kind: PublishRecord, Record: record, Revision: v.Revision, Reason: "the listed or the lost databases have changed"}
 }
 
 // listedDatabases returns the databases that are listed, sorted.
@@ -50,6 +51,17 @@
 	return slices.Compact(slices.Sorted(slices.Values(slices.Concat(a, b))))
 }
 
+// withoutNames returns the names that the second list does not hold, nil if there are none.
+func withoutNames(names, without []string) []string {
+	var kept []string
+	for _, name := range names {
+		if !slices.Contains(without, name) {
+			kept = append(kept, name)
+		}
+	}
+	return kept
+}
+
 // Wait is a wait for databases without which a successor may lack acknowledged commits.
 type Wait struct {
 	// Missing is the number of databases that have to respond besides those that do, zero if
@@ -83,9 +95,8 @@
 		return Wait{}
 	}
 	reached := reachedDatabases(v, candidate, statuses)
-	reaches := func(name string) bool { return slices.Contains(reached, name) }
-	known := v.recordDatabases(v.Record).Names
-	return Wait{Missing: max(0, v.neededDatabases()-len(reached)), Databases: slices.DeleteFunc(slices.Clone(known), reaches)}
+	known := v.recordDatabases(v.Record)
+	return Wait{Missing: max(0, v.neededDatabases()-len(reached)), Databases: withoutNames(withoutNames(known.Names, known.Lost), reached)}
 }
 
 // Waits returns for which databases the failover under way waits.
--- a/process/failover/record.go
+++ b/process/failover/record.go
@@ -84,6 +84,11 @@
 	// Databases, after one has replaced another at another address, and fewer in a record of an
 	// earlier version.
 	Names []string `json:"names,omitempty"`
+	// Lost are those of them that an operator has declared lost, sorted. They count until the others
+	// hold everything; see releaseLost.
+	Lost []string `json:"lost,omitempty"`
+	// Accepted is the declaration that was accepted last.
+	Accepted AcceptedLoss `json:"accepted,omitzero"`
 	// Fenced forbids the use of the primary until a record without a fence is
 	// published.
 	Fenced bool `json:"fenced,omitempty"`
