--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -84,6 +84,11 @@
 	entryMissing      bool
 	// nextNoticeAt is when callers may be told again why the service waits.
 	nextNoticeAt time.Duration
+	// wait is the wait for databases that was last noted, and nextWaitAt when it may be noted again.
+	wait       Wait
+	nextWaitAt time.Duration
+	// remainder is what is known of the databases that are left while others are lost.
+	remainder remainder
 	// successor is the target selected to become primary, and choice what that rests on.
 	successor topology.TargetID
 	choice    choice
@@ -229,7 +234,10 @@
 		if check := c.checkRoles(now, v); check.Kind != NoAction {
 			return check
 		}
-		return recordDatabases(v)
+		if published := publishDatabases(v); published.Kind != NoAction {
+			return published
+		}
+		return c.checkRemainder(now, v)
 	}
 	return c.fencePrimary(now, v, reason)
 }
@@ -243,21 +251,12 @@
 	return publishFence(v, record, reason)
 }
 
-// recordDatabases returns the publication of the number of databases if it has risen.
-func recordDatabases(v View) Action {
-	record := v.Record
-	if record.Databases = v.databasesToRecord(); record.Databases == v.Record.Databases {
-		return Action{}
-	}
-	return Action{Kind: PublishRecord, Record: record, Revision: v.Revision, Reason: "databases were added"}
-}
-
 // publishFence returns the publication of a record that fences the primary. The sequence exceeds the
 // record's revision, and so the sequences of an earlier record that was deleted.
 func publishFence(v View, record Record, reason string) Action {
 	record.Fenced, record.FenceSequence, record.Era = true, max(record.NextFenceSequence(v.Era), uint64(v.Revision)+1), v.Era
-	record.Databases, record.Waiting = max(record.Databases, v.databasesToRecord()), ""
-	return Action{Kind: PublishRecord, Record: record, Revision: v.Revision, Reason: reason}
+		record.Waiting = ""
+	return Action{Kind: PublishRecord, Record: v.recordDatabases(record), Revision: v.Revision, Reason: reason}
 }
 
 // replacementReason returns why the primary is to be replaced, empty when it is
@@ -389,12 +388,16 @@
 		return c.checkChoice(now, v, r.Statuses)
 	}
 	if c.phase == phaseSteady {
-		return c.startFollowUp(c.compareRoles(now, v, r.Statuses))
+		if fence := c.compareRoles(now, v, r.Statuses); fence.Kind != NoAction {
+			return c.startFollowUp(fence)
+		}
+		return c.startFollowUp(c.releaseLost(v, r.Statuses))
 	}
 	if c.phase != phaseChoosing {
 		return Action{}
 	}
 	successor, status, found := c.chooseSuccessor(now, v, r.Statuses)
+	c.noteWait(now, v, found, r.Statuses)
 	if !found {
 		if resumption := c.resumePrimary(now, v, r.Statuses); resumption.Kind != NoAction {
 			return c.startFollowUp(resumption)
@@ -402,6 +405,9 @@
 		if c.orders.rejected(v.Record) {
 			return c.startFollowUp(withdrawOrder(v))
 		}
+		if loss := publishLoss(v); loss.Kind != NoAction {
+			return c.startFollowUp(loss)
+		}
 		return c.startFollowUp(c.publishWait(now, v, r.Statuses))
 	}
 	if c.isLatestPrimary(v, successor, r.Statuses) {
--- a/process/failover/verification.go
+++ b/process/failover/verification.go
@@ -16,9 +16,9 @@
 // LatestKnown returns the latest record of the service, stored or known to a user, with every order
 // under its fence that any of them names.
 func (v View) LatestKnown() Record {
-	latest, databases := v.Record, v.Record.Databases
+	latest, databases, names := v.Record, v.Record.Databases, v.Record.Names
 	for _, known := range v.Known {
-		databases = max(databases, known.Databases)
+		databases, names = max(databases, known.Databases), mergeNames(names, known.Names)
 		switch {
 		case known.Later(latest):
 			latest = known
@@ -26,7 +26,7 @@
 			latest.Order = mergeOrders(latest.Order, known.Order)
 		}
 	}
-	latest.Databases = databases
+	latest.Databases, latest.Names = databases, names
 	return latest
 }
 
