Failover model: series of leaders, clocks of their own, late requests

The model of a group let a promotion request be executed at once, had every leader begin without a gap, and gave all leaders one clock and a full memory of when the record was written. A change that carries the wait for an order from one leader to the next depends on each of these.

Now a request takes up to 500 ms, in which its leader may end; a leader may begin up to 1.5 s after the one before, so that a delayed write of the record takes effect without a leader; it may be a new process that has just seen the record; and its clock has an offset. TestFuzzLatePromotions draws series of two to six leaders that last 20 ms to 1.9 s.

No logic changes.

--- a/process/failover/group_model_test.go
+++ b/process/failover/group_model_test.go
@@ -55,7 +55,11 @@
 	// how long the next one takes.
 	orders        []modelOrder
 	promotionTime func() time.Duration
-	term          topology.Term
+	// requests are the promotion requests under way, and requestTime returns how long the next one is.
+	requests    []modelRequest
+	requestTime func() time.Duration
+	leader      modelLeader
+	term        topology.Term
 	// resultAt is when the action under way ends.
 	resultAt time.Duration
 	result   *Result
@@ -92,7 +96,7 @@
 func taking(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
 
 func newModelGroup(size, synchronous int) *modelGroup {
-	g := &modelGroup{fixture: &fixture{}, term: 1, promotionTime: taking(modelPromotion), acknowledged: make(map[topology.Point]bool), dropped: make(map[topology.Point]bool)}
+	g := &modelGroup{fixture: &fixture{}, term: 1, promotionTime: taking(modelPromotion), requestTime: taking(0), acknowledged: make(map[topology.Point]bool), dropped: make(map[topology.Point]bool)}
 	for i := range size {
 		g.databases = append(g.databases, &modelDatabase{id: topology.TargetID(fmt.Sprintf("d%d", i)), term: 1, primary: i == 0})
 	}
@@ -223,6 +227,7 @@
 // advance steps the model and the coordinator for a duration.
 func (g *modelGroup) advance(duration time.Duration) {
 	for end := g.now + duration; g.now < end && g.problem == ""; g.now += modelStep {
+		g.deliverRequests()
 		g.completePromotions()
 		if g.delayed != nil && g.now >= g.delayedUntil {
 			g.publish(*g.delayed)
@@ -238,12 +243,13 @@
 		}
 		action := Action{}
 		switch {
+		case g.now < g.leader.beginsAt:
 		case g.result == nil:
-			action = g.coordinator.Step(g.now, g.leaderView())
+			action = g.coordinator.Step(g.leaderClock(), g.leaderView())
 		case g.now >= g.resultAt:
 			result := *g.result
 			g.result = nil
-			action = g.coordinator.HandleResult(g.now, g.leaderView(), result)
+			action = g.coordinator.HandleResult(g.leaderClock(), g.leaderView(), result)
 		}
 		if action.Kind != NoAction {
 			g.start(action)
@@ -251,15 +257,6 @@
 	}
 }
 
-// leaderView returns the service as the leader knows it.
-func (g *modelGroup) leaderView() View {
-	view := g.view
-	if g.mirrored != nil && g.now < g.mirroredUntil {
-		view.Record, view.Revision, view.RecordSeenAt = g.mirrored.record, g.mirrored.revision, g.now
-	}
-	return view
-}
-
 // publish writes a record if the stored one is as the action expects. A conflict tells the leader
 // the stored one.
 func (g *modelGroup) publish(a Action) (conflict bool) {
@@ -310,14 +307,9 @@
 			r.Statuses[t.ID] = TargetStatus{Role: role, Term: d.term, Received: d.received()}
 		}
 	case PromoteTarget:
-		d := g.find(a.Target.ID)
-		if r.Failed, r.Rejected = d.down, d.down; !d.down && d != g.current {
-			g.orders = append(g.orders, modelOrder{successor: d, effectAt: g.now + g.promotionTime()})
-		}
-		if g.lostResponses[a.Kind] > 0 && !d.down {
-			g.lostResponses[a.Kind]--
-			r.Failed = true
-		}
+		request := modelRequest{successor: g.find(a.Target.ID), deliveredAt: g.now + g.requestTime(), result: &r}
+		g.requests, g.resultAt = append(g.requests, request), request.deliveredAt+2*modelStep
+		g.deliverRequests()
 	case DemoteReplaced:
 		if d := g.find(a.Target.ID); d.responds() && d != g.current && d.term < a.Term {
 			d.primary = false
--- a/process/failover/late_promotion_test.go
+++ b/process/failover/late_promotion_test.go
@@ -32,7 +32,7 @@
 
 // replaceLeader has another leader begin. Actions under way take effect without it, but for writes
 // of the record, whose condition is the leader's key.
-func (g *modelGroup) replaceLeader() { g.coordinator, g.result, g.delayed = Coordinator{}, nil, nil }
+func (g *modelGroup) replaceLeader() { g.replaceLeaderBy(modelLeader{beginsAt: g.now}) }
 
 // expectPrimary checks that nothing went wrong and that the record names the group's primary.
 func (g *modelGroup) expectPrimary(t *testing.T) {
@@ -176,6 +176,9 @@
 		g.promotionTime = func() time.Duration {
 			return time.Duration(rapid.IntRange(100, int(modelMaxPromotion.Milliseconds())).Draw(t, "promotion ms")) * time.Millisecond
 		}
+		g.requestTime = func() time.Duration {
+			return max(0, time.Duration(rapid.IntRange(-int(modelMaxRequest.Milliseconds()), int(modelMaxRequest.Milliseconds())).Draw(t, "request ms"))*time.Millisecond)
+		}
 		g.advance(time.Second)
 		for range rapid.IntRange(1, 25).Draw(t, "events") {
 			if g.problem == "" {
@@ -202,11 +205,15 @@
 	g.setSilent(g.current, rapid.Bool().Draw(t, "down"), true)
 	for range rapid.IntRange(1, 12).Draw(t, "steps") {
 		d := rapid.SampledFrom(g.databases).Draw(t, "database")
-		switch rapid.SampledFrom([]string{"leader", "lagging leader", "lost", "lost record", "delayed record", "dark", "down", "deaf", "back", "unlisted", "commit"}).Draw(t, "kind") {
+		switch rapid.SampledFrom([]string{"leader", "lagging leader", "other leader", "series", "lost", "lost record", "delayed record", "dark", "down", "deaf", "back", "unlisted", "commit"}).Draw(t, "kind") {
 		case "leader":
 			g.replaceLeader()
 		case "lagging leader":
 			g.replaceLeaderThatLags()
+		case "other leader":
+			g.replaceLeaderBy(g.drawLeader(t))
+		case "series":
+			g.drawSeries(t)
 		case "lost":
 			g.lostResponses[PromoteTarget] = rapid.IntRange(1, 2).Draw(t, "responses")
 		case "lost record":
