Failover: leaders in series wait for an order together

Callers saw: no write for as long as failover leaders end in series, if the target of the order in the record is gone.

Cause: until an order has settled, 2 s after the last request that may be under way, no other target is ordered. A leader that inherits an order counts from its own begin, and what it has waited for ended with it.

Fix: while it waits, a leader writes to the order for how long no request has been under way (QuietFor), at once and then each 0.25 s, up to 2 s. The next leader takes the earlier of its own begin and of QuietFor before its instance saw that record. Why that is safe: a request is sent only under a record that its leader has written without QuietFor (confirmed, reopenOrder), so none follows a record that has it; the record is seen after it was written, so that only durations count; each decision is a write on the condition of the record's revision and the leader's key, so an outdated record decides nothing; a restore drops QuietFor when the record is verified, and so does a leader of an earlier version, which does not decode it.

The test fixture of the coordinator now tells when a record was written (RecordSeenAt), which it left at zero.

--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -174,8 +174,8 @@
 			return Action{Kind: RequestStatuses, Targets: []directory.Target{target}, Reason: "checking the successor again"}
 		case v.Record.Order.names(target) && c.orders.confirmed(v.Record):
 		case v.Record.Order.names(target):
-			return Action{Kind: PublishRecord, Record: v.Record, Revision: v.Revision, Reason: "the successor is ordered again"}
-		case !c.orders.settled(now, v.Record): // of an earlier leader, not known when the successor was chosen
+			return reopenOrder(v)
+		case !c.orders.settled(now, v): // of an earlier leader, not known when the successor was chosen
 			c.enterPhase(now, phaseChoosing)
 			return c.requestStatuses(now, v)
 		default:
@@ -407,7 +407,7 @@
 		c.successor = successor
 		return c.startFollowUp(c.publishSuccessor(now, v, status))
 	}
-	if old, alive := r.Statuses[v.Record.Primary]; alive && c.orders.settled(now, v.Record) && now-c.phaseStart < catchUpTimeout &&
+	if old, alive := r.Statuses[v.Record.Primary]; alive && c.orders.settled(now, v) && now-c.phaseStart < catchUpTimeout &&
 		successor != v.Record.Primary && !status.Received.Reaches(old.Received) {
 		return Action{}
 	}
--- a/process/failover/coordinator_test.go
+++ b/process/failover/coordinator_test.go
@@ -65,7 +65,7 @@
 		if a.Record.Primary != f.view.Record.Primary {
 			f.view.SuspectCount = 0 // suspicions name the previous primary
 		}
-		f.view.Record = a.Record
+		f.view.Record, f.view.RecordSeenAt = a.Record, f.now
 		f.view.Revision++
 	case RequestStatuses:
 		r.Statuses = make(map[topology.TargetID]TargetStatus)
--- a/process/failover/order.go
+++ b/process/failover/order.go
@@ -28,6 +28,9 @@
 	// AfterAnother says that the promotion of another target was ordered before under the same
 	// fence, and may have taken effect.
 	AfterAnother bool `json:"after_another,omitempty"`
+	// QuietFor is for how long, at least, no request had been under way when the record was
+	// written. While it is set, none is sent before the record is written without it.
+	QuietFor time.Duration `json:"quiet_for,omitempty"`
 }
 
 // names reports whether the order is one for a target's present process. There may be no order.
@@ -35,6 +38,12 @@
 	return o != nil && o.Successor == t.ID && o.Incarnation == t.Incarnation
 }
 
+// same reports whether two orders are one, however long it has been quiet.
+func (o Order) same(other Order) bool {
+	o.QuietFor, other.QuietFor = 0, 0
+	return o == other
+}
+
 // orders is what a leader knows of the requests for the promotion that the record names.
 type orders struct {
 	// ledSince is when this leader's first step ran, while leads is set. Earlier leaders have
@@ -73,9 +82,10 @@
 }
 
 // confirmed reports whether this leader's last write has shown that the store's record names the
-// order. A request has no condition of its own, and the leader may know an outdated record.
+// order and allows requests. A request has no condition of its own, and the leader may know an
+// outdated record.
 func (o *orders) confirmed(r Record) bool {
-	return o.written != nil && r.Order != nil && *o.written == *r.Order
+	return o.written != nil && r.Order != nil && *o.written == *r.Order && r.Order.QuietFor == 0
 }
 
 // observe notes the outcome of a promotion request. One that was rejected has no effect.
@@ -91,23 +101,10 @@
 	o.endedAt = now
 }
 
-// settled reports whether no request for the promotion that the record names can take effect
-// any more.
-func (o *orders) settled(now time.Duration, r Record) bool {
-	if r.Order == nil {
-		return true
-	}
-	inherited := *r.Order != o.own
-	if inherited && now < o.ledSince+orderSettleTime {
-		return false
-	}
-	return o.accepted+o.unanswered == 0 || now >= o.endedAt+orderSettleTime
-}
-
 // rejected reports whether the platform has rejected every request for a promotion under the
 // present fence, all of which this leader has sent.
 func (o *orders) rejected(r Record) bool {
-	return r.Order != nil && *r.Order == o.own && !o.own.AfterAnother && o.accepted+o.unanswered == 0
+	return r.Order != nil && r.Order.same(o.own) && !o.own.AfterAnother && o.accepted+o.unanswered == 0
 }
 
 // mayHaveReplaced reports whether the promotion of another target than the record's primary may
@@ -119,7 +116,7 @@
 // settledInUse reports the same for the order in the record of a primary that is in use: it was
 // published after the end of all requests, whoever has sent them.
 func (o *orders) settledInUse(now time.Duration, v View) bool {
-	return o.settled(now, v.Record) || !v.Record.Fenced && now-v.RecordSeenAt >= orderSettleTime
+	return o.settled(now, v) || !v.Record.Fenced && now-v.RecordSeenAt >= orderSettleTime
 }
 
 // changedNothing reports whether the platform has accepted a request and the promotion has not
@@ -130,8 +127,9 @@
 
 // outstanding returns the order that the record has to keep once a successor leads: nil if no
 // request can take effect any more, or the only one has.
-func (o *orders) outstanding(now time.Duration, r Record, successor topology.TargetID) *Order {
-	if o.settled(now, r) || *r.Order == o.own && successor == o.own.Successor && o.accepted == 1 && o.unanswered == 0 {
+func (o *orders) outstanding(now time.Duration, v View, successor topology.TargetID) *Order {
+	r := v.Record
+	if o.settled(now, v) || r.Order.same(o.own) && successor == o.own.Successor && o.accepted == 1 && o.unanswered == 0 {
 		return nil
 	}
 	return r.Order
@@ -146,6 +144,14 @@
 	return Action{Kind: PublishRecord, Record: ordered, Revision: v.Revision, Reason: "the successor is chosen"}
 }
 
+// reopenOrder returns the publication of the order under which its target is to be requested again.
+func reopenOrder(v View) Action {
+	reopened, order := v.Record, *v.Record.Order
+	order.QuietFor = 0
+	reopened.Order = &order
+	return Action{Kind: PublishRecord, Record: reopened, Revision: v.Revision, Reason: "the successor is ordered again"}
+}
+
 // withdrawOrder returns the publication of a record without its order, so that later leaders
 // need not take it into account.
 func withdrawOrder(v View) Action {
@@ -157,7 +163,7 @@
 // chooseSuccessor returns the target to promote, or the one that is primary already. While an
 // earlier order may still take effect, that can only be the target of the order.
 func (c *Coordinator) chooseSuccessor(now time.Duration, v View, statuses map[topology.TargetID]TargetStatus) (topology.TargetID, TargetStatus, bool) {
-	settled := c.orders.settled(now, v.Record)
+	settled := c.orders.settled(now, v)
 	if id, status := c.promotedPrimary(now, v, statuses); id != "" && c.isLatestPrimary(v, id, statuses) {
 		return id, status, settled || id == v.Record.Order.Successor
 	}
--- a/process/failover/successor.go
+++ b/process/failover/successor.go
@@ -33,7 +33,7 @@
 func (c *Coordinator) publishSuccessor(now time.Duration, v View, status TargetStatus) Action {
 	c.replaced = v.Record.Primary
 	successor := v.Record
-	successor.Order = c.orders.outstanding(now, v.Record, c.successor)
+	successor.Order = c.orders.outstanding(now, v, c.successor)
 	successor.Primary, successor.Fenced, successor.Waiting, successor.Era = c.successor, false, "", v.Era
 	successor.Terms = v.Record.extendHistory(status.Term, status.Received)
 	successor.Term, successor.TermStart, successor.Databases = status.Term, status.Received, v.databasesToRecord()
@@ -124,23 +124,35 @@
 }
 
 // publishWait returns the publication of the reason for which the service waits, so that
-// callers are refused at once and told so. While it is unknown, the last one stays, except that an
-// order which has settled is none any more.
+// callers are refused at once and told so, and of how long the order has been quiet, so that the
+// next leader waits for the rest only.
 func (c *Coordinator) publishWait(now time.Duration, v View, statuses map[topology.TargetID]TargetStatus) Action {
 	waiting := v.Record
-	waiting.Waiting = waitReason(v, statuses)
-	if !c.orders.settled(now, v.Record) {
-		waiting.Waiting = waitingForOrder
+	extended, due := c.orders.extendQuiet(now, v)
+	waiting.Order = extended
+	if reason := c.waitNotice(now, v, statuses); reason != "" {
+		waiting.Waiting, c.nextNoticeAt = reason, now+waitNoticeInterval
+		return Action{Kind: PublishRecord, Record: waiting, Revision: v.Revision, Reason: reason}
 	}
-	if waiting.Waiting == "" && v.Record.Waiting == waitingForOrder {
-		waiting.Waiting = waitingForResponse
-	}
-	if waiting.Waiting == "" || waiting.Waiting == v.Record.Waiting {
+	if !due {
 		return Action{}
 	}
-	if now < max(c.phaseStart+waitNotice, c.nextNoticeAt) {
-		return Action{}
+	return Action{Kind: PublishRecord, Record: waiting, Revision: v.Revision, Reason: "the order has been quiet for longer"}
+}
+
+// waitNotice returns the reason of the wait that callers are to be told now, empty if none is.
+// While the reason is unknown, the last one stays, except that an order which has settled is
+// none any more.
+func (c *Coordinator) waitNotice(now time.Duration, v View, statuses map[topology.TargetID]TargetStatus) string {
+	reason := waitReason(v, statuses)
+	if !c.orders.settled(now, v) {
+		reason = waitingForOrder
 	}
-	c.nextNoticeAt = now + waitNoticeInterval
-	return Action{Kind: PublishRecord, Record: waiting, Revision: v.Revision, Reason: waiting.Waiting}
+	if reason == "" && v.Record.Waiting == waitingForOrder {
+		reason = waitingForResponse
+	}
+	if reason == v.Record.Waiting || now < max(c.phaseStart+waitNotice, c.nextNoticeAt) {
+		return ""
+	}
+	return reason
 }
--- a/process/failover/verification.go
+++ b/process/failover/verification.go
@@ -31,7 +31,7 @@
 // throughout, the users know the latest record. Otherwise the targets are asked, once no
 // earlier promotion can take effect any more.
 func (c *Coordinator) verify(v View) Action {
-	latest := v.LatestKnown()
+	latest := v.LatestKnown().withoutQuiet()
 	switch {
 	case !v.LedThroughout && !v.PromotionsSettled:
 		return Action{}
@@ -51,7 +51,7 @@
 // verifiedRecord returns the publication of the record that the targets' statuses prove, or
 // of a fence if they prove none after several attempts: the primary is then replaced.
 func (c *Coordinator) verifiedRecord(v View, statuses map[topology.TargetID]TargetStatus) Action {
-	latest := v.LatestKnown()
+	latest := v.LatestKnown().withoutQuiet()
 	primary, responded := statuses[latest.Primary]
 	if responded && primary.Role == topology.RolePrimary && primary.Term == latest.Term && !laterTermPossible(v, statuses, latest) {
 		c.verifications = 0
