--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -179,8 +179,8 @@
 			return Action{Kind: RequestStatuses, Targets: []directory.Target{target}, Reason: "checking the successor again"}
 		case v.Record.Order.names(target) && c.orders.confirmed(v.Record):
 		case v.Record.Order.names(target):
-			return Action{Kind: PublishRecord, Record: v.Record, Revision: v.Revision, Reason: "the successor is ordered again"}
-		case !c.orders.settled(now, v.Record): // of an earlier leader, not known when the successor was chosen
+			return reopenOrder(v)
+		case !c.orders.settled(now, v): // of an earlier leader, not known when the successor was chosen
 			c.enterPhase(now, phaseChoosing)
 			return c.requestStatuses(now, v)
 		default:
@@ -255,7 +255,7 @@
 // record's revision, and so the sequences of an earlier record that was deleted.
 func publishFence(v View, record Record, reason string) Action {
 	record.Fenced, record.FenceSequence, record.Era = true, max(record.NextFenceSequence(v.Era), uint64(v.Revision)+1), v.Era
-		record.Waiting = ""
+	record.Waiting = ""
 	return Action{Kind: PublishRecord, Record: v.recordDatabases(record), Revision: v.Revision, Reason: reason}
 }
 
@@ -414,7 +414,7 @@
 		c.successor = successor
 		return c.startFollowUp(c.publishSuccessor(now, v, status))
 	}
-	if old, alive := r.Statuses[v.Record.Primary]; alive && c.orders.settled(now, v.Record) && now-c.phaseStart < catchUpTimeout &&
+	if old, alive := r.Statuses[v.Record.Primary]; alive && c.orders.settled(now, v) && now-c.phaseStart < catchUpTimeout &&
 		successor != v.Record.Primary && !status.Received.Reaches(old.Received) {
 		return Action{}
 	}
--- a/process/failover/verification.go
+++ b/process/failover/verification.go
@@ -37,8 +37,12 @@
 	switch {
 	case a == nil:
 		return b
-	case b == nil || *a == *b:
+	case b == nil:
 		return a
+	case a.same(*b) && a.QuietFor <= b.QuietFor:
+		return a
+	case a.same(*b):
+		return b
 	default:
 		return &Order{AfterAnother: true}
 	}
@@ -49,7 +53,7 @@
 // throughout, the users know the latest record. Otherwise the targets are asked, once no
 // earlier promotion can take effect any more.
 func (c *Coordinator) verify(v View) Action {
-	latest := v.LatestKnown()
+	latest := v.LatestKnown().withoutQuiet()
 	switch {
 	case !v.LedThroughout && !v.PromotionsSettled:
 		return Action{}
@@ -70,7 +74,7 @@
 // of a fence if they prove none after several attempts: the primary is then replaced. A target that
 // may lead a later term counts as ordered: it may be silent or gone once a successor is chosen.
 func (c *Coordinator) verifiedRecord(v View, statuses map[topology.TargetID]TargetStatus) Action {
-	latest := v.LatestKnown()
+	latest := v.LatestKnown().withoutQuiet()
 	primary, responded := statuses[latest.Primary]
 	later := laterTermPossible(v, statuses, latest)
 	if responded && primary.Role == topology.RolePrimary && primary.Term == latest.Term && later == nil {
