Drawn restores of the store beside replicas that start again without their logs

TestFuzzLatePromotionsAcrossRestores draws such starts too, also between the order of a promotion and its effect.

--- a/process/failover/group_model_test.go
+++ b/process/failover/group_model_test.go
@@ -32,8 +32,10 @@
 	primary bool
 	// down: it does not run. dark: it runs and reaches nobody. deaf: it receives nothing.
 	down, dark, deaf bool
-	silentSince      time.Duration
-	demoteAt         time.Duration
+	// incarnation is that of its process.
+	incarnation int64
+	silentSince time.Duration
+	demoteAt    time.Duration
 }
 
 func (d *modelDatabase) received() topology.Point {
@@ -118,7 +120,7 @@
 		if d.primary {
 			role = topology.RolePrimary
 		}
-		listed[d.id] = directory.Target{ID: d.id, Address: "host-" + string(d.id), Role: role}
+		listed[d.id] = directory.Target{ID: d.id, Address: "host-" + string(d.id), Role: role, Incarnation: d.incarnation}
 	}
 	return listed
 }
--- a/process/failover/late_promotion_test.go
+++ b/process/failover/late_promotion_test.go
@@ -236,6 +236,8 @@
 			}
 		case "commit":
 			g.commit()
+		case "restart":
+			g.restart(d)
 		case "restore":
 			g.drawRestore(t)
 		}
--- a/process/failover/restored_order_test.go
+++ b/process/failover/restored_order_test.go
@@ -53,10 +53,11 @@
 	}
 }
 
-// The same as TestFuzzLatePromotions, with a store that is restored at any moment.
+// The same as TestFuzzLatePromotions, with a store that is restored and replicas that start again
+// without their logs at any moment.
 func TestFuzzLatePromotionsAcrossRestores(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		newModelGroup(rapid.IntRange(2, 4).Draw(t, "databases"), 0).drawFailovers(t, append(failoverEvents, "restore", "restore"))
+		newModelGroup(rapid.IntRange(2, 4).Draw(t, "databases"), 0).drawFailovers(t, append(failoverEvents, "restore", "restore", "restart"))
 	})
 }
 
@@ -72,3 +73,12 @@
 	}
 	g.restoreStore(rapid.SampledFrom(recent).Draw(t, "restored"), others...)
 }
+
+// restart has a replica start again under its ID without its log.
+func (g *modelGroup) restart(d *modelDatabase) {
+	if d != g.current && !d.primary {
+		d.incarnation++
+		d.log = nil
+		g.setSilent(d, false, false)
+	}
+}
