--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -39,6 +39,8 @@
 			return response
 		case outcome == outcomeNoResponse && s.MayWrite(st):
 			return statement.Response{Code: statement.InDoubt, Detail: "home gave no answer", State: statement.Idle}
+		case outcome == outcomeNotSent:
+			return r.refuse(refusedExiting, o, statement.Idle)
 		}
 		selector.recordFailure(to, outcome)
 	}
@@ -67,10 +69,12 @@
 	// outcomeNotOwner: the instance declined the request because, as far as it knows, it
 	// does not own the service.
 	outcomeNotOwner
+	// outcomeNotSent: the request was not sent, as the process exits.
+	outcomeNotSent
 )
 
 func (o forwardOutcome) String() string {
-	return [...]string{"", "replied", "declined", "unanswered", "unable", "no owner"}[o]
+	return [...]string{"", "replied", "declined", "unanswered", "unable", "no owner", "not sent"}[o]
 }
 
 // newRequest returns a request to run a statement of a session, with the session
@@ -90,9 +94,18 @@
 	return req
 }
 
+// mayBeInDoubt reports whether the effect of a request without a response is not known: only that
+// of a write outside of a transaction and of a COMMIT. Other transactions are rolled back.
+func mayBeInDoubt(s *client.Session, req *forwardRequest) bool {
+	return req.Statement.Kind == statement.Commit || !req.InTransaction && req.Begin == beginNone && s.MayWrite(req.Statement)
+}
+
 // forward sends a request to an instance and waits for its response. A result updates
 // the outcome and the session's floor, and confirms this instance's configuration.
 func (r *Relay) forward(to topology.InstanceID, s *client.Session, req *forwardRequest, timeout time.Duration, o *engine.Outcome) (statement.Response, forwardOutcome) {
+	if mayBeInDoubt(s, req) && !s.Gate.Pass() {
+		return statement.Response{}, outcomeNotSent
+	}
 	pending := &pendingRequest{to: to, sentAt: r.Clock(), statementID: req.Statement.ID, readOnly: !req.InTransaction && req.Begin == beginNone && !s.MayWrite(req.Statement), response: make(chan *forwardResponse, 1)}
 	r.mu.Lock()
 	r.pending[req.ID] = pending
@@ -108,6 +121,9 @@
 	r.mu.Lock()
 	delete(r.pending, req.ID)
 	r.mu.Unlock()
+	if resp != nil && (resp.NoPrimary || resp.Declined) {
+		s.Gate.Reset()
+	}
 	switch {
 	case resp == nil:
 		return statement.Response{}, outcomeNoResponse
@@ -206,15 +222,23 @@
 		return nil, r.refuse(refusedNoOwner, o, statement.Idle)
 	case to == r.Self && !r.configurationCurrent():
 		return nil, r.refuse(refusedOutdatedConfiguration, o, statement.Idle)
-	case to == r.Self:
-		return r.Engine.Begin(s, readOnly, o)
+	}
+	t := &transaction{relay: r, session: s, number: r.lastTransaction.Add(1), route: route, readOnly: readOnly}
+	if to == r.Self {
+		local, response := r.Engine.Begin(s, readOnly, o)
+		if local == nil {
+			return nil, response
+		}
+		t.local = local
+		return t, response
 	}
 	o.Reason, o.Service, o.Customer = "deferred to the first statement", route.Service, route.Customer
-	return &transaction{relay: r, session: s, number: r.lastTransaction.Add(1), route: route, readOnly: readOnly}, statement.Response{State: statement.Open}
+	return t, statement.Response{State: statement.Open}
 }
 
 // transaction is a transaction of a caller here. Its first statement decides whether
-// another instance runs it or this one.
+// another instance runs it or this one: since BEGIN this one may have ceased to own the service
+// and hold no connections any more.
 type transaction struct {
 	relay   *Relay
 	session *client.Session
@@ -225,8 +249,11 @@
 	// owner is the instance that runs the transaction, empty before its first
 	// statement and when this instance runs it.
 	owner topology.InstanceID
-	// local is the transaction when this instance runs it, otherwise nil.
+	// local is the transaction when this instance runs it, or has admitted it as an owner and its
+	// first statement has not come yet; otherwise nil.
 	local engine.Transaction
+	// runsHere is set once a first statement was left to this instance.
+	runsHere bool
 }
 
 // Run implements the engine's Transaction.
@@ -240,7 +267,7 @@
 
 func (t *transaction) run(st statement.Statement, o *engine.Outcome) statement.Response {
 	switch {
-	case t.local != nil:
+	case t.runsHere:
 		return t.local.Run(st, o)
 	case t.owner != "":
 		return t.forwardLater(st, o)
@@ -254,9 +281,13 @@
 	return t.local.Run(st, o)
 }
 
-// beginLocally opens the transaction at this instance's engine. It returns false when
-// the transaction is refused.
+// beginLocally opens the transaction at this instance's engine, unless BEGIN has. It returns
+// false when the transaction is refused.
 func (t *transaction) beginLocally(o *engine.Outcome) (statement.Response, bool) {
+	if t.local != nil {
+		t.runsHere = true
+		return statement.Response{}, true
+	}
 	if !t.relay.configurationCurrent() {
 		return t.relay.refuse(refusedOutdatedConfiguration, o, statement.Failed), false
 	}
@@ -265,7 +296,7 @@
 		response.State = statement.Failed
 		return response, false
 	}
-	t.local = local
+	t.local, t.runsHere = local, true
 	return response, true
 }
 
@@ -290,11 +321,13 @@
 		response, outcome := r.forward(to, t.session, selector.prepare(req), t.route.StatementTimeout, o)
 		switch outcome {
 		case outcomeCompleted:
-			t.owner = to
+			t.owner, t.local = to, nil
 			return response, true
 		case outcomeNoResponse:
 			t.sendAbort(to)
 			return resultWithoutResponse(st), true
+		case outcomeNotSent:
+			return r.refuse(refusedExiting, o, statement.Failed), true
 		}
 		selector.recordFailure(to, outcome)
 	}
@@ -320,6 +353,9 @@
 		return response
 	case outcomeDeclined:
 		return statement.Response{Code: statement.Aborted, Detail: "home has ended the transaction", State: statement.Failed}
+	case outcomeNotSent:
+		t.sendAbort(t.owner)
+		return statement.Response{Code: statement.Aborted, Detail: refusedExiting.Detail, State: statement.Failed}
 	default:
 		if st.Kind != statement.Commit {
 			t.sendAbort(t.owner)
@@ -332,7 +368,7 @@
 func (t *transaction) Commit(st statement.Statement, o *engine.Outcome) statement.Response {
 	var response statement.Response
 	switch {
-	case t.local != nil:
+	case t.runsHere:
 		response = t.local.Commit(st, o)
 	case t.owner != "":
 		response = t.forwardLater(st, o)
