--- a/process/failover/group_model_test.go
+++ b/process/failover/group_model_test.go
@@ -34,8 +34,10 @@
 	// down: it does not run. dark: it runs and reaches nobody. deaf: it receives nothing.
 	// cut: only the other databases reach it. lost: it is down for good, with its log.
 	down, dark, deaf, cut, lost bool
-	silentSince                 time.Duration
-	demoteAt                    time.Duration
+	// incarnation is that of its process.
+	incarnation int64
+	silentSince time.Duration
+	demoteAt    time.Duration
 }
 
 func (d *modelDatabase) received() topology.Point {
@@ -129,7 +131,7 @@
 		if d.primary {
 			role = topology.RolePrimary
 		}
-		listed[d.id] = directory.Target{ID: d.id, Address: d.address(), Role: role}
+		listed[d.id] = directory.Target{ID: d.id, Address: d.address(), Role: role, Incarnation: d.incarnation}
 	}
 	return listed
 }
