Keep the borrowed connections of a slot that is acquired

An instance that acquired the slot from which it had borrowed lost the loan: its limit fell by it until the handover arrived, or for 32 s if that was lost, and connections in use above the limit are closed, which cuts requests. It goes on with what it had borrowed until the share is usable, and takes over loans of others only beside that. The loans of the holder before never exceed the share, so the total holds.

Failed before: TestNextHolderKeepsWhatItBorrowed, limit 0 instead of 3, and a loan of 2 renewed beside it where 1 is left. Not shown on daemons.

--- a/process/ledger/connection_account.go
+++ b/process/ledger/connection_account.go
@@ -121,12 +121,15 @@
 	return max(a.localLimit(now)+a.borrowed(now), 0)
 }
 
-// localLimit is how many connections of the local shares are not lent.
+// localLimit is how many connections of the local shares are not lent, or had been
+// borrowed of shares that are not usable yet.
 func (a *connectionAccount) localLimit(now time.Duration) int {
 	count := 0
 	for _, s := range a.local {
 		if s.usable(now) {
 			count += max(s.unlent(), 0)
+		} else if s.keepsBorrowed(now) {
+			count += s.borrowed
 		}
 	}
 	return count
@@ -149,6 +152,8 @@
 	for _, s := range a.local {
 		if now >= s.usableFrom && now-connectionDrainAge < s.lease.expiresAt {
 			count += max(s.unlent(), 0)
+		} else if s.keepsBorrowed(now) {
+			count += s.borrowed
 		}
 	}
 	for _, s := range a.remote {
--- a/process/ledger/connection_handover_test.go
+++ b/process/ledger/connection_handover_test.go
@@ -126,3 +126,29 @@
 		t.Errorf("the last request is %+v after %+v, want one that keeps nothing", last, outstanding)
 	}
 }
+
+// An instance that acquired the slot that it had borrowed from closed the borrowed connections, even
+// those in use, if the handover was late or lost: requests were cut.
+func TestNextHolderKeepsWhatItBorrowed(t *testing.T) {
+	c := NewConnectionCoordinator(1)
+	c.SetSlots(0, &SlotAssignment{Holders: []topology.InstanceID{"former"}})
+	c.SetLimits(0, []ConnectionLimit{{Target: poolTarget, Total: 4}})
+	c.ReportUsage(0, poolTarget, PoolUsage{Demand: 3})
+	request := c.TakeOutbox()["former"].ConnectionRequests[0]
+	c.Receive(time.Millisecond, "former", &Message{ConnectionGrants: []ConnectionGrant{
+		{Target: poolTarget, ID: request.ID, Epoch: 1, Lent: 3},
+	}})
+	next := &SlotAssignment{Holders: []topology.InstanceID{"self"}, Leases: []SlotLease{{Epoch: 2, ExpiresAt: noExpiry}}}
+	c.SetSlots(time.Second, next)
+	if limit := c.Limit(time.Second, poolTarget); limit != 3 {
+		t.Errorf("limit %d, want the 3 connections that it borrowed", limit)
+	}
+	c.TakeOutbox()
+	c.Receive(2*time.Second, "other", &Message{ConnectionRequests: []ConnectionRequest{{Target: poolTarget, ID: 1, Epoch: 1, Kept: 2, Additional: 2}}})
+	if g := c.TakeOutbox()["other"].ConnectionGrants[0]; g.Lent != 1 {
+		t.Errorf("the share of 4 renews the loan of another borrower with %d connections, want 1", g.Lent)
+	}
+	if limit := c.Limit(time.Second+connectionTakeoverDelay, poolTarget); limit != 3 {
+		t.Errorf("limit %d after the loans have expired, want 4 less one lent", limit)
+	}
+}
--- a/process/ledger/connection_lender.go
+++ b/process/ledger/connection_lender.go
@@ -47,6 +47,9 @@
 	lease      *slotLease
 	size       int
 	usableFrom time.Duration
+	// borrowed is how many connections this instance had borrowed of the share when it acquired
+	// the slot. It goes on with them until the share is usable.
+	borrowed int
 	// handedOver is set once the holder before has handed over all loans, under whatever epoch
 	// they were granted.
 	handedOver bool
@@ -58,6 +61,11 @@
 	return now >= s.usableFrom && now < s.lease.expiresAt
 }
 
+// keepsBorrowed reports whether the holder may only use what it had borrowed.
+func (s *localShare) keepsBorrowed(now time.Duration) bool {
+	return now < s.usableFrom && now < s.lease.expiresAt
+}
+
 // lentOrReserved counts the connections that are lent or reserved for borrowers.
 func (s *localShare) lentOrReserved() int {
 	count := 0
@@ -107,9 +115,9 @@
 	switch {
 	case r.Epoch == s.lease.epoch || s.handedOver:
 		b.lent = min(b.lent, kept)
-	case now < s.usableFrom && now < s.lease.expiresAt:
+	case s.keepsBorrowed(now):
 		b.lent = 0
-		b.lent = min(kept, max(s.unlent(), 0))
+		b.lent = min(kept, max(s.unlent()-s.borrowed, 0))
 	default:
 		b.lent = 0
 	}
--- a/process/ledger/connections.go
+++ b/process/ledger/connections.go
@@ -171,7 +171,13 @@
 			return s
 		}
 	}
-	return &localShare{lease: lease, size: size, usableFrom: a.usableFrom(now, lease)}
+	s := &localShare{lease: lease, size: size, usableFrom: a.usableFrom(now, lease)}
+	for _, r := range a.remote {
+		if r.slot == lease.slot {
+			s.borrowed = min(r.held, size)
+		}
+	}
+	return s
 }
 
 // usableFrom returns the time from which a new share may be used: now when
