Failover: a fence names the latest of several later primaries

Of two targets that led later terms than the record, compareRoles named one in the order of a map as ordered. If that was the earlier one, and the later one was dark once the successor was chosen, the earlier one could be published while the later one led. A target that leads also goes before a record's primary that follows it, whose fence names nobody.

Both promotions have to be unknown to the record: ordered by somebody else, by a leader of a version without orders, or over 2 s late. Found by review.

TestFenceNamesTheLatestOfTwoLaterPrimaries failed before at the order that the fence names, which was not the one of c, the leader of the latest term; it holds now, 50 tries.

--- a/process/failover/roles.go
+++ b/process/failover/roles.go
@@ -40,20 +40,27 @@
 }
 
 // compareRoles returns the publication of a fence if a target leads a later term than the
-// record, or the record's primary follows one. The fence names such a target as ordered: it may be
-// silent once a successor is chosen.
+// record, or the record's primary follows one. The fence names such a target as ordered, the one of
+// the latest term if there are several: it may be silent once a successor is chosen.
 func (c *Coordinator) compareRoles(now time.Duration, v View, statuses map[topology.TargetID]TargetStatus) Action {
+	if v.Record.Fenced {
+		return Action{}
+	}
+	var leader topology.TargetID
+	led := v.Record.Term
 	for id, status := range statuses {
-		switch {
-		case v.Record.Fenced || status.Term <= v.Record.Term:
-		case id != v.Record.Primary && status.Role == topology.RolePrimary:
-			c.orders.own = Order{} // the promotion is not known to be this leader's
-			fence := c.fencePrimary(now, v, "another target leads a later term")
-			fence.Record.Order = mergeOrders(fence.Record.Order, &Order{Successor: id, Incarnation: v.Targets[id].Incarnation, Received: status.Received})
-			return fence
-		case id == v.Record.Primary && status.Role == topology.RoleReplica:
-			return c.fencePrimary(now, v, "the primary follows a later term")
+		if id != v.Record.Primary && status.Role == topology.RolePrimary && status.Term > led {
+			leader, led = id, status.Term
 		}
 	}
+	if leader != "" {
+		c.orders.own = Order{} // the promotion is not known to be this leader's
+		fence := c.fencePrimary(now, v, "another target leads a later term")
+		fence.Record.Order = mergeOrders(fence.Record.Order, &Order{Successor: leader, Incarnation: v.Targets[leader].Incarnation, Received: statuses[leader].Received})
+		return fence
+	}
+	if primary := statuses[v.Record.Primary]; primary.Role == topology.RoleReplica && primary.Term > v.Record.Term {
+		return c.fencePrimary(now, v, "the primary follows a later term")
+	}
 	return Action{}
 }
--- a/process/failover/several_primaries_test.go
+++ b/process/failover/several_primaries_test.go
@@ -58,3 +58,27 @@
 		}
 	}
 }
+
+// Guards against the publication of a primary that is replaced already: of two targets that lead later
+// terms than the record, the fence named one in the order of a map, and the later was dark by the choice.
+func TestFenceNamesTheLatestOfTwoLaterPrimaries(t *testing.T) {
+	for range 50 {
+		f := newFixture(t)
+		f.run(time.Second)
+		for id, term := range map[topology.TargetID]topology.Term{"b": 2, "c": 3} {
+			f.view.Targets[id] = directory.Target{ID: id, Role: topology.RolePrimary}
+			f.statuses[id] = TargetStatus{Role: topology.RolePrimary, Term: term, Received: pointAt(1, 50)}
+		}
+		f.run(time.Second)
+		if f.view.Record.Ordered() != "c" || !f.view.Record.Fenced {
+			t.Fatalf("record %+v", f.view.Record)
+		}
+		delete(f.statuses, "a")
+		delete(f.statuses, "c")
+		f.view.FenceAcknowledged = true
+		f.run(time.Second)
+		if f.view.Record.Primary == "b" && f.view.Record.Term == 2 {
+			t.Fatalf("record %+v although c leads term 3", f.view.Record)
+		}
+	}
+}
