Ignore records from before a restore once the record was deleted

After a restore of the store its users publish the records that they had verified before, and the keys stay as long as they are registered. If an operator deleted the record of a service later in the same era, which is the documented end of a wait for an ordered target that never responds, the leader took the record from before the restore for the latest: with its fence and order, so that the wait went on. Such a fence could also have the number of an earlier one of the era (the first one after a restore to a time before the record), whose acknowledgements are still in the store.

A leader that has seen a verified record of the era no longer adds records from before it once there is none. A leader that started after the deletion still does.

--- a/edge/failover_view_test.go
+++ b/edge/failover_view_test.go
@@ -105,3 +105,26 @@
 		t.Fatalf("unreadable entries: %v", d.unreadable)
 	}
 }
+
+// Guards against a record that an operator has deleted and that comes back as it was before the last
+// restore of the store: with the order for which the service waits, or with the number of a fence that
+// users have acknowledged since.
+func TestDeletedRecordIsNotTakenFromBeforeARestore(t *testing.T) {
+	leader, now := newDaemonInEra(t, 2)
+	waiting := failover.Record{Primary: "a", Term: 1, Fenced: true, Era: 1, Order: &failover.Order{Successor: "b"}}
+	published, err := json.Marshal(knownRecords{Era: 2, Records: map[topology.ServiceID]failover.Record{"s": waiting}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	leader.put(knownKey("user"), published, store.NewRevision(2, 1))
+	if view := leader.failoverView(*now, "s"); len(view.Known) != 1 {
+		t.Fatalf("a record that the restore has lost is not known: %+v", view)
+	}
+	verified := waiting
+	verified.Era = 2
+	leader.applyRecord("s", verified, store.NewRevision(2, 2))
+	leader.applyChanges([]store.Change{{Entry: store.Entry{Key: recordKey("s"), Revision: store.NewRevision(2, 3)}, Deleted: true}})
+	if view := leader.failoverView(*now, "s"); view.Revision != 0 || len(view.Known) != 0 {
+		t.Fatalf("revision %s, known %+v", view.Revision, view.Known)
+	}
+}
--- a/edge/known_records.go
+++ b/edge/known_records.go
@@ -39,8 +39,13 @@
 }
 
 // addKnownRecords adds to a service's view what its users and this leader had verified
-// before the store was restored. The caller holds d.mu.
+// before the store was restored. If the record was verified since and then deleted by hand, that
+// is outdated. The caller holds d.mu.
 func (d *Daemon) addKnownRecords(service topology.ServiceID, view *failover.View) {
+	own, knows := d.records[service]
+	if view.Revision == 0 && knows && own.revision.Era() == d.era.number {
+		return
+	}
 	d.mirror.ForEach(prefixKnown, func(entry store.Entry) {
 		var known knownRecords
 		if err := json.Unmarshal(entry.Value, &known); err != nil {
@@ -51,7 +56,6 @@
 			view.Known = append(view.Known, record)
 		}
 	})
-	own, knows := d.records[service]
 	if !knows || !d.leadership.ledThrough(d.era.number, service) {
 		return
 	}
