Use a published successor and a lost primary again as they are

Two faults of a primary that is fenced and used again, found by review:

A successor that was ordered after another target was published with that order as long as it might still take effect (a series of leaders, a request without a response). If it was fenced within 2 s and came back, the order still said that another target may have replaced it, so that it was not used again, for as long as no other database responded. The published successor leads the latest term, and the order says so now.

A primary that had been declared lost and was used again stayed lost in the record until the next step, and for good if the leader ended: a later failover without it could leave out what it had acknowledged since.

TestPublishedSuccessorOfASecondOrderIsUsedAgain failed before: fenced after 10 s, "Order b AfterAnother:true QuietFor:2s". TestLostPrimaryThatIsUsedAgain- IsNotLost failed before: "Lost:[a c] Fenced:false".

--- a/process/failover/order.go
+++ b/process/failover/order.go
@@ -126,13 +126,15 @@
 }
 
 // outstanding returns the order that the record has to keep once a successor leads: nil if no
-// request can take effect any more, or the only one has.
+// request can take effect any more, or the only one has. No target that was ordered before leads then.
 func (o *orders) outstanding(now time.Duration, v View, successor topology.TargetID) *Order {
 	r := v.Record
 	if o.settled(now, v) || r.Order.same(o.own) && successor == o.own.Successor && o.accepted == 1 && o.unanswered == 0 {
 		return nil
 	}
-	return r.Order
+	order := *r.Order
+	order.AfterAnother = order.AfterAnother && order.Successor != successor
+	return &order
 }
 
 // publishOrder returns the publication of the order to promote a target.
--- a/process/failover/resume.go
+++ b/process/failover/resume.go
@@ -28,5 +28,5 @@
 	}
 	record := v.Record
 	record.Fenced, record.Waiting, record.Order = false, "", c.orders.outstanding(now, v, v.Record.Primary)
-	return Action{Kind: PublishRecord, Record: record, Revision: v.Revision, Reason: "the primary is back and no other target can be promoted"}
+	return Action{Kind: PublishRecord, Record: v.recordDatabases(record), Revision: v.Revision, Reason: "the primary is back and no other target can be promoted"}
 }
--- a/process/failover/resume_test.go
+++ b/process/failover/resume_test.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -132,3 +133,49 @@
 		t.Fatalf("%s, record %+v", g.problem, g.view.Record)
 	}
 }
+
+// Guards against a wait without end: a successor was ordered after another target and is published while its
+// order may still take effect. It is then fenced and back, and the order from before its record said that
+// another target may have replaced it.
+func TestPublishedSuccessorOfASecondOrderIsUsedAgain(t *testing.T) {
+	f := newFixture(t)
+	f.view.Record.Fenced, f.view.FenceAcknowledged = true, true
+	f.view.Record.Order = &Order{Successor: "b", AfterAnother: true}
+	primary := TargetStatus{Role: topology.RolePrimary, Term: 2, Received: pointAt(1, 48)}
+	f.statuses = map[topology.TargetID]TargetStatus{"b": primary}
+	f.run(300 * time.Millisecond)
+	if r := f.view.Record; r.Primary != "b" || r.Fenced || r.Ordered() != "b" {
+		t.Fatalf("record %+v", r)
+	}
+	f.statuses, f.view.SuspectCount = map[topology.TargetID]TargetStatus{}, 2
+	f.run(300 * time.Millisecond)
+	if !f.view.Record.Fenced {
+		t.Fatalf("record %+v", f.view.Record)
+	}
+	f.statuses["b"], f.view.SuspectCount = primary, 0
+	f.run(10 * time.Second)
+	if r := f.view.Record; r.Primary != "b" || r.Fenced || len(f.promotions) != 0 {
+		t.Fatalf("record %+v, order %+v, promotions %v", r, r.Order, f.promotions)
+	}
+}
+
+// Guards against a database that counts as lost once more although it was back: the primary was declared
+// lost, and used again by the record that lifts its fence.
+func TestLostPrimaryThatIsUsedAgainIsNotLost(t *testing.T) {
+	f, status := newAbandonedFixture(t)
+	f.view.SynchronousReplicas, f.view.Record.Databases = 1, 3
+	primary := f.view.Targets["a"]
+	f.remove("a", "c")
+	f.declare(1, "a", "c")
+	f.run(time.Second)
+	if lost := f.view.Record.Lost; len(lost) != 2 {
+		t.Fatalf("record %+v", f.view.Record)
+	}
+	f.view.Targets["a"], f.statuses["a"], f.view.SuspectCount = primary, status, 0
+	for end := f.now + 5*time.Second; f.now < end && f.view.Record.Fenced; {
+		f.run(5 * time.Millisecond)
+	}
+	if r := f.view.Record; r.Fenced || !slices.Equal(r.Lost, []string{"c"}) {
+		t.Fatalf("record %+v", r)
+	}
+}
