Failover: databases that are listed while the primary is fenced count

Where replicas acknowledge commits, n is the most databases that were listed at the same time, and was raised in the record while the primary is in use and by the fence, but not while a successor is searched. A database that was added then counted as long as the silent ones were listed, and no longer: with their entries gone n was as before, and the new one counted as one of it. With n = 2 and k = 1 it was promoted alone, without a log if the term began with an empty one, and the commits of databases that were only dark were lost.

The search now publishes the number, the names and the lost databases as the steady phase does, instead of the lost ones alone. One that was declared lost and is listed again for a moment counts again then too, as documented.

TestDatabaseThatIsListedDuringAFailoverCounts failed before: d of term 2 is published, "Databases:2 Names:[a b d]", promotions [d].

--- a/process/failover/coordinator.go
+++ b/process/failover/coordinator.go
@@ -405,8 +405,8 @@
 		if c.orders.rejected(v.Record) {
 			return c.startFollowUp(withdrawOrder(v))
 		}
-		if loss := publishLoss(v); loss.Kind != NoAction {
-			return c.startFollowUp(loss)
+		if published := publishDatabases(v); published.Kind != NoAction {
+			return c.startFollowUp(published)
 		}
 		return c.startFollowUp(c.publishWait(now, v, r.Statuses))
 	}
--- a/process/failover/databases.go
+++ b/process/failover/databases.go
@@ -28,7 +28,8 @@
 }
 
 // publishDatabases returns the publication of the number of databases and their names if they
-// have changed.
+// have changed, and of those that are declared lost, so that later leaders know them too. Entries
+// also expire while a successor is searched.
 func publishDatabases(v View) Action {
 	record := v.acceptLoss(v.recordDatabases(v.Record))
 	if record.Equal(v.Record) {
--- a/process/failover/lost.go
+++ b/process/failover/lost.go
@@ -87,16 +87,6 @@
 	return r
 }
 
-// publishLoss returns the publication of the databases that are declared lost while a successor is
-// searched, so that later leaders know on what the choice rests.
-func publishLoss(v View) Action {
-	record := v.acceptLoss(v.Record)
-	if record.Equal(v.Record) {
-		return Action{}
-	}
-	return Action{Kind: PublishRecord, Record: record, Revision: v.Revision, Reason: "databases were declared lost"}
-}
-
 // remainingDatabases returns the number of databases that are not lost.
 func (v View) remainingDatabases() int {
 	r := v.recordDatabases(v.Record)
--- a/process/failover/lost_rules_test.go
+++ b/process/failover/lost_rules_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"samphirehitch.example/samphirehitch/process/directory"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
 
@@ -154,3 +155,22 @@
 		}
 	}
 }
+
+// Guards against the loss of commits that silent databases hold: a new database, without a log, is listed
+// with them while the primary is fenced, and is promoted once their entries have expired.
+func TestDatabaseThatIsListedDuringAFailoverCounts(t *testing.T) {
+	f := newFixture(t)
+	f.view.SynchronousReplicas, f.view.FenceAcknowledged = 1, true
+	f.remove("c")
+	f.run(time.Second)
+	f.statuses, f.view.SuspectCount = map[topology.TargetID]TargetStatus{}, 2
+	f.run(time.Second)
+	f.view.Targets["d"] = directory.Target{ID: "d", Role: topology.RoleReplica}
+	f.statuses["d"] = TargetStatus{Role: topology.RoleReplica, Term: 1}
+	f.run(time.Second)
+	f.remove("a", "b")
+	f.run(5 * time.Second)
+	if record := f.view.Record; !record.Fenced || record.Databases != 3 || len(f.promotions) != 0 {
+		t.Fatalf("record %+v, promotions %v", record, f.promotions)
+	}
+}
