Soak: loopback ports in a package of their own

The tests of the PostgreSQL daemon on separate processes need ports that outgoing connections do not take while a daemon is down.

--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -15,6 +15,7 @@
 
 	"samphirehitch.example/samphirehitch/platform"
 	"samphirehitch.example/samphirehitch/platform/platformtest"
+	"samphirehitch.example/samphirehitch/soak/loopback"
 )
 
 // stopTimeout is how long a daemon may take to exit after SIGTERM before it is killed:
@@ -54,8 +55,8 @@
 
 // newDaemon allocates ports and writes the settings of a daemon without starting it. The
 // settings contain the address of storeProxy as the store's.
-func newDaemon(program, directory string, number int, storeProxy *FaultProxy, promotionAddress string, ports *portAllocator) (*daemon, error) {
-	base, err := ports.allocate(portsPerDaemon)
+func newDaemon(program, directory string, number int, storeProxy *FaultProxy, promotionAddress string, ports *loopback.Ports) (*daemon, error) {
+	base, err := ports.Allocate(portsPerDaemon)
 	if err != nil {
 		return nil, err
 	}
--- a/soak/port_allocator.go
+++ b/soak/loopback/ports.go
@@ -1,4 +1,5 @@
-package soak
+// Package loopback allocates loopback ports to the instances of test deployments.
+package loopback
 
 import (
 	"net"
@@ -17,25 +18,25 @@
 	blockSize = 64
 )
 
-// portAllocator allocates free loopback ports to the daemons of one run. Concurrent runs,
+// Ports allocates free loopback ports to the daemons of one run. Concurrent runs,
 // also in other processes, reserve different blocks and so never get the same port. The
 // zero value is ready for use. It is not safe for concurrent use.
-type portAllocator struct {
+type Ports struct {
 	// blockLocks are the listeners that reserve this run's blocks.
 	blockLocks []net.Listener
 	// next and end bound the ports of the current block that are not allocated yet.
 	next, end int
 }
 
-// close releases the reserved blocks.
-func (p *portAllocator) close() {
+// Close releases the reserved blocks.
+func (p *Ports) Close() {
 	for _, lock := range p.blockLocks {
 		_ = lock.Close() // it served only as a reservation
 	}
 }
 
-// allocate returns the first of count consecutive free ports.
-func (p *portAllocator) allocate(count int) (int, error) {
+// Allocate returns the first of count consecutive free ports.
+func (p *Ports) Allocate(count int) (int, error) {
 	for {
 		for ; p.next+count <= p.end; p.next += count {
 			if allFree(p.next, count) {
@@ -50,7 +51,7 @@
 }
 
 // reserveBlock reserves the next block that no other run has reserved.
-func (p *portAllocator) reserveBlock() error {
+func (p *Ports) reserveBlock() error {
 	for base := max(minPort, p.end); base < endPort; base += blockSize {
 		if lock, err := listenLoopback(base); err == nil {
 			p.blockLocks = append(p.blockLocks, lock)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"samphirehitch.example/samphirehitch/platform/platformtest"
+	"samphirehitch.example/samphirehitch/soak/loopback"
 )
 
 // Options are the parameters of a run.
@@ -85,7 +86,7 @@
 	targets          []target
 	daemons          []*daemon
 	balancer         *balancer
-	ports            portAllocator
+	ports            loopback.Ports
 	startedAt        time.Time
 	plannedRun       plannedRun
 
@@ -414,5 +415,5 @@
 	if h.store != nil {
 		h.store.Close()
 	}
-	h.ports.close()
+	h.ports.Close()
 }
