Run the fuzz tests of process/failover side by side

Under the race detector the package ran for over 14 minutes beside load, on one thread, with the limit of go test at 20. The models share nothing; draws, seeds and checks are as before.

--- a/process/failover/acknowledgement_test.go
+++ b/process/failover/acknowledgement_test.go
@@ -16,6 +16,7 @@
 // replicas acknowledge them, none holds what the service had left before, and once all
 // databases are back the service has a primary again.
 func TestFuzzPromotedLogs(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.IntRange(2, 5).Draw(t, "databases")
 		g := newModelGroup(size, rapid.IntRange(0, size-1).Draw(t, "synchronous"))
--- a/process/failover/late_promotion_test.go
+++ b/process/failover/late_promotion_test.go
@@ -170,6 +170,7 @@
 // No promotion takes effect while the record has another primary in use, whatever happens to
 // databases, leaders and responses; and the service is served again when all is calm.
 func TestFuzzLatePromotions(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		newModelGroup(rapid.IntRange(2, 4).Draw(t, "databases"), 0).drawFailovers(t, failoverEvents)
 	})
--- a/process/failover/lost_test.go
+++ b/process/failover/lost_test.go
@@ -125,6 +125,7 @@
 // calm the service has a primary, the lost databases do not count, and so the next loss of a
 // primary does not wait for them.
 func TestFuzzLostDatabases(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.IntRange(2, 4).Draw(t, "databases")
 		synchronous := rapid.IntRange(1, size-1).Draw(t, "synchronous")
--- a/process/failover/restored_losses_test.go
+++ b/process/failover/restored_losses_test.go
@@ -12,6 +12,7 @@
 // together: databases that are lost and declared so, promotions that take effect late, leaders in series,
 // and a store that is restored.
 func TestFuzzLostDatabasesAcrossRestores(t *testing.T) {
+	t.Parallel()
 	kinds := slices.Concat(failoverEvents, []string{"restore", "restore"})
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.IntRange(2, 4).Draw(t, "databases")
--- a/process/failover/restored_order_test.go
+++ b/process/failover/restored_order_test.go
@@ -57,6 +57,7 @@
 // The same as TestFuzzLatePromotions, with a store that is restored and replicas that start again
 // without their logs at any moment.
 func TestFuzzLatePromotionsAcrossRestores(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		newModelGroup(rapid.IntRange(2, 4).Draw(t, "databases"), 0).drawFailovers(t, append(failoverEvents, "restore", "restore", "restart"))
 	})
--- a/process/failover/series_fuzz_test.go
+++ b/process/failover/series_fuzz_test.go
@@ -10,6 +10,7 @@
 // Guards against two primaries in a series of leaders, some of which request the promotion of the ordered
 // target again while it responds for a moment. TestFuzzLatePromotions seldom draws that.
 func TestFuzzRequestsInASeriesOfLeaders(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(r *rapid.T) {
 		g := newLateGroup(t)
 		ordered := g.orders[0].successor
