Report what targets send outside of the line protocol

Cause: nothing was logged of a response with two COMPLETE, of bytes behind a READY or of a line that ends with LF alone, so that the hypotheses of the incident could not be told apart. Change: event 6506 and samphirehitch_target_departures_total name the departure and quote the begin of the bytes. No logic is changed: the responses are used as before.

--- a/cmd/samphirehitch-edge/main.go
+++ b/cmd/samphirehitch-edge/main.go
@@ -51,11 +51,12 @@
 	logger, flush := logging.New(output, logging.Options{Decisions: true})
 	defer flush()
 	storeClient := platform.NewStore(settings.StoreAddress)
+	dialer := &platform.TargetDialer{}
 	daemon := edge.New(edge.Options{
 		Settings: settings,
 		Store:    storeClient,
 		Promoter: platform.NewPromotionClient(settings.PromotionAddress, settings.Instance),
-		Dialer:   platform.TargetDialer{},
+		Dialer:   dialer,
 		Adapter: edge.Adapter{
 			ConfigurationKey: platform.ConfigurationKey,
 			TargetPrefix:     platform.TargetPrefix,
@@ -70,6 +71,8 @@
 		Dropped:    output.Dropped,
 		CountCalls: storeClient.CountCalls,
 		ObserveEra: storeClient.ObserveEra,
+
+		ObserveDepartures: dialer.ObserveDepartures,
 	})
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP) // before serving, or SIGHUP would end the process
--- a/edge/daemon.go
+++ b/edge/daemon.go
@@ -86,6 +86,9 @@
 	// ObserveEra, if not nil, is called with the function that observes the era of the
 	// store's responses, which rises when the store is restored from an older copy.
 	ObserveEra func(observe func(era store.Era))
+	// ObserveDepartures, if not nil, is called with the function that observes what targets
+	// send outside of their protocol.
+	ObserveDepartures func(observe target.DepartureFunc)
 }
 
 // Daemon is the entry daemon of one instance.
@@ -286,6 +289,9 @@
 	if o.ObserveEra != nil {
 		o.ObserveEra(d.observeEra)
 	}
+	if o.ObserveDepartures != nil {
+		o.ObserveDepartures(d.observeDeparture)
+	}
 	return d
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -24,6 +24,8 @@
 	ignoredEntries prometheus.Counter
 	// unreadableEntries counts each revision of an entry once.
 	unreadableEntries prometheus.Counter
+	// departures counts what targets sent outside of their protocol.
+	departures *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -45,7 +47,9 @@
 		Help: "Entries of the platform's store that were ignored because a later revision of their key is known."})
 	m.unreadableEntries = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "unreadable_entries_total",
 		Help: "Entries of the platform's store that were ignored because they cannot be decoded, each revision once."})
-	m.registry.MustRegister(m.ignoredEntries, m.unreadableEntries, m.statements, m.latency, m.connectionWait, m.storeFailures, m.storeCalls, collectors.NewGoCollector())
+	m.departures = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "target_departures_total",
+		Help: "Departures from the protocol in what targets sent."}, []string{"departure"})
+	m.registry.MustRegister(m.departures, m.ignoredEntries, m.unreadableEntries, m.statements, m.latency, m.connectionWait, m.storeFailures, m.storeCalls, collectors.NewGoCollector())
 	return m
 }
 
--- a/process/target/target.go
+++ b/process/target/target.go
@@ -67,6 +67,30 @@
 // String returns the name of the failure for logs.
 func (f Failure) String() string { return failureNames[f] }
 
+// Departure classifies how what a target sends departs from its protocol.
+type Departure uint8
+
+// Departures from the protocol.
+const (
+	// UnsolicitedBytes: bytes arrived while no statement was outstanding.
+	UnsolicitedBytes Departure = iota + 1
+	// RepeatedResponse: a response carried the signature of an earlier one.
+	RepeatedResponse
+	// OutOfOrder: a message is not allowed at its place in the response.
+	OutOfOrder
+	// BareLineFeed: a line ended with LF instead of CR LF.
+	BareLineFeed
+)
+
+var departureNames = [...]string{"", "unsolicited", "repeated", "out_of_order", "bare_line_feed"}
+
+// String returns the name of the departure for logs and metrics.
+func (d Departure) String() string { return departureNames[d] }
+
+// DepartureFunc observes a departure from the protocol. Detail quotes the begin of the bytes.
+// It is called by the goroutine that uses the connection.
+type DepartureFunc func(endpoint Endpoint, departure Departure, detail string)
+
 // Error describes the failure of an operation on a connection.
 type Error struct {
 	// Step is the operation that failed, for example "connect" or "commit".
