Reproduce MIXED, UNASKED and PINNED on processes with LF and double responses

What callers saw: rows and signatures of other statements or out of a row, and writes that a target ran up to their first LF.

New tests run daemons as processes against targets that keep raw bytes, in a deployment of one daemon, which runs all statements itself, and of four, which forward most: single, prepared and in transactions, with ten values (LF, lone and trailing CR, NUL, blanks, bytes that are not UTF-8, text that looks like messages). The soak's checker has two rules more, MIXED and PINNED, for the rows and the signature that a target produced and for the values and shapes of the session, and UNASKED counts what targets receive against the protocol.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -44,6 +44,7 @@
 	lingering bool
 
 	conn                 *platformtest.Caller
+	session              *sessionState
 	daemon               int
 	transactionBegunAt   time.Time
 	connectionNumber     int
@@ -96,7 +97,7 @@
 	if err != nil || !response.OK() {
 		return false
 	}
-	c.conn, c.daemon, c.connectionOperations = conn, daemon, 0
+	c.conn, c.daemon, c.connectionOperations, c.session = conn, daemon, 0, newSessionState()
 	c.connectionNumber++
 	return true
 }
@@ -132,6 +133,7 @@
 	c.statementCount++
 	id := fmt.Sprintf("c%d.%d", c.number, c.statementCount)
 	c.history.addStatement(id, c.customer.Name, text)
+	c.history.addSession(id, c.session)
 	sentAt := time.Now()
 	response, err := c.conn.Do(id, text, responseTimeout)
 	switch {
@@ -139,6 +141,9 @@
 		c.history.addUnanswered(unansweredStatement{id: id, text: text, daemon: c.daemon, sentAt: sentAt, endedAt: time.Now(), transactionBegunAt: c.transactionBegunAt})
 	case !response.OK():
 		c.history.addRefusal(refusal{response: response, customer: c.customer.Name, daemon: c.daemon, sentAt: sentAt, at: time.Now(), inTransaction: !c.transactionBegunAt.IsZero()})
+	default:
+		c.history.addSuccess(id, response)
+		c.session = c.session.after(text)
 	}
 	return response, err == nil
 }
--- a/soak/history.go
+++ b/soak/history.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -61,6 +62,10 @@
 type sentStatement struct {
 	customer, text string
 	at             time.Time
+	// session is what the caller's session holds, nil if it is not checked.
+	session *sessionState
+	// response is set if the statement succeeded.
+	response *platformtest.Response
 }
 
 // history records what callers sent and received during a run, for the check at its end.
@@ -90,7 +95,7 @@
 func (h *history) addStatement(id, customer, text string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.statements[id] = sentStatement{customer, text, time.Now()}
+	h.statements[id] = sentStatement{customer: customer, text: text, at: time.Now()}
 }
 
 func (h *history) addWrite(w writeAttempt) {
@@ -136,6 +141,8 @@
 //   - LOST and STALE in addition for what promotions keep and bring back, see checkPromotions.
 //   - UNASKED: targets execute only statements that callers sent, unchanged and for the
 //     caller's own customer.
+//   - MIXED: a caller gets the rows and the signature that a target produced for its statement.
+//   - PINNED: statements are executed with the values and prepared statements of their session.
 //   - CONFIG: no statement is executed that was sent more than maxRevocationDelay after
 //     its customer's key was withdrawn.
 func (h *history) check(groups []*platformtest.Group) []string {
@@ -155,12 +162,16 @@
 	}
 	c.checkWrites()
 	c.checkUnanswered(groups)
+	c.checkResponses(groups)
 	for _, read := range h.reads {
 		c.checkRead(read)
 	}
 	for _, g := range groups {
 		c.checkPromotions(g)
 		c.checkExecutions(g.ExecutedStatements())
+		for _, err := range g.ProtocolErrors() {
+			c.addViolation("UNASKED: %v", err)
+		}
 		if tokens := g.Tokens(); !slices.IsSorted(tokens) {
 			c.addViolation("ONE: fencing tokens of %s: %v", g.Service, tokens)
 		}
@@ -185,6 +196,12 @@
 	c.violations = append(c.violations, fmt.Sprintf(format, arguments...))
 }
 
+// escape returns a value without bytes that cannot be printed.
+func escape(value string) string {
+	quoted := strconv.Quote(value)
+	return quoted[1 : len(quoted)-1]
+}
+
 // checkWrites compares the outcome of each write attempt with the commits of its value.
 func (c *checker) checkWrites() {
 	for _, w := range c.writes {
@@ -192,13 +209,13 @@
 		supersededAt, superseded := c.supersededAt[w.data]
 		switch {
 		case commits > 1:
-			c.addViolation("TWICE: %s was committed %d times", w.data, commits)
+			c.addViolation("TWICE: %s was committed %d times", escape(w.data), commits)
 		case w.acknowledged && commits == 0:
-			c.addViolation("LOST: %s was acknowledged and never committed", w.data)
+			c.addViolation("LOST: %s was acknowledged and never committed", escape(w.data))
 		case w.acknowledged && superseded && !c.disturbedBefore(supersededAt):
-			c.addViolation("ONE: %s was committed at a replaced primary and acknowledged", w.data)
+			c.addViolation("ONE: %s was committed at a replaced primary and acknowledged", escape(w.data))
 		case commits > 0 && w.reportedNotApplied:
-			c.addViolation("REFUSED: %s was committed although its caller received an error that rules this out", w.data)
+			c.addViolation("REFUSED: %s was committed although its caller received an error that rules this out", escape(w.data))
 		}
 	}
 }
@@ -226,7 +243,7 @@
 		}
 		ownWrite := read.level == levelSession && w.connection == read.connection
 		if read.level == levelPrimary || ownWrite || read.startedAt.Sub(w.at) > maxStaleness {
-			c.addViolation("STALE: %s read of %s returned %s after %s was acknowledged", read.level, read.item, read.data, w.data)
+			c.addViolation("STALE: %s read of %s returned %s after %s was acknowledged", read.level, read.item, escape(read.data), escape(w.data))
 			return
 		}
 	}
@@ -245,6 +262,7 @@
 		case !platformtest.SameStatement(statement.text, execution.Text):
 			c.addViolation("UNASKED: %s was sent as %q and executed as %q", execution.ID, statement.text, execution.Text)
 		}
+		c.checkSession(statement, execution)
 		if at, withdrawn := c.keyWithdrawnAt[statement.customer]; withdrawn && statement.at.Sub(at) > maxRevocationDelay {
 			c.addViolation("CONFIG: %s of customer %s was sent %s after its key was withdrawn and executed", execution.ID, statement.customer, statement.at.Sub(at))
 		}
