--- a/soak/caller.go
+++ b/soak/caller.go
@@ -26,8 +26,10 @@
 // reads and writes of that item, over one connection at a time to a random instance. A
 // caller is used by one goroutine.
 type caller struct {
-	history   *history
-	random    *rand.Rand
+	history *history
+	random  *rand.Rand
+	// bytes is the random source of values, nil if they are letters and digits.
+	bytes     *rand.Rand
 	number    int
 	customer  platformtest.Customer
 	database  platformtest.Route
@@ -70,7 +72,7 @@
 			time.Sleep(reconnectBackoff)
 			continue
 		}
-		if c.conn.Ended() || !c.runOperation() {
+		if c.conn.Ended() || !c.setValue() || !c.runOperation() {
 			c.conn.Close()
 			c.conn = nil
 		}
@@ -174,7 +176,7 @@
 // identify each write by its value.
 func (c *caller) nextValue() string {
 	c.writeCount++
-	return fmt.Sprintf("d%d.%d", c.number, c.writeCount)
+	return c.appendBytes(fmt.Sprintf("d%d.%d", c.number, c.writeCount))
 }
 
 // recordWrite records a write attempt with its outcome: acknowledged, reported as not
@@ -195,7 +197,7 @@
 }
 
 func (c *caller) prepareAndWrite() bool {
-	if response, ok := c.execute(platformtest.PrepareText); !ok || !response.OK() {
+	if response, ok := c.execute(c.appendBytes(platformtest.PrepareText)); !ok || !response.OK() {
 		return false
 	}
 	value := c.nextValue()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -51,6 +51,12 @@
 	// PromotionFaults has promotions take effect late, and adds series of failovers in which
 	// the leaders that order promotions are ended.
 	PromotionFaults bool
+	// AnyBytes has callers send values and prepared shapes with any bytes that the protocol
+	// allows, and set session values. Their other draws stay the same.
+	AnyBytes bool
+	// Stutter has targets send one response in stutterInterval twice, from the time when callers
+	// are served until faults are cleared.
+	Stutter bool
 	// FaultLog receives a line with the time of each fault.
 	FaultLog io.Writer
 }
@@ -265,6 +271,7 @@
 	h.awaitSuccesses()
 	h.plannedRun.servedFrom = time.Now()
 	h.logEvent("serving")
+	h.startStutter()
 	h.startInjectors(&injectors, stopFaults)
 	time.Sleep(h.options.FaultDuration / 2)
 	h.withdrawKey()
@@ -320,6 +327,9 @@
 		all = append(all, d.number)
 	}
 	c.patient, c.rotation = h.options.PlannedStopsOnly, func() []int { return all }
+	if h.options.AnyBytes {
+		c.bytes = rand.New(rand.NewPCG(h.options.Seed, uint64(valueSource+number)))
+	}
 	if c.patient {
 		c.rotation = h.balancer.rotation
 	}
@@ -369,6 +379,7 @@
 		t.member.SetIsolated(false)
 		t.member.SetStatusBusy(false)
 		t.member.SetSlow(0)
+		t.member.SetStutter(nil)
 	}
 	for _, d := range h.daemons {
 		d.storeProxy.SetMode(Forward)
