--- a/soak/caller.go
+++ b/soak/caller.go
@@ -26,8 +26,10 @@
 // reads and writes of that item, over one connection at a time to a random instance. A
 // caller is used by one goroutine.
 type caller struct {
-	history   *history
-	random    *rand.Rand
+	history *history
+	random  *rand.Rand
+	// bytes is the random source of values, nil if they are letters and digits.
+	bytes     *rand.Rand
 	number    int
 	customer  platformtest.Customer
 	database  platformtest.Route
@@ -44,6 +46,7 @@
 	lingering bool
 
 	conn                 *platformtest.Caller
+	session              *sessionState
 	daemon               int
 	transactionBegunAt   time.Time
 	connectionNumber     int
@@ -69,7 +72,7 @@
 			time.Sleep(reconnectBackoff)
 			continue
 		}
-		if c.conn.Ended() || !c.runOperation() {
+		if c.conn.Ended() || !c.setValue() || !c.runOperation() {
 			c.conn.Close()
 			c.conn = nil
 		}
@@ -96,7 +99,7 @@
 	if err != nil || !response.OK() {
 		return false
 	}
-	c.conn, c.daemon, c.connectionOperations = conn, daemon, 0
+	c.conn, c.daemon, c.connectionOperations, c.session = conn, daemon, 0, newSessionState()
 	c.connectionNumber++
 	return true
 }
@@ -132,6 +135,7 @@
 	c.statementCount++
 	id := fmt.Sprintf("c%d.%d", c.number, c.statementCount)
 	c.history.addStatement(id, c.customer.Name, text)
+	c.history.addSession(id, c.session)
 	sentAt := time.Now()
 	response, err := c.conn.Do(id, text, responseTimeout)
 	switch {
@@ -139,6 +143,9 @@
 		c.history.addUnanswered(unansweredStatement{id: id, text: text, daemon: c.daemon, sentAt: sentAt, endedAt: time.Now(), transactionBegunAt: c.transactionBegunAt})
 	case !response.OK():
 		c.history.addRefusal(refusal{response: response, customer: c.customer.Name, daemon: c.daemon, sentAt: sentAt, at: time.Now(), inTransaction: !c.transactionBegunAt.IsZero()})
+	default:
+		c.history.addSuccess(id, response)
+		c.session = c.session.after(text)
 	}
 	return response, err == nil
 }
@@ -169,7 +176,7 @@
 // identify each write by its value.
 func (c *caller) nextValue() string {
 	c.writeCount++
-	return fmt.Sprintf("d%d.%d", c.number, c.writeCount)
+	return c.appendBytes(fmt.Sprintf("d%d.%d", c.number, c.writeCount))
 }
 
 // recordWrite records a write attempt with its outcome: acknowledged, reported as not
@@ -190,7 +197,7 @@
 }
 
 func (c *caller) prepareAndWrite() bool {
-	if response, ok := c.execute(platformtest.PrepareText); !ok || !response.OK() {
+	if response, ok := c.execute(c.appendBytes(platformtest.PrepareText)); !ok || !response.OK() {
 		return false
 	}
 	value := c.nextValue()
