Let any bytes cross a link between instances

Callers saw: a forwarded statement with a byte that is not UTF-8 in its ID, text, name or value, or in the rows or the signature of its response, got no response until the timeout: a write INDOUBT, also when it had run, a read BUSY after it was tried at all owners. Cause: strings of messages are CBOR text strings, the encoder does not check that they are UTF-8 and the receiver refuses the whole message when they are not.

Change: the relay decodes text strings that are not UTF-8. CBOR delimits a string by its length, so no byte in it can end it. The encoder stays as it is, for two reasons. An instance of an earlier version understands each message that it understood before. And a response of an earlier version to a statement that has run is now understood, which byte strings from the sender would not achieve; they would also need a choice for each message that a new field could miss. Messages with such bytes to an instance of an earlier version are lost as before.

Evidence: with UTF8RejectInvalid, as before, TestFieldsWithAnyBytesCrossALinkUnchanged reports "write in_doubt, read busy, execute in_doubt" and TestMessagesKeepAnyBytesInEachField "cbor: invalid UTF-8 string". With the change both pass, as do request/relay and process/peer with -race.

--- a/process/peer/mesh_test.go
+++ b/process/peer/mesh_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http/httptest"
@@ -139,3 +140,15 @@
 		_, _ = decodeHello(data)
 	})
 }
+
+// A payload is opaque to the link: its strings may hold bytes that are not UTF-8.
+func TestFrameKeepsPayloadWithAnyBytes(t *testing.T) {
+	data, err := encodeFrame(KindRelay, textMessage{Text: "\xff\r\n\x00"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := decodeFrame(data)
+	if err != nil || f.Kind != KindRelay || !bytes.Equal(f.Payload, []byte("\xa1\x01\x64\xff\r\n\x00")) {
+		t.Fatalf("decoded %+v, %v", f, err)
+	}
+}
--- a/request/relay/harness_test.go
+++ b/request/relay/harness_test.go
@@ -62,6 +62,8 @@
 	primarySuspected atomic.Bool
 	// block, when set, delays responses until it is closed.
 	block chan struct{}
+	// respond, when set, completes the response to a statement.
+	respond func(statement.Statement, *statement.Response)
 }
 
 func (r *recordingTarget) Dial(context.Context, target.Endpoint) (target.Conn, error) {
@@ -103,13 +105,20 @@
 	case statement.Commit, statement.Rollback:
 		c.state = statement.Idle
 	}
-	return statement.Response{State: c.state, Signature: "x", LogEnd: topology.Point{Term: 1, Position: 5}}, nil
+	response := statement.Response{State: c.state, Signature: "x", LogEnd: topology.Point{Term: 1, Position: 5}}
+	if c.target.respond != nil {
+		c.target.respond(s, &response)
+	}
+	return response, nil
 }
 
 func (c *recordingConn) Pipeline(statements []statement.Statement, _ time.Duration) ([]statement.Response, error) {
 	responses := make([]statement.Response, len(statements))
 	for i := range responses {
 		responses[i] = statement.Response{State: c.state}
+		if c.target.respond != nil {
+			c.target.respond(statements[i], &responses[i])
+		}
 	}
 	return responses, nil
 }
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 
 	"samphirehitch.example/samphirehitch/process/clock"
@@ -217,8 +216,8 @@
 // Receive handles a message from a peer. It does not block: statements run in
 // goroutines of their own.
 func (r *Relay) Receive(from topology.InstanceID, payload []byte) {
-	var m message
-	if err := cbor.Unmarshal(payload, &m); err != nil {
+	m, err := decode(payload)
+	if err != nil {
 		eventInvalidMessage.LogError(r.Log, err, "peer", from)
 		return
 	}
