Reject messages from peers with kinds, codes and states that do not exist

Callers saw: the process that forwards their statements ends, and every session on it breaks. Cause: codes and kinds cross a link as numbers; the names for the log and the metrics are arrays indexed by them, and a number of no name panics when the outcome is logged. A response without a state, or with one of no letter, reached the caller as READY without one.

Change: the relay checks kind, begin mode, code and state when it decodes a message. A response that declines carries no state. The responses in the tests of late responses and of other instances get a state, so that they stay refused for the reason that the tests name and not for a missing state.

--- a/process/statement/statement.go
+++ b/process/statement/statement.go
@@ -42,6 +42,9 @@
 // String returns the name of the kind for logs.
 func (k Kind) String() string { return kindNames[k] }
 
+// Exists reports whether there is such a kind. A number from another process may be of none.
+func (k Kind) Exists() bool { return int(k) < len(kindNames) }
+
 // UsesTarget reports whether a caller's statement of the kind runs on a target, now or with
 // the statements that follow it.
 func (k Kind) UsesTarget() bool {
@@ -91,6 +94,9 @@
 	Failed
 )
 
+// Exists reports whether there is such a state. A number from another process may be of none.
+func (s TransactionState) Exists() bool { return s >= Idle && s <= Failed }
+
 // Code classifies the outcome of a statement. It is CBOR-encoded by its number.
 type Code uint8
 
@@ -135,6 +141,9 @@
 // String returns the name of the code for logs and metrics.
 func (c Code) String() string { return codeNames[c] }
 
+// Exists reports whether there is such a code. A number from another process may be of none.
+func (c Code) Exists() bool { return int(c) < len(codeNames) }
+
 // NotExecuted reports whether a target that responds with the code has
 // certainly not run the statement.
 func (c Code) NotExecuted() bool {
--- a/request/relay/encoding.go
+++ b/request/relay/encoding.go
@@ -19,11 +19,45 @@
 	return mode
 }
 
-// decode decodes a message of a peer.
+// decode decodes a message of a peer and checks that its numbers have a meaning.
 func decode(payload []byte) (*message, error) {
 	m := &message{}
 	if err := decodeMode.Unmarshal(payload, m); err != nil {
 		return nil, eris.Wrap(err, "decode message")
 	}
+	if err := m.validate(); err != nil {
+		return nil, eris.Wrap(err, "decode message")
+	}
 	return m, nil
 }
+
+func (m *message) validate() error {
+	switch {
+	case m.Request != nil:
+		return m.Request.validate()
+	case m.Response != nil:
+		return m.Response.validate()
+	}
+	return nil
+}
+
+func (r *forwardRequest) validate() error {
+	switch {
+	case !r.Statement.Kind.Exists():
+		return eris.Errorf("request %d: unknown kind %d", r.ID, uint8(r.Statement.Kind))
+	case r.Begin > beginReadOnly:
+		return eris.Errorf("request %d: unknown mode of begin %d", r.ID, r.Begin)
+	}
+	return nil
+}
+
+func (r *forwardResponse) validate() error {
+	refused := r.Declined || r.NoPrimary
+	switch {
+	case !r.Result.Code.Exists():
+		return eris.Errorf("response %d: unknown code %d", r.ID, uint8(r.Result.Code))
+	case !r.Result.State.Exists() && !(refused && r.Result.State == 0):
+		return eris.Errorf("response %d: unknown state %d", r.ID, r.Result.State)
+	}
+	return nil
+}
--- a/request/relay/late_response_test.go
+++ b/request/relay/late_response_test.go
@@ -33,7 +33,7 @@
 		time.Sleep(time.Millisecond) // until the second statement has reached its target
 	}
 	for _, id := range staleIDs {
-		e.Receive(first, encode(&message{Response: &forwardResponse{ID: id, Result: statement.Response{Signature: "of another caller"}}}))
+		e.Receive(first, encode(&message{Response: &forwardResponse{ID: id, Result: statement.Response{Signature: "of another caller", State: statement.Idle}}}))
 	}
 	select {
 	case response := <-responses:
@@ -78,7 +78,7 @@
 		time.Sleep(time.Millisecond) // until the statement has reached its target
 	}
 	for _, id := range e.pendingIDs() {
-		e.Receive(other, encode(&message{Response: &forwardResponse{ID: id, Result: statement.Response{Signature: "of another owner"}}}))
+		e.Receive(other, encode(&message{Response: &forwardResponse{ID: id, Result: statement.Response{Signature: "of another owner", State: statement.Idle}}}))
 	}
 	close(block)
 	if response := <-responses; response.Signature != "x" {
