Answer requests that cannot be decoded, and end the wait for such responses

Callers saw: a statement whose request or response cannot be decoded got no response until the timeout. A write was reported as INDOUBT although no target had received it, and a transaction kept its connection at the owner until it expired. Cause: the receiver logged the message and dropped it.

Change: the receiver decodes the ID of such a message on its own, without the fields that it cannot read. A request is declined, as not run, after its transaction was rolled back, because the forwarding instance takes the transaction for ended; a response ends the wait as if the link had closed: a write or a COMMIT is in doubt, a read goes to another owner. A message without a readable ID is dropped as before.

--- a/request/relay/harness_test.go
+++ b/request/relay/harness_test.go
@@ -140,6 +140,8 @@
 	allowReconnect bool
 	// dropConfigurations says that instances apply no configuration from peers.
 	dropConfigurations bool
+	// alter, when set, returns the message that an instance receives in place of another.
+	alter func(receiver topology.InstanceID, data []byte) []byte
 	// notReady instances may not run operations themselves.
 	notReady map[topology.InstanceID]bool
 }
@@ -157,7 +159,11 @@
 	}
 	l.network.mu.Lock()
 	r, dropped := l.network.relays[to], l.network.partitioned[to] || l.network.partitioned[l.self] || l.network.disconnected[to]
+	alter := l.network.alter
 	l.network.mu.Unlock()
+	if alter != nil {
+		data = alter(to, data)
+	}
 	if !dropped {
 		r.Receive(l.self, data)
 	}
--- a/request/relay/late_response_test.go
+++ b/request/relay/late_response_test.go
@@ -6,8 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"samphirehitch.example/samphirehitch/process/statement"
 )
 
@@ -105,10 +103,4 @@
 	return slices.Collect(maps.Keys(r.pending))
 }
 
-func encode(m *message) []byte {
-	data, err := cbor.Marshal(m)
-	if err != nil {
-		panic(err)
-	}
-	return data
-}
+func encode(m *message) []byte { return encodeAny(m) }
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -219,6 +219,7 @@
 	m, err := decode(payload)
 	if err != nil {
 		eventInvalidMessage.LogError(r.Log, err, "peer", from)
+		r.handleInvalid(from, payload)
 		return
 	}
 	r.recordReceived(from)
@@ -226,7 +227,7 @@
 	case m.Request != nil:
 		go r.server.handle(from, m.Request)
 	case m.Response != nil:
-		r.handleResponse(from, m.Response)
+		r.handleResponse(from, m.Response.ID, m.Response)
 	case m.Abort != nil:
 		go r.server.abort(remoteSessionID{instance: from, id: *m.Abort})
 	case len(m.Demand) > 0 || m.ReportSentAt > 0:
@@ -273,13 +274,14 @@
 }
 
 // handleResponse passes a response to the request that waits for it. A response from
-// another instance than the requested one is ignored.
-func (r *Relay) handleResponse(from topology.InstanceID, resp *forwardResponse) {
+// another instance than the requested one is ignored. A nil response says that none can be
+// expected any more.
+func (r *Relay) handleResponse(from topology.InstanceID, id uint64, resp *forwardResponse) {
 	r.mu.Lock()
-	pending := r.pending[resp.ID]
+	pending := r.pending[id]
 	expected := pending != nil && pending.to == from
 	if expected {
-		delete(r.pending, resp.ID)
+		delete(r.pending, id)
 	}
 	r.mu.Unlock()
 	if expected {
