Refuse messages that fit no link instead of closing it

Callers saw: one result of more than 16 MiB, or of more than 131,072 rows, on a forwarded statement, or a session with as much of values, closed the link between two instances. All statements of others on it lost their response, writes as INDOUBT, and their open transactions were rolled back. Cause: the sender did not check the size. The reader closes the WebSocket at a frame over MaxFrameBytes, and ended the link at a frame with a longer list than the decoder allows.

Change: peer.EncodePayload returns ErrTooLarge for what the receiver would refuse, and the mesh sends no such frame. Receivers keep their limits, so this holds toward instances of earlier versions too. The relay encodes a request before it is sent and refuses it as not run (BUSY; an open transaction is aborted). For a result that is too large, the owner responds without it: a read has FAILED, an open transaction is rolled back and ABORTED, a write or a COMMIT, which has run, is INDOUBT. Event 1325 reports it.

The network of the relay tests closes a link at such a frame, as the mesh does. A test link that took the message apart as a pointer decodes it now.

A frame of exactly the limit crosses a link (TestLargestPayloadCrossesLink).

--- a/process/peer/frame.go
+++ b/process/peer/frame.go
@@ -12,6 +12,12 @@
 // full set of configuration records.
 const MaxFrameBytes = 16 << 20
 
+// frameHeaderBytes bounds the bytes of a frame without its payload.
+const frameHeaderBytes = 16
+
+// ErrTooLarge reports a message that its receiver would not accept.
+var ErrTooLarge = eris.New("message exceeds the limits of a link")
+
 // hello is the first frame on a link, sent by both sides.
 type hello struct {
 	Instance      topology.InstanceID    `cbor:"1,keyasint"`
@@ -29,11 +35,27 @@
 	Payload cbor.RawMessage `cbor:"2,keyasint"`
 }
 
+// EncodePayload encodes a payload for Sender.Send, which accepts it as it is. It returns
+// ErrTooLarge if the frame would be too large, or a list in it too long.
+func EncodePayload(payload any) (cbor.RawMessage, error) {
+	encoded, err := cbor.Marshal(payload)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode payload")
+	}
+	if len(encoded) > MaxFrameBytes-frameHeaderBytes {
+		return nil, eris.Wrapf(ErrTooLarge, "payload of %d bytes", len(encoded))
+	}
+	if err := cbor.Wellformed(encoded); err != nil {
+		return nil, eris.Wrap(ErrTooLarge, err.Error())
+	}
+	return encoded, nil
+}
+
 // encodeFrame encodes a frame with the given payload.
 func encodeFrame(kind Kind, payload any) ([]byte, error) {
-	encodedPayload, err := cbor.Marshal(payload)
+	encodedPayload, err := EncodePayload(payload)
 	if err != nil {
-		return nil, eris.Wrapf(err, "encode payload of kind %d", kind)
+		return nil, eris.Wrapf(err, "frame of kind %d", kind)
 	}
 	data, err := cbor.Marshal(frame{Kind: kind, Payload: encodedPayload})
 	return data, eris.Wrapf(err, "encode frame of kind %d", kind)
--- a/request/relay/any_bytes_test.go
+++ b/request/relay/any_bytes_test.go
@@ -23,12 +23,12 @@
 	f := newFleet(t)
 	first, _ := f.owners()
 	var got []statement.Statement
-	f.targets[first].respond = func(st statement.Statement, response *statement.Response) {
+	f.targets[first].setRespond(func(st statement.Statement, response *statement.Response) {
 		got = append(got, st)
 		if st.Kind == statement.Read {
 			response.Rows, response.Signature = []string{anyBytes, "", "\xff"}, anyBytes
 		}
-	}
+	})
 	session := f.newSession()
 	session.Run(statement.Statement{Kind: statement.Set, Name: anyBytes, Argument: anyBytes})
 	session.Run(statement.Statement{Kind: statement.Prepare, Name: anyBytes, Argument: anyBytes, Writes: true})
--- a/request/relay/confirmed_version_test.go
+++ b/request/relay/confirmed_version_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 
 	"samphirehitch.example/samphirehitch/process/peer"
@@ -32,7 +33,11 @@
 }
 
 func (l *capturingLink) Send(_ topology.InstanceID, _ peer.Kind, payload any) {
-	l.sent = payload.(*message)
+	sent, err := decode(payload.(cbor.RawMessage))
+	if err != nil {
+		panic(err)
+	}
+	l.sent = sent
 }
 
 // A peer is told that a version was confirmed lately, although the confirmation is that of a
--- a/request/relay/encoding.go
+++ b/request/relay/encoding.go
@@ -3,6 +3,9 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
+
+	"samphirehitch.example/samphirehitch/process/peer"
+	"samphirehitch.example/samphirehitch/process/topology"
 )
 
 // decodeMode decodes messages. Their strings are the bytes that callers and targets sent, which
@@ -31,6 +34,23 @@
 	return m, nil
 }
 
+// send sends a message, or logs why it cannot be encoded.
+func (r *Relay) send(to topology.InstanceID, m *message) {
+	if err := r.trySend(to, m); err != nil {
+		eventNotSent.LogError(r.Log, err, "peer", to)
+	}
+}
+
+// trySend sends a message, or returns peer.ErrTooLarge.
+func (r *Relay) trySend(to topology.InstanceID, m *message) error {
+	payload, err := peer.EncodePayload(m)
+	if err != nil {
+		return err
+	}
+	r.Link.Send(to, peer.KindRelay, payload)
+	return nil
+}
+
 func (m *message) validate() error {
 	switch {
 	case m.Request != nil:
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"samphirehitch.example/samphirehitch/connection/client"
+	"samphirehitch.example/samphirehitch/process/peer"
 	"samphirehitch.example/samphirehitch/process/statement"
 	"samphirehitch.example/samphirehitch/process/topology"
 	"samphirehitch.example/samphirehitch/request/engine"
@@ -40,7 +43,7 @@
 		case outcome == outcomeNoResponse && s.MayWrite(st):
 			return statement.Response{Code: statement.InDoubt, Detail: "home gave no answer", State: statement.Idle}
 		case outcome == outcomeNotSent:
-			return r.refuse(refusedExiting, o, statement.Idle)
+			return r.refuse(response, o, statement.Idle)
 		}
 		selector.recordFailure(to, outcome)
 	}
@@ -69,7 +72,7 @@
 	// outcomeNotOwner: the instance declined the request because, as far as it knows, it
 	// does not own the service.
 	outcomeNotOwner
-	// outcomeNotSent: the request was not sent, as the process exits.
+	// outcomeNotSent: the request was not sent, and the response is a refusal.
 	outcomeNotSent
 )
 
@@ -103,24 +106,16 @@
 // forward sends a request to an instance and waits for its response. A result updates
 // the outcome and the session's floor, and confirms this instance's configuration.
 func (r *Relay) forward(to topology.InstanceID, s *client.Session, req *forwardRequest, timeout time.Duration, o *engine.Outcome) (statement.Response, forwardOutcome) {
+	payload, err := peer.EncodePayload(&message{Request: req})
+	if err != nil {
+		eventNotSent.LogError(r.Log, err, "request", req.Statement.ID, "peer", to)
+		return refusedTooLarge, outcomeNotSent
+	}
 	if mayBeInDoubt(s, req) && !s.Gate.Pass() {
-		return statement.Response{}, outcomeNotSent
+		return refusedExiting, outcomeNotSent
 	}
 	pending := &pendingRequest{to: to, sentAt: r.Clock(), statementID: req.Statement.ID, readOnly: !req.InTransaction && req.Begin == beginNone && !s.MayWrite(req.Statement), response: make(chan *forwardResponse, 1)}
-	r.mu.Lock()
-	r.pending[req.ID] = pending
-	r.mu.Unlock()
-	r.send(to, &message{Request: req})
-	timer := time.NewTimer(timeout + responseMargin)
-	defer timer.Stop()
-	var resp *forwardResponse
-	select {
-	case resp = <-pending.response:
-	case <-timer.C:
-	}
-	r.mu.Lock()
-	delete(r.pending, req.ID)
-	r.mu.Unlock()
+	resp := r.exchange(req.ID, pending, payload, timeout+responseMargin)
 	if resp != nil && (resp.NoPrimary || resp.Declined) {
 		s.Gate.Reset()
 	}
@@ -137,21 +132,45 @@
 		}
 		return statement.Response{}, outcomeDeclined
 	}
+	r.recordResult(pending, s, resp, o)
+	return resp.Result, outcomeCompleted
+}
+
+// exchange sends an encoded request and waits for its response. It returns nil when none
+// arrives in time or none can be expected any more.
+func (r *Relay) exchange(id uint64, pending *pendingRequest, payload cbor.RawMessage, timeout time.Duration) (resp *forwardResponse) {
+	r.mu.Lock()
+	r.pending[id] = pending
+	r.mu.Unlock()
+	r.Link.Send(pending.to, peer.KindRelay, payload)
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case resp = <-pending.response:
+	case <-timer.C:
+	}
+	r.mu.Lock()
+	delete(r.pending, id)
+	r.mu.Unlock()
+	return resp
+}
+
+// recordResult records what the response to a request that was run says besides the result.
+func (r *Relay) recordResult(pending *pendingRequest, s *client.Session, resp *forwardResponse, o *engine.Outcome) {
 	if resp.NotOwner {
 		r.OnRoutingOutdated()
 	}
 	resp.Placement.copyTo(o)
-	o.ForwardedTo, o.ConfigVersion = to, resp.ConfigVersion
+	o.ForwardedTo, o.ConfigVersion = pending.to, resp.ConfigVersion
 	r.recordConfigVersion(resp.ConfigVersion)
 	if resp.ConfirmedVersion != 0 {
 		// The owner measured the age after the request was sent, so the confirmation
 		// is at least as recent as this.
-		r.OnConfigurationConfirmed(to, resp.ConfirmedVersion, pending.sentAt-resp.ConfirmationAge)
+		r.OnConfigurationConfirmed(pending.to, resp.ConfirmedVersion, pending.sentAt-resp.ConfirmationAge)
 	}
 	if resp.Floor.Reaches(s.Floor) {
 		s.Floor, s.FloorSentAt = resp.Floor, r.Clock()-resp.FloorAge
 	}
-	return resp.Result, outcomeCompleted
 }
 
 // recordConfigVersion records the version of a configuration under which an operation
@@ -184,6 +203,10 @@
 // older than one that has decided an operation.
 var refusedOutdatedConfiguration = statement.Response{Code: statement.Busy, Detail: "a newer configuration is being read"}
 
+// refusedTooLarge is the refusal of a statement that, with the session values that it depends on,
+// fits no link.
+var refusedTooLarge = statement.Response{Code: statement.Busy, Detail: "the statement and the session's values are too large to be forwarded"}
+
 // backOffFrom stops the forwarding of operations to an instance for a while, after it
 // declined one.
 func (r *Relay) backOffFrom(id topology.InstanceID) {
@@ -327,7 +350,7 @@
 			t.sendAbort(to)
 			return resultWithoutResponse(st), true
 		case outcomeNotSent:
-			return r.refuse(refusedExiting, o, statement.Failed), true
+			return r.refuse(response, o, statement.Failed), true
 		}
 		selector.recordFailure(to, outcome)
 	}
@@ -355,7 +378,7 @@
 		return statement.Response{Code: statement.Aborted, Detail: "home has ended the transaction", State: statement.Failed}
 	case outcomeNotSent:
 		t.sendAbort(t.owner)
-		return statement.Response{Code: statement.Aborted, Detail: refusedExiting.Detail, State: statement.Failed}
+		return statement.Response{Code: statement.Aborted, Detail: response.Detail, State: statement.Failed}
 	default:
 		if st.Kind != statement.Commit {
 			t.sendAbort(t.owner)
--- a/request/relay/harness_test.go
+++ b/request/relay/harness_test.go
@@ -86,6 +86,13 @@
 	return append([]string(nil), r.kinds...)
 }
 
+// setRespond sets a function that completes the responses, or none.
+func (r *recordingTarget) setRespond(respond func(statement.Statement, *statement.Response)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.respond = respond
+}
+
 type recordingConn struct {
 	target *recordingTarget
 	state  statement.TransactionState
@@ -94,7 +101,7 @@
 func (c *recordingConn) Do(s statement.Statement, _ time.Duration) (statement.Response, error) {
 	c.target.mu.Lock()
 	c.target.kinds = append(c.target.kinds, s.Kind.String())
-	block := c.target.block
+	block, respond := c.target.block, c.target.respond
 	c.target.mu.Unlock()
 	if block != nil {
 		<-block
@@ -106,18 +113,21 @@
 		c.state = statement.Idle
 	}
 	response := statement.Response{State: c.state, Signature: "x", LogEnd: topology.Point{Term: 1, Position: 5}}
-	if c.target.respond != nil {
-		c.target.respond(s, &response)
+	if respond != nil {
+		respond(s, &response)
 	}
 	return response, nil
 }
 
 func (c *recordingConn) Pipeline(statements []statement.Statement, _ time.Duration) ([]statement.Response, error) {
+	c.target.mu.Lock()
+	respond := c.target.respond
+	c.target.mu.Unlock()
 	responses := make([]statement.Response, len(statements))
 	for i := range responses {
 		responses[i] = statement.Response{State: c.state}
-		if c.target.respond != nil {
-			c.target.respond(statements[i], &responses[i])
+		if respond != nil {
+			respond(statements[i], &responses[i])
 		}
 	}
 	return responses, nil
@@ -146,6 +156,15 @@
 	notReady map[topology.InstanceID]bool
 }
 
+// closeLink has both sides of a link see it closed, as after a frame that one cannot read.
+func (n *network) closeLink(a, b topology.InstanceID) {
+	n.mu.Lock()
+	first, second := n.relays[a], n.relays[b]
+	n.mu.Unlock()
+	first.Disconnected(b)
+	second.Disconnected(a)
+}
+
 // networkLink is the Link of one instance.
 type networkLink struct {
 	network *network
@@ -164,6 +183,10 @@
 	if alter != nil {
 		data = alter(to, data)
 	}
+	if len(data) > peer.MaxFrameBytes || cbor.Wellformed(data) != nil {
+		l.network.closeLink(l.self, to)
+		return
+	}
 	if !dropped {
 		r.Receive(l.self, data)
 	}
@@ -307,6 +330,13 @@
 	}
 }
 
+// awaitNoOperations waits until an instance runs no operations of others.
+func (f *fleet) awaitNoOperations(id topology.InstanceID) {
+	for f.network.relays[id].HasRemoteOperations() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func (f *fleet) setFault(id topology.InstanceID, faults map[topology.InstanceID]bool) {
 	f.network.mu.Lock()
 	defer f.network.mu.Unlock()
--- a/request/relay/invalid_message.go
+++ b/request/relay/invalid_message.go
@@ -43,5 +43,5 @@
 // belongs: the forwarding instance takes that for ended.
 func (s *server) decline(from topology.InstanceID, request uint64, session sessionID) {
 	s.abort(remoteSessionID{instance: from, id: session})
-	s.respond(from, "", &forwardResponse{ID: request, Declined: true})
+	s.relay.send(from, &message{Response: &forwardResponse{ID: request, Declined: true}})
 }
--- a/request/relay/invalid_message_test.go
+++ b/request/relay/invalid_message_test.go
@@ -59,9 +59,7 @@
 	f.mustRun(session, statement.Write, statement.OK)
 	f.spoilRequests(first)
 	f.mustRun(session, statement.Write, statement.Aborted)
-	if f.network.relays[first].HasRemoteOperations() {
-		t.Error("the transaction is open at its owner")
-	}
+	f.awaitNoOperations(first)
 	f.mustRun(session, statement.Commit, statement.Aborted)
 }
 
--- a/request/relay/pending_log.go
+++ b/request/relay/pending_log.go
@@ -24,10 +24,11 @@
 	}
 }
 
-// respond sends a response to the instance that forwarded the statement.
-func (s *server) respond(to topology.InstanceID, statementID string, resp *forwardResponse) {
+// respond sends a response to the instance that forwarded the statement. It returns
+// peer.ErrTooLarge if the response fits no link.
+func (s *server) respond(to topology.InstanceID, statementID string, resp *forwardResponse) error {
 	if !s.relay.Link.Reachable(to) {
 		eventResponseLost.Log(s.relay.Log, "request", statementID, "peer", to, "code", resp.Result.Code.String())
 	}
-	s.relay.send(to, &message{Response: resp})
+	return s.relay.trySend(to, &message{Response: resp})
 }
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -25,6 +25,7 @@
 	eventOwnerSilent    = event.Define(1320, event.Warning, "owner does not respond; its operations are forwarded to other instances")
 	eventOwnerResponds  = event.Define(1321, event.Info, "owner responds again")
 	eventInvalidMessage = event.Define(1322, event.Warning, "message from a peer cannot be decoded")
+	eventNotSent        = event.Define(1325, event.Warning, "message to a peer is not sent")
 	eventForwardFailed  = event.Define(6510, event.Decision, "owner did not run a forwarded statement")
 )
 
@@ -211,8 +212,6 @@
 // HasRemoteOperations reports whether operations of other instances are in progress here.
 func (r *Relay) HasRemoteOperations() bool { return r.server.hasOperations() }
 
-func (r *Relay) send(to topology.InstanceID, m *message) { r.Link.Send(to, peer.KindRelay, m) }
-
 // Receive handles a message from a peer. It does not block: statements run in
 // goroutines of their own.
 func (r *Relay) Receive(from topology.InstanceID, payload []byte) {
--- a/request/relay/server.go
+++ b/request/relay/server.go
@@ -133,7 +133,13 @@
 func (s *server) handle(from topology.InstanceID, req *forwardRequest) {
 	s.addRunning(1)
 	defer s.addRunning(-1)
-	s.respond(from, req.Statement.ID, s.run(from, req))
+	resp := s.run(from, req)
+	err := s.respond(from, req.Statement.ID, resp)
+	if err == nil {
+		return
+	}
+	eventNotSent.LogError(s.relay.Log, err, "request", req.Statement.ID, "peer", from)
+	s.relay.send(from, &message{Response: s.withoutResult(from, req, resp)})
 }
 
 func (s *server) addRunning(delta int) {
@@ -188,11 +194,17 @@
 // lacksPrimary reports whether the request needs a primary that this instance cannot
 // use.
 func (s *server) lacksPrimary(req *forwardRequest) bool {
-	callerSession := client.NewSession(0, req.Database, req.Key)
+	callerSession := req.callerSession()
+	return !s.relay.Engine.CanRun(callerSession, req.Begin == beginReadWrite || callerSession.MayWrite(req.Statement))
+}
+
+// callerSession returns a session with the prepared statement of the request.
+func (req *forwardRequest) callerSession() *client.Session {
+	session := client.NewSession(0, req.Database, req.Key)
 	if req.Prepared != nil {
-		callerSession.AddPrepared(req.Statement.Name, *req.Prepared)
+		session.AddPrepared(req.Statement.Name, *req.Prepared)
 	}
-	return !s.relay.Engine.CanRun(callerSession, req.Begin == beginReadWrite || callerSession.MayWrite(req.Statement))
+	return session
 }
 
 // sessionFor returns the session in which the request runs, or false when this
