Keep a link after a frame that cannot be decoded

Callers saw: a single frame that an instance cannot decode closed the link, so that statements of others lost their responses and their transactions were rolled back. Cause: the reading loop returned the error of decodeFrame. A WebSocket message has a length of its own, so the next frame begins where it should whatever this one holds.

Change: the mesh logs such a frame (event 1105) and reads on. The frame counts as received.

--- a/process/peer/link.go
+++ b/process/peer/link.go
@@ -59,7 +59,7 @@
 
 // run reads and writes frames until the link fails, becomes idle or ctx is
 // done.
-func (l *link) run(ctx context.Context, deliver func(topology.InstanceID, []byte) error) error {
+func (l *link) run(ctx context.Context, deliver func(topology.InstanceID, []byte)) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return l.readLoop(ctx, deliver) })
 	group.Go(func() error { return l.writeLoop(ctx) })
@@ -67,16 +67,14 @@
 	return group.Wait()
 }
 
-func (l *link) readLoop(ctx context.Context, deliver func(topology.InstanceID, []byte) error) error {
+func (l *link) readLoop(ctx context.Context, deliver func(topology.InstanceID, []byte)) error {
 	for {
 		_, data, err := l.conn.Read(ctx)
 		if err != nil {
 			return eris.Wrapf(err, "read from %s", l.peer)
 		}
 		l.frameCount.Add(1)
-		if err := deliver(l.peer, data); err != nil {
-			return err
-		}
+		deliver(l.peer, data)
 	}
 }
 
--- a/process/peer/mesh.go
+++ b/process/peer/mesh.go
@@ -46,6 +46,7 @@
 	eventLinkDown     = event.Define(1102, event.Info, "peer link down")
 	eventLinkRejected = event.Define(1103, event.Warning, "peer link rejected")
 	eventEncodeFailed = event.Define(1104, event.Warning, "cannot encode message to peer")
+	eventInvalidFrame = event.Define(1105, event.Warning, "frame from a peer cannot be decoded")
 )
 
 // Config describes this instance and configures its links.
@@ -386,19 +387,19 @@
 	return h
 }
 
-// deliver decodes a frame and passes it to the receiver of its kind. A frame
-// whose kind has no receiver is ignored.
-func (m *Mesh) deliver(from topology.InstanceID, data []byte) error {
+// deliver decodes a frame and passes it to the receiver of its kind. A frame that cannot be
+// decoded, or whose kind has no receiver, is ignored: the next one begins where the WebSocket says.
+func (m *Mesh) deliver(from topology.InstanceID, data []byte) {
+	m.counters.ReceivedFrames.Add(1)
+	m.counters.ReceivedBytes.Add(uint64(len(data)))
 	f, err := decodeFrame(data)
 	if err != nil {
-		return eris.Wrapf(err, "read from %s", from)
+		eventInvalidFrame.LogError(m.logger, err, "peer", from, "bytes", len(data))
+		return
 	}
-	m.counters.ReceivedFrames.Add(1)
-	m.counters.ReceivedBytes.Add(uint64(len(data)))
 	if receiver := m.receivers[f.Kind]; receiver != nil {
 		receiver(from, f.Payload)
 	}
-	return nil
 }
 
 func (m *Mesh) addLink(l *link) {
