Take a loan and a confirmed configuration only from the instance that was asked

A loan response counted by its ID alone, and a configuration response by the time of the request, whoever sent it: a response of an instance that was not asked admitted an operation beyond the rate limit, or dated the confirmation of a configuration. Responses to statements and to followers were held against the instance already.

Evidence: before, TestLoanOfAnotherInstanceIsIgnored "the loan of another instance was taken", TestConfigurationOfAnotherInstanceIsUnconfirmed "confirmed at [1m0s]". With the change request/relay passes with -race.

--- a/request/relay/configuration.go
+++ b/request/relay/configuration.go
@@ -27,7 +27,7 @@
 	r.mu.Lock()
 	due := r.configurationRequestedAt == 0 || now-r.configurationRequestedAt >= configurationRequestInterval
 	if due {
-		r.configurationRequestedAt = now
+		r.configurationRequestedAt, r.configurationPeer = now, from
 	}
 	r.mu.Unlock()
 	if !due {
@@ -58,7 +58,7 @@
 // process, the time of the confirmation is unknown.
 func (r *Relay) handleConfigurationResponse(from topology.InstanceID, resp *configurationResponse) {
 	r.mu.Lock()
-	expected := r.configurationRequestedAt != 0 && resp.RequestSentAt == r.configurationRequestedAt
+	expected := from == r.configurationPeer && r.configurationRequestedAt != 0 && resp.RequestSentAt == r.configurationRequestedAt
 	r.mu.Unlock()
 	confirmedAt := time.Duration(-1)
 	if expected && resp.ConfirmationAge >= 0 {
--- a/request/relay/loan.go
+++ b/request/relay/loan.go
@@ -11,6 +11,13 @@
 // admitted, never more.
 const loanTimeout = 25 * time.Millisecond
 
+// pendingLoan is a loan request that waits for its response.
+type pendingLoan struct {
+	to topology.InstanceID
+	// granted receives whether the loan was granted. It has a buffer of one.
+	granted chan bool
+}
+
 // BorrowToken requests a token for one operation of a customer from other instances'
 // shares of its rate limit, one instance after the other. It reports whether one was
 // granted.
@@ -26,7 +33,7 @@
 func (r *Relay) borrowFrom(id topology.InstanceID, customer topology.CustomerID) bool {
 	loanID, granted := r.lastID.Add(1), make(chan bool, 1)
 	r.mu.Lock()
-	r.pendingLoans[loanID] = granted
+	r.pendingLoans[loanID] = pendingLoan{to: id, granted: granted}
 	r.mu.Unlock()
 	defer func() {
 		r.mu.Lock()
@@ -45,13 +52,16 @@
 }
 
 // handleLoanResponse passes a loan response to the request that waits for it. A late
-// response is ignored.
-func (r *Relay) handleLoanResponse(resp *loanResponse) {
+// response, or one from another instance than the requested one, is ignored.
+func (r *Relay) handleLoanResponse(from topology.InstanceID, resp *loanResponse) {
 	r.mu.Lock()
-	granted := r.pendingLoans[resp.ID]
-	delete(r.pendingLoans, resp.ID)
+	pending, known := r.pendingLoans[resp.ID]
+	expected := known && pending.to == from
+	if expected {
+		delete(r.pendingLoans, resp.ID)
+	}
 	r.mu.Unlock()
-	if granted != nil {
-		granted <- resp.Granted
+	if expected {
+		pending.granted <- resp.Granted
 	}
 }
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -128,11 +128,12 @@
 	// pending holds the forwarded requests without a response, by ID.
 	pending  map[uint64]*pendingRequest
 	liveness map[topology.InstanceID]*liveness
-	// pendingLoans holds the loan requests without a response, by ID. The channels
-	// receive whether the loan was granted.
-	pendingLoans map[uint64]chan bool
-	// configurationRequestedAt is when a configuration was last requested from a peer.
+	// pendingLoans holds the loan requests without a response, by ID.
+	pendingLoans map[uint64]pendingLoan
+	// configurationRequestedAt is when a configuration was last requested, from
+	// configurationPeer.
 	configurationRequestedAt time.Duration
+	configurationPeer        topology.InstanceID
 	// followed is the peer to which the last follow request was sent, at followedAt.
 	followed   topology.InstanceID
 	followedAt time.Duration
@@ -186,7 +187,7 @@
 // New returns a relay without owners. It refuses all operations until its routing is
 // set.
 func New(d Dependencies) *Relay {
-	r := &Relay{Dependencies: d, pending: make(map[uint64]*pendingRequest), pendingLoans: make(map[uint64]chan bool), liveness: make(map[topology.InstanceID]*liveness)}
+	r := &Relay{Dependencies: d, pending: make(map[uint64]*pendingRequest), pendingLoans: make(map[uint64]pendingLoan), liveness: make(map[topology.InstanceID]*liveness)}
 	r.lastID.Store(rand.Uint64())
 	r.server = newServer(r)
 	r.routing.Store(&routingTable{})
@@ -242,7 +243,7 @@
 	case m.LoanRequest != nil:
 		r.send(from, &message{LoanResponse: &loanResponse{ID: m.LoanRequest.ID, Granted: r.Engine.LendToken(m.LoanRequest.Customer)}})
 	case m.LoanResponse != nil:
-		r.handleLoanResponse(m.LoanResponse)
+		r.handleLoanResponse(from, m.LoanResponse)
 	case m.Ping != 0:
 		r.send(from, &message{Pong: m.Ping})
 	}
