Decode messages of peers strictly

A message that named a field or a session value twice, came in parts or under a tag, or held a request and a response in one was decoded, with one of its meanings. A negative age dated a floor or the confirmation of a configuration in the future, by which a withdrawn key counts as accepted. No instance sends such messages, of this version or an earlier one: the encoder writes each field once, with its length, and ages are differences to an earlier reading of the same clock. Change: the relay rejects them; a field of a later version is still ignored.

--- a/request/relay/encoding.go
+++ b/request/relay/encoding.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"slices"
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
@@ -10,11 +13,15 @@
 
 // decodeMode decodes messages. Their strings are the bytes that callers and targets sent, which
 // need not be UTF-8. CBOR delimits a string by its length, so that no byte of it has a meaning.
+// Besides, it accepts only what an instance sends: no field twice, no tag and no item in parts.
 var decodeMode = newDecodeMode()
 
 func newDecodeMode() cbor.DecMode {
 	mode, err := cbor.DecOptions{
-		UTF8: cbor.UTF8DecodeInvalid,
+		UTF8:        cbor.UTF8DecodeInvalid,
+		DupMapKey:   cbor.DupMapKeyEnforcedAPF,
+		IndefLength: cbor.IndefLengthForbidden,
+		TagsMd:      cbor.TagsForbidden,
 	}.DecMode()
 	if err != nil {
 		panic(err) // only invalid options cause an error
@@ -51,12 +58,27 @@
 	return nil
 }
 
+// validate checks that a message has one meaning. One without any may be of a later version.
 func (m *message) validate() error {
+	contents := 0
+	for _, present := range [...]bool{
+		m.Request != nil, m.Response != nil, m.Abort != nil, m.Ping != 0, m.Pong != 0, len(m.Demand) > 0 || m.ReportSentAt > 0,
+		m.ConfigurationRequest != nil, m.ConfigurationResponse != nil, m.LoanRequest != nil, m.LoanResponse != nil,
+		m.FollowRequest != nil, m.FollowResponse != nil,
+	} {
+		if present {
+			contents++
+		}
+	}
 	switch {
+	case contents > 1:
+		return eris.Errorf("%d messages in one", contents)
 	case m.Request != nil:
 		return m.Request.validate()
 	case m.Response != nil:
 		return m.Response.validate()
+	case m.FollowResponse != nil:
+		return checkAges(m.FollowResponse.ConfirmationAge)
 	}
 	return nil
 }
@@ -68,7 +90,7 @@
 	case r.Begin > beginReadOnly:
 		return eris.Errorf("request %d: unknown mode of begin %d", r.ID, r.Begin)
 	}
-	return nil
+	return eris.Wrapf(checkAges(r.FloorAge), "request %d", r.ID)
 }
 
 func (r *forwardResponse) validate() error {
@@ -79,5 +101,13 @@
 	case !r.Result.State.Exists() && !(refused && r.Result.State == 0):
 		return eris.Errorf("response %d: unknown state %d", r.ID, r.Result.State)
 	}
+	return eris.Wrapf(checkAges(r.FloorAge, r.ConfirmationAge), "response %d", r.ID)
+}
+
+// checkAges returns an error if an age would date an event in the future.
+func checkAges(ages ...time.Duration) error {
+	if age := slices.Min(ages); age < 0 {
+		return eris.Errorf("negative age %s", age)
+	}
 	return nil
 }
--- a/request/relay/invalid_message.go
+++ b/request/relay/invalid_message.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"github.com/fxamacker/cbor/v2"
-
 	"samphirehitch.example/samphirehitch/process/topology"
 )
 
@@ -21,7 +19,7 @@
 // are invalid too.
 func decodeIDs(payload []byte) messageIDs {
 	var ids messageIDs
-	if err := cbor.Unmarshal(payload, &ids); err != nil {
+	if err := decodeMode.Unmarshal(payload, &ids); err != nil {
 		return messageIDs{} // the error of the whole message is logged
 	}
 	return ids
@@ -32,9 +30,9 @@
 func (r *Relay) handleInvalid(from topology.InstanceID, payload []byte) {
 	ids := decodeIDs(payload)
 	switch {
-	case ids.Request != nil:
+	case ids.Request != nil && ids.Response == nil:
 		go r.server.decline(from, ids.Request.ID, ids.Request.Session)
-	case ids.Response != nil:
+	case ids.Response != nil && ids.Request == nil:
 		r.handleResponse(from, ids.Response.ID, nil)
 	}
 }
