Reject reports of demand with infinite values

A report of demand, an excess or a grant with a value that is infinite or no number was taken: the fraction of a customer's limit that is computed from it is then no number either, on every instance that received it. Evidence: before, TestReportOfDemandWithoutNumbersIsRejected "accepted" for each of nine reports; that the shares break was read in Allocation.Fraction, not run.

--- a/request/relay/encoding.go
+++ b/request/relay/encoding.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -79,6 +80,20 @@
 		return m.Response.validate()
 	case m.FollowResponse != nil:
 		return checkAges(m.FollowResponse.ConfirmationAge)
+	case m.Grant != nil:
+		return checkNumbers(m.Demand, m.Excess, m.Grant.Fractions)
+	}
+	return checkNumbers(m.Demand, m.Excess)
+}
+
+// checkNumbers returns an error if a customer's value is infinite or no number.
+func checkNumbers(reports ...map[topology.CustomerID]float64) error {
+	for _, report := range reports {
+		for customer, value := range report {
+			if math.IsNaN(value) || math.IsInf(value, 0) {
+				return eris.Errorf("customer %.200q has %v", customer, value)
+			}
+		}
 	}
 	return nil
 }
--- a/request/relay/strict_encoding_test.go
+++ b/request/relay/strict_encoding_test.go
@@ -1,10 +1,13 @@
 package relay
 
 import (
+	"math"
 	"testing"
 	"time"
 
+	"samphirehitch.example/samphirehitch/process/share"
 	"samphirehitch.example/samphirehitch/process/statement"
+	"samphirehitch.example/samphirehitch/process/topology"
 )
 
 // A message that names a field twice has two meanings, of which the decoder took one.
@@ -51,3 +54,15 @@
 		t.Errorf("a configuration without a confirmation: %v", err)
 	}
 }
+
+// A demand that is no number made the shares of all customers' rates no number.
+func TestReportOfDemandWithoutNumbersIsRejected(t *testing.T) {
+	for _, number := range []float64{math.NaN(), math.Inf(1), math.Inf(-1)} {
+		numbers := map[topology.CustomerID]float64{"k": 1, "l": number}
+		for _, m := range []*message{{Demand: numbers}, {ReportSentAt: 1, Excess: numbers}, {ReportSentAt: 1, Grant: &share.Grant{Fractions: numbers}}} {
+			if _, err := decode(encode(m)); err == nil {
+				t.Errorf("accepted %+v", m)
+			}
+		}
+	}
+}
