--- a/request/relay/late_response_test.go
+++ b/request/relay/late_response_test.go
@@ -6,8 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"samphirehitch.example/samphirehitch/process/statement"
 )
 
@@ -33,7 +31,7 @@
 		time.Sleep(time.Millisecond) // until the second statement has reached its target
 	}
 	for _, id := range staleIDs {
-		e.Receive(first, encode(&message{Response: &forwardResponse{ID: id, Result: statement.Response{Signature: "of another caller"}}}))
+		e.Receive(first, encode(&message{Response: &forwardResponse{ID: id, Result: statement.Response{Signature: "of another caller", State: statement.Idle}}}))
 	}
 	select {
 	case response := <-responses:
@@ -78,7 +76,7 @@
 		time.Sleep(time.Millisecond) // until the statement has reached its target
 	}
 	for _, id := range e.pendingIDs() {
-		e.Receive(other, encode(&message{Response: &forwardResponse{ID: id, Result: statement.Response{Signature: "of another owner"}}}))
+		e.Receive(other, encode(&message{Response: &forwardResponse{ID: id, Result: statement.Response{Signature: "of another owner", State: statement.Idle}}}))
 	}
 	close(block)
 	if response := <-responses; response.Signature != "x" {
@@ -105,10 +103,4 @@
 	return slices.Collect(maps.Keys(r.pending))
 }
 
-func encode(m *message) []byte {
-	data, err := cbor.Marshal(m)
-	if err != nil {
-		panic(err)
-	}
-	return data
-}
+func encode(m *message) []byte { return encodeAny(m) }
--- a/request/relay/relay.go
+++ b/request/relay/relay.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 
 	"samphirehitch.example/samphirehitch/process/clock"
@@ -26,6 +25,7 @@
 	eventOwnerSilent    = event.Define(1320, event.Warning, "owner does not respond; its operations are forwarded to other instances")
 	eventOwnerResponds  = event.Define(1321, event.Info, "owner responds again")
 	eventInvalidMessage = event.Define(1322, event.Warning, "message from a peer cannot be decoded")
+	eventNotSent        = event.Define(1325, event.Warning, "message to a peer is not sent")
 	eventForwardFailed  = event.Define(6510, event.Decision, "owner did not run a forwarded statement")
 )
 
@@ -128,11 +128,12 @@
 	// pending holds the forwarded requests without a response, by ID.
 	pending  map[uint64]*pendingRequest
 	liveness map[topology.InstanceID]*liveness
-	// pendingLoans holds the loan requests without a response, by ID. The channels
-	// receive whether the loan was granted.
-	pendingLoans map[uint64]chan bool
-	// configurationRequestedAt is when a configuration was last requested from a peer.
+	// pendingLoans holds the loan requests without a response, by ID.
+	pendingLoans map[uint64]pendingLoan
+	// configurationRequestedAt is when a configuration was last requested, from
+	// configurationPeer.
 	configurationRequestedAt time.Duration
+	configurationPeer        topology.InstanceID
 	// followed is the peer to which the last follow request was sent, at followedAt.
 	followed   topology.InstanceID
 	followedAt time.Duration
@@ -186,7 +187,7 @@
 // New returns a relay without owners. It refuses all operations until its routing is
 // set.
 func New(d Dependencies) *Relay {
-	r := &Relay{Dependencies: d, pending: make(map[uint64]*pendingRequest), pendingLoans: make(map[uint64]chan bool), liveness: make(map[topology.InstanceID]*liveness)}
+	r := &Relay{Dependencies: d, pending: make(map[uint64]*pendingRequest), pendingLoans: make(map[uint64]pendingLoan), liveness: make(map[topology.InstanceID]*liveness)}
 	r.lastID.Store(rand.Uint64())
 	r.server = newServer(r)
 	r.routing.Store(&routingTable{})
@@ -212,14 +213,13 @@
 // HasRemoteOperations reports whether operations of other instances are in progress here.
 func (r *Relay) HasRemoteOperations() bool { return r.server.hasOperations() }
 
-func (r *Relay) send(to topology.InstanceID, m *message) { r.Link.Send(to, peer.KindRelay, m) }
-
 // Receive handles a message from a peer. It does not block: statements run in
 // goroutines of their own.
 func (r *Relay) Receive(from topology.InstanceID, payload []byte) {
-	var m message
-	if err := cbor.Unmarshal(payload, &m); err != nil {
+	m, err := decode(payload)
+	if err != nil {
 		eventInvalidMessage.LogError(r.Log, err, "peer", from)
+		r.handleInvalid(from, payload)
 		return
 	}
 	r.recordReceived(from)
@@ -227,7 +227,7 @@
 	case m.Request != nil:
 		go r.server.handle(from, m.Request)
 	case m.Response != nil:
-		r.handleResponse(from, m.Response)
+		r.handleResponse(from, m.Response.ID, m.Response)
 	case m.Abort != nil:
 		go r.server.abort(remoteSessionID{instance: from, id: *m.Abort})
 	case len(m.Demand) > 0 || m.ReportSentAt > 0:
@@ -243,7 +243,7 @@
 	case m.LoanRequest != nil:
 		r.send(from, &message{LoanResponse: &loanResponse{ID: m.LoanRequest.ID, Granted: r.Engine.LendToken(m.LoanRequest.Customer)}})
 	case m.LoanResponse != nil:
-		r.handleLoanResponse(m.LoanResponse)
+		r.handleLoanResponse(from, m.LoanResponse)
 	case m.Ping != 0:
 		r.send(from, &message{Pong: m.Ping})
 	}
@@ -274,13 +274,14 @@
 }
 
 // handleResponse passes a response to the request that waits for it. A response from
-// another instance than the requested one is ignored.
-func (r *Relay) handleResponse(from topology.InstanceID, resp *forwardResponse) {
+// another instance than the requested one is ignored. A nil response says that none can be
+// expected any more.
+func (r *Relay) handleResponse(from topology.InstanceID, id uint64, resp *forwardResponse) {
 	r.mu.Lock()
-	pending := r.pending[resp.ID]
+	pending := r.pending[id]
 	expected := pending != nil && pending.to == from
 	if expected {
-		delete(r.pending, resp.ID)
+		delete(r.pending, id)
 	}
 	r.mu.Unlock()
 	if expected {
