Framing: end messages at CR LF only, and encode no field that the wire cannot carry

What callers saw: a write arrived at its target up to the first LF in its data, and the rest was read as the caller's next message, which ran if it looked like a statement (UNASKED). A row that held an LF and what looks like COMPLETE and READY gave its reader a signature from inside the data (MIXED).

Cause: lineReader ended a message at any LF; the protocol ends it with CR LF, and the last field may hold both bytes. The encoder checked nothing, so that a name from the store or the configuration with a blank or a CR LF added fields or messages, and statements that lack a field were completed on their way.

--- a/process/target/target.go
+++ b/process/target/target.go
@@ -60,9 +60,11 @@
 	SessionRefused
 	// InvalidResponse means that a response could not be decoded.
 	InvalidResponse
+	// InvalidStatement means that nothing was sent, because the protocol cannot carry the statement.
+	InvalidStatement
 )
 
-var failureNames = [...]string{"", "broken", "silent", "late", "refused", "garbled"}
+var failureNames = [...]string{"", "broken", "silent", "late", "refused", "garbled", "not encodable"}
 
 // String returns the name of the failure for logs.
 func (f Failure) String() string { return failureNames[f] }
@@ -78,11 +80,9 @@
 	RepeatedResponse
 	// OutOfOrder: a message is not allowed at its place in the response.
 	OutOfOrder
-	// BareLineFeed: a line ended with LF instead of CR LF.
-	BareLineFeed
 )
 
-var departureNames = [...]string{"", "unsolicited", "repeated", "out_of_order", "bare_line_feed"}
+var departureNames = [...]string{"", "unsolicited", "repeated", "out_of_order"}
 
 // String returns the name of the departure for logs and metrics.
 func (d Departure) String() string { return departureNames[d] }
