Responses: follow one grammar, and give a connection up at the first departure

What callers saw: a second copy of a response was given to the next statement on the connection, with the rows and the signature of another one. The same for what is no response: a READY alone, rows without COMPLETE, a success with the signature "-".

Cause: responses carry nothing that names their statement. The client of a target took any messages up to a READY as the response to whatever was outstanding, and looked for unread bytes in the socket only, not in its buffer, and only when a connection left the pool.

Before a statement is sent the buffer and the socket must be empty. A response with the signature of an earlier one is a copy: it is passed over, and the connection is closed after the statement that was outstanding. An ERROR carries nothing that tells it from its own copy, so that no statement follows one on its connection. Session values must be confirmed in the transaction state that the session is in. After a departure a read is retried elsewhere, a write or COMMIT that may have run is in doubt, one that was not sent is retried or aborted, and a transaction is aborted.

--- a/process/target/target.go
+++ b/process/target/target.go
@@ -25,16 +25,20 @@
 	// Do sends a statement and reads its response. When the target refuses the
 	// statement, the response carries an error code and the error is nil. After
 	// an error the connection can only be closed or, when the error is a timeout,
-	// used to read the late response.
+	// used to read the late response. Nothing is sent, and the error is Unusable, if the
+	// connection holds bytes that no statement has asked for.
 	Do(s statement.Statement, timeout time.Duration) (statement.Response, error)
 	// Pipeline sends several statements in one round trip and returns their
 	// responses in order.
 	Pipeline(statements []statement.Statement, timeout time.Duration) ([]statement.Response, error)
 	// ResumeRead continues to read the response to the statement that timed out.
 	ResumeRead(timeout time.Duration) (statement.Response, error)
-	// Alive reports whether an idle connection is still usable, which means that
-	// the target has not closed it.
+	// Alive reports whether an idle connection is still usable, which means that the target has
+	// neither closed it nor sent anything.
 	Alive() bool
+	// Reusable reports whether a further statement may be sent, as far as is known without
+	// looking at the socket: whatever arrives next is the response to that statement.
+	Reusable() bool
 	Close() error
 }
 
@@ -58,13 +62,16 @@
 	ResponseTimeout
 	// SessionRefused means that the target itself refused the session.
 	SessionRefused
-	// InvalidResponse means that a response could not be decoded.
+	// InvalidResponse means that what arrived in place of the response departs from the protocol.
 	InvalidResponse
+	// Unusable means that nothing was sent, because a response to an earlier statement may still
+	// arrive on the connection.
+	Unusable
 	// InvalidStatement means that nothing was sent, because the protocol cannot carry the statement.
 	InvalidStatement
 )
 
-var failureNames = [...]string{"", "broken", "silent", "late", "refused", "garbled", "not encodable"}
+var failureNames = [...]string{"", "broken", "silent", "late", "refused", "garbled", "unusable", "not encodable"}
 
 // String returns the name of the failure for logs.
 func (f Failure) String() string { return failureNames[f] }
@@ -72,7 +79,7 @@
 // Departure classifies how what a target sends departs from its protocol.
 type Departure uint8
 
-// Departures from the protocol.
+// Departures from the protocol. The zero value is none.
 const (
 	// UnsolicitedBytes: bytes arrived while no statement was outstanding.
 	UnsolicitedBytes Departure = iota + 1
@@ -80,9 +87,13 @@
 	RepeatedResponse
 	// OutOfOrder: a message is not allowed at its place in the response.
 	OutOfOrder
+	// InvalidMessage: a message cannot be decoded.
+	InvalidMessage
+	// ResponseTooLarge: the rows of a response exceed what an instance accepts.
+	ResponseTooLarge
 )
 
-var departureNames = [...]string{"", "unsolicited", "repeated", "out_of_order"}
+var departureNames = [...]string{"", "unsolicited", "repeated", "out_of_order", "invalid_message", "too_large"}
 
 // String returns the name of the departure for logs and metrics.
 func (d Departure) String() string { return departureNames[d] }
--- a/request/engine/acquire.go
+++ b/request/engine/acquire.go
@@ -128,8 +128,12 @@
 	}
 }
 
-// release returns the lease and keeps the connection open for further use.
+// release returns the lease and keeps the connection open for further use, if it is reusable.
 func (e *Engine) release(lc *leasedConn) {
+	if !lc.connection.Conn.Reusable() {
+		e.discard(lc, false)
+		return
+	}
 	now := e.Clock()
 	s := lc.service
 	s.mu.Lock()
@@ -144,7 +148,7 @@
 // discardFailed closes a connection after an error. It reports a target that stopped
 // responding as unreachable immediately, without waiting for a new connection to fail.
 func (e *Engine) discardFailed(lc *leasedConn, err error) {
-	e.discard(lc, true)
+	e.discard(lc, connectionBroke(err))
 	if failureOf(err) == target.Unacknowledged {
 		e.Reachability.ReportUnreachable(lc.service.id, lc.lease.Target)
 	}
@@ -175,7 +179,7 @@
 	go func() {
 		response, err := lc.connection.Conn.ResumeRead(lateResponseTimeout)
 		if err != nil || response.State != statement.Idle {
-			e.discard(lc, err != nil)
+			e.discard(lc, err != nil && connectionBroke(err))
 			return
 		}
 		e.release(lc)
@@ -189,8 +193,9 @@
 }
 
 // syncSessionState sets the target session's settings to the caller's and prepares
-// the statement that st executes, where they differ.
-func (e *Engine) syncSessionState(lc *leasedConn, s *client.Session, st statement.Statement, timeout time.Duration) error {
+// the statement that st executes, where they differ. The transaction state is the one that the
+// target's session is in, and stays in.
+func (e *Engine) syncSessionState(lc *leasedConn, s *client.Session, st statement.Statement, state statement.TransactionState, timeout time.Duration) error {
 	steps := lc.connection.SyncStatements(s, st)
 	if len(steps) == 0 {
 		return nil
@@ -203,6 +208,9 @@
 		if response.Code != statement.OK {
 			return &target.Error{Step: "align session", Peer: lc.lease.Target, Failure: target.SessionRefused, Code: response.Code, Err: errors.New(response.Detail)}
 		}
+		if response.State != state {
+			return &target.Error{Step: "align session", Peer: lc.lease.Target, Failure: target.InvalidResponse, Err: errors.New("the response is in another transaction state")}
+		}
 	}
 	lc.connection.RecordSynced(steps)
 	return nil
@@ -216,6 +224,17 @@
 	return target.ConnectionBroken
 }
 
+// connectionBroke reports whether an error of an exchange shows that the connection or the path to
+// the target failed, rather than that a response cannot be trusted or was not awaited.
+func connectionBroke(err error) bool {
+	switch failureOf(err) {
+	case target.SessionRefused, target.InvalidResponse, target.Unusable, target.InvalidStatement:
+		return false
+	default:
+		return true
+	}
+}
+
 // classifyOpenFailure converts an error of opening a connection to the dispatcher's
 // classes of failures.
 func classifyOpenFailure(err error) dispatch.OpenFailure {
--- a/request/engine/harness_test.go
+++ b/request/engine/harness_test.go
@@ -83,6 +83,8 @@
 	respond func(s receivedStatement) (statement.Response, error)
 	// closed holds the numbers of the closed connections.
 	closed map[int]bool
+	// spent holds the numbers of the connections on which nothing more may be sent.
+	spent map[int]bool
 }
 
 func (f *fakeTargets) Dial(_ context.Context, endpoint target.Endpoint) (target.Conn, error) {
@@ -165,6 +167,12 @@
 
 func (c *fakeConn) Alive() bool { return true }
 
+func (c *fakeConn) Reusable() bool {
+	c.targets.mu.Lock()
+	defer c.targets.mu.Unlock()
+	return !c.targets.spent[c.number]
+}
+
 func (c *fakeConn) Close() error {
 	c.targets.mu.Lock()
 	defer c.targets.mu.Unlock()
@@ -179,6 +187,11 @@
 	return &target.Error{Step: "test", Peer: "x", Failure: target.ConnectionBroken, MaybeSent: sent, Err: errors.New("broken")}
 }
 
+// exchangeError returns an error of an exchange that departs from the protocol.
+func exchangeError(failure target.Failure, sent bool) error {
+	return &target.Error{Step: "test", Peer: "x", Failure: failure, MaybeSent: sent, Err: errors.New(failure.String())}
+}
+
 type noopReporter struct{}
 
 func (noopReporter) ReportReachable(topology.ServiceID, topology.TargetID)   {}
--- a/request/engine/statement.go
+++ b/request/engine/statement.go
@@ -66,8 +66,8 @@
 		e.release(lc)
 		return statement.Response{Code: statement.Busy, Detail: "no time left", State: statement.Idle}, false
 	}
-	if err := e.syncSessionState(lc, s, st, timeout); err != nil {
-		e.discard(lc, failureOf(err) != target.SessionRefused)
+	if err := e.syncSessionState(lc, s, st, statement.Idle, timeout); err != nil {
+		e.discard(lc, connectionBroke(err))
 		return statement.Response{Code: statement.Busy, Detail: err.Error(), State: statement.Idle}, true
 	}
 	if !e.mayUseTarget(lc) {
@@ -93,14 +93,17 @@
 // handleStatementError returns the response for a statement without a response from
 // its target. A write that may have been sent is in doubt and not retried.
 func (e *Engine) handleStatementError(lc *leasedConn, writes bool, err error) (statement.Response, bool) {
+	response := statement.Response{Detail: err.Error(), State: statement.Idle}
 	timedOut := failureOf(err) == target.ResponseTimeout
 	if timedOut {
 		e.awaitLateResponse(lc)
 	} else {
 		e.discardFailed(lc, err)
 	}
-	response := statement.Response{Detail: err.Error(), State: statement.Idle}
 	switch {
+	case failureOf(err) == target.InvalidStatement:
+		response.Code = statement.Malformed
+		return response, false
 	case writes && !mayHaveBeenSent(err):
 		response.Code = statement.Busy
 		return response, true
--- a/request/engine/transaction.go
+++ b/request/engine/transaction.go
@@ -124,8 +124,8 @@
 		e.release(lc)
 		return statement.Response{Code: statement.Busy, Detail: "no time or right left to begin"}
 	}
-	if err := e.syncSessionState(lc, t.session, statement.Statement{}, timeout); err != nil {
-		e.discard(lc, failureOf(err) != target.SessionRefused)
+	if err := e.syncSessionState(lc, t.session, statement.Statement{}, statement.Idle, timeout); err != nil {
+		e.discard(lc, connectionBroke(err))
 		return statement.Response{Code: statement.Busy, Detail: err.Error()}
 	}
 	if !lc.lease.Primary {
@@ -169,23 +169,28 @@
 		if timeout <= 0 {
 			return t.abort("the statement's time is over", false)
 		}
-		if err := e.syncSessionState(lc, t.session, st, timeout); err != nil {
-			return t.abort(err.Error(), failureOf(err) != target.SessionRefused)
+		if err := e.syncSessionState(lc, t.session, st, statement.Open, timeout); err != nil {
+			return t.abort(err.Error(), connectionBroke(err))
 		}
 		sentAt := e.Clock()
 		response, err := lc.connection.Conn.Do(lc.connection.Translate(t.session, st), timeout)
+		if failureOf(err) == target.InvalidStatement {
+			return t.fail(statement.Response{Code: statement.Malformed, Detail: err.Error()})
+		}
 		if err != nil {
-			return t.abort(err.Error(), failureOf(err) != target.ResponseTimeout)
+			return t.abort(err.Error(), failureOf(err) != target.ResponseTimeout && connectionBroke(err))
 		}
 		e.recordPosition(lc, sentAt, response.LogEnd)
-		switch {
-		case response.Code == statement.OK && response.Signature == "":
+		if response.Code == statement.OK && response.Signature == "" {
 			return t.abort("unusable answer", false)
+		}
+		retry := response.State == statement.Open && attempt <= maxBusyRetries && lc.connection.Conn.Reusable()
+		switch {
 		case response.Code == statement.OK && response.State == statement.Open:
 			return response
-		case response.Code == statement.UnknownPrepared && response.State == statement.Open && attempt <= maxBusyRetries:
+		case response.Code == statement.UnknownPrepared && retry:
 			lc.connection.ForgetPrepared()
-		case response.Code == statement.Busy && response.State == statement.Open && attempt <= maxBusyRetries:
+		case response.Code == statement.Busy && retry:
 			time.Sleep(retryBackoff)
 		case response.Code == statement.OK:
 			return t.abort("the target left the transaction", false)
@@ -243,7 +248,7 @@
 	go func() {
 		response, err := lc.connection.Conn.Do(statement.Statement{Kind: statement.Rollback}, rollbackTimeout)
 		if err != nil || response.State != statement.Idle {
-			e.discard(lc, err != nil)
+			e.discard(lc, err != nil && connectionBroke(err))
 			return
 		}
 		e.release(lc)
@@ -288,6 +293,9 @@
 		}
 		sentAt := e.Clock()
 		response, err := lc.connection.Conn.Do(st, timeout)
+		if err != nil && !mayHaveBeenSent(err) {
+			return t.abort(err.Error(), connectionBroke(err))
+		}
 		if err != nil {
 			t.conn = nil
 			if failureOf(err) == target.ResponseTimeout {
@@ -299,7 +307,7 @@
 		}
 		authorized := e.mayUseTarget(lc)
 		e.recordPosition(lc, sentAt, response.LogEnd)
-		if response.Code == statement.Busy && response.State == statement.Open && attempt <= maxBusyRetries {
+		if response.Code == statement.Busy && response.State == statement.Open && attempt <= maxBusyRetries && lc.connection.Conn.Reusable() {
 			time.Sleep(retryBackoff)
 			continue
 		}
@@ -314,13 +322,14 @@
 	e := t.engine
 	lc := t.conn
 	t.conn = nil
-	if response.State == statement.Idle {
+	confirmed := response.Code == statement.OK && response.Signature != "" && response.State == statement.Idle
+	if confirmed || response.Code != statement.OK && response.State == statement.Idle {
 		e.release(lc)
 	} else {
 		e.discard(lc, false)
 	}
 	switch {
-	case response.Code == statement.OK && (response.Signature == "" || t.wrote && !authorized):
+	case response.Code == statement.OK && (!confirmed || t.wrote && !authorized):
 		return statement.Response{Code: statement.InDoubt, Detail: "the commit cannot be confirmed"}
 	case response.Code == statement.OK:
 		if t.wrote {
--- /dev/null
+++ b/request/engine/untrusted_response_test.go
@@ -0,0 +1,99 @@
+package engine
+
+import (
+	"testing"
+
+	"samphirehitch.example/samphirehitch/process/statement"
+	"samphirehitch.example/samphirehitch/process/target"
+)
+
+// A connection on which a late response may still arrive must not serve another statement.
+func TestConnectionThatIsNotReusableIsClosed(t *testing.T) {
+	h := newHarness(t)
+	h.targets.respond = func(s receivedStatement) (statement.Response, error) {
+		h.targets.spent = map[int]bool{s.conn: true}
+		return statement.Response{}, nil
+	}
+	s := h.session(1, "strict")
+	h.mustRun(s, writeA, statement.OK)
+	h.mustRun(s, writeA, statement.OK)
+	if writes := h.targets.received(statement.Write); len(writes) != 2 || writes[0].conn == writes[1].conn {
+		t.Fatalf("writes %+v, want two on different connections", writes)
+	}
+	if open := h.targets.openConnections(); open != 0 {
+		t.Fatalf("%d connections are open", open)
+	}
+}
+
+// What a caller learns of a statement whose response departs from the protocol depends on whether it may have
+// run, and on what that does.
+func TestOutcomeOfStatementsWithoutATrustedResponse(t *testing.T) {
+	for name, c := range map[string]struct {
+		err        error
+		statements []statement.Statement
+		want       statement.Code
+	}{
+		"write that was not sent":            {exchangeError(target.Unusable, false), []statement.Statement{writeA}, statement.OK},
+		"write that may have run":            {exchangeError(target.InvalidResponse, true), []statement.Statement{writeA}, statement.InDoubt},
+		"read":                               {exchangeError(target.InvalidResponse, true), []statement.Statement{readA}, statement.OK},
+		"write in a transaction":             {exchangeError(target.InvalidResponse, true), []statement.Statement{begin, writeA}, statement.Aborted},
+		"write in a transaction, not sent":   {exchangeError(target.Unusable, false), []statement.Statement{begin, writeA}, statement.Aborted},
+		"COMMIT that may have run":           {exchangeError(target.InvalidResponse, true), []statement.Statement{begin, writeA, commit}, statement.InDoubt},
+		"COMMIT that was not sent":           {exchangeError(target.Unusable, false), []statement.Statement{begin, writeA, commit}, statement.Aborted},
+		"write that cannot be encoded":       {exchangeError(target.InvalidStatement, false), []statement.Statement{writeA}, statement.Malformed},
+		"write in a transaction, no message": {exchangeError(target.InvalidStatement, false), []statement.Statement{begin, writeA}, statement.Malformed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			last := c.statements[len(c.statements)-1]
+			failed := false
+			h.targets.respond = func(s receivedStatement) (statement.Response, error) {
+				if s.Text != last.Text || failed {
+					return statement.Response{}, nil
+				}
+				failed = true
+				return statement.Response{}, c.err
+			}
+			s := h.session(1, "strict")
+			for _, st := range c.statements[:len(c.statements)-1] {
+				h.mustRun(s, st, statement.OK)
+			}
+			h.mustRun(s, last, c.want)
+		})
+	}
+}
+
+// A COMMIT without its target's signature is in doubt, and what else arrives on its connection is not known.
+func TestCommitWithoutSignatureClosesItsConnection(t *testing.T) {
+	h := newHarness(t)
+	h.targets.respond = func(s receivedStatement) (statement.Response, error) {
+		if s.Kind == statement.Commit {
+			return statement.Response{State: statement.Idle}, nil
+		}
+		return statement.Response{}, nil
+	}
+	s := h.session(1, "strict")
+	h.mustRun(s, begin, statement.OK)
+	h.mustRun(s, writeA, statement.OK)
+	h.mustRun(s, commit, statement.InDoubt)
+	if open := h.targets.openConnections(); open != 0 {
+		t.Fatalf("%d connections are open", open)
+	}
+}
+
+// The copy of a response to a statement in a transaction must not confirm that a session value is set.
+func TestSessionValueConfirmedInAnotherStateIsNotTrusted(t *testing.T) {
+	h := newHarness(t)
+	h.targets.respond = func(s receivedStatement) (statement.Response, error) {
+		if s.Kind == statement.Set && s.conn == 1 {
+			return statement.Response{State: statement.Open}, nil
+		}
+		return statement.Response{}, nil
+	}
+	s := h.session(1, "strict")
+	h.mustRun(s, statement.Statement{Kind: statement.Set, Name: "n", Argument: "v"}, statement.OK)
+	h.mustRun(s, readA, statement.OK)
+	if reads := h.targets.received(statement.Read); len(reads) != 1 || reads[0].conn == 1 {
+		t.Fatalf("reads %+v, want one on a second connection", reads)
+	}
+}
--- a/request/relay/harness_test.go
+++ b/request/relay/harness_test.go
@@ -136,8 +136,9 @@
 func (c *recordingConn) ResumeRead(time.Duration) (statement.Response, error) {
 	return statement.Response{}, errors.New("no response")
 }
-func (c *recordingConn) Alive() bool  { return true }
-func (c *recordingConn) Close() error { return nil }
+func (c *recordingConn) Alive() bool    { return true }
+func (c *recordingConn) Reusable() bool { return true }
+func (c *recordingConn) Close() error   { return nil }
 
 // network carries messages between relays.
 type network struct {
