Floors: take no position from a response that is not trusted

What callers could see: reads that miss acknowledged commits (STALE). Cause: in transactions the position of a response was recorded as that of the primary's log at the time of sending before the response was checked. That of a late copy is older, so that the floor of later reads is too low. Change: the position is recorded once the response has a signature, or is an error on a connection that had none before. Evidence: TestPositionOfAnUntrustedResponseIsNoFloor got the floor 1/5 before. Measured: tests of request/engine pass.

--- a/request/engine/transaction.go
+++ b/request/engine/transaction.go
@@ -180,10 +180,10 @@
 		if err != nil {
 			return t.abort(err.Error(), failureOf(err) != target.ResponseTimeout && connectionBroke(err))
 		}
-		e.recordPosition(lc, sentAt, response.LogEnd)
 		if response.Code == statement.OK && response.Signature == "" {
 			return t.abort("unusable answer", false)
 		}
+		e.recordPosition(lc, sentAt, response.LogEnd)
 		retry := response.State == statement.Open && attempt <= maxBusyRetries && lc.connection.Conn.Reusable()
 		switch {
 		case response.Code == statement.OK && response.State == statement.Open:
@@ -306,7 +306,6 @@
 			return statement.Response{Code: statement.InDoubt, Detail: err.Error()}
 		}
 		authorized := e.mayUseTarget(lc)
-		e.recordPosition(lc, sentAt, response.LogEnd)
 		if response.Code == statement.Busy && response.State == statement.Open && attempt <= maxBusyRetries && lc.connection.Conn.Reusable() {
 			time.Sleep(retryBackoff)
 			continue
@@ -324,6 +323,7 @@
 	t.conn = nil
 	confirmed := response.Code == statement.OK && response.Signature != "" && response.State == statement.Idle
 	if confirmed || response.Code != statement.OK && response.State == statement.Idle {
+		e.recordPosition(lc, sentAt, response.LogEnd)
 		e.release(lc)
 	} else {
 		e.discard(lc, false)
--- a/request/engine/untrusted_response_test.go
+++ b/request/engine/untrusted_response_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"samphirehitch.example/samphirehitch/process/statement"
 	"samphirehitch.example/samphirehitch/process/target"
+	"samphirehitch.example/samphirehitch/process/topology"
 )
 
 // A connection on which a late response may still arrive must not serve another statement.
@@ -97,3 +99,27 @@
 		t.Fatalf("reads %+v, want one on a second connection", reads)
 	}
 }
+
+// The position in the copy of an earlier response is that of an earlier log: as the present one, it lets reads miss commits.
+func TestPositionOfAnUntrustedResponseIsNoFloor(t *testing.T) {
+	h := newHarness(t)
+	unsigned := false
+	h.targets.respond = func(s receivedStatement) (statement.Response, error) {
+		switch {
+		case s.Kind != statement.Read && s.Kind != statement.Write:
+			return statement.Response{}, nil
+		case unsigned:
+			return statement.Response{State: statement.Open, LogEnd: topology.Point{Term: 1, Position: 5}}, nil
+		default:
+			return statement.Response{State: statement.Open, Signature: "x", LogEnd: topology.Point{Term: 1, Position: 20}}, nil
+		}
+	}
+	s := h.session(1, "strict")
+	h.mustRun(s, begin, statement.OK)
+	unsigned = true
+	h.mustRun(s, writeA, statement.Aborted)
+	h.advance(3 * time.Second)
+	if sample, found := h.engine.service("s").dispatch.Floors.OldestSince(0); found {
+		t.Fatalf("the floor is %+v", sample)
+	}
+}
