Prepared statements: tell those apart whose names on a target are the same hash

What callers could see: EXECUTE runs the statement of another session (PINNED). Cause: the name on the target is a hash of the shape that is not cryptographic, and a connection recorded names alone. Change: a connection records the statement of each name, and is reset before another one with that name. Evidence: without the comparison TestPreparedStatementOfAnotherShapeIsNotExecuted gets no step.

--- a/connection/client/connection.go
+++ b/connection/client/connection.go
@@ -16,27 +16,33 @@
 	Conn target.Conn
 	// values are the session values set on the target.
 	values map[string]string
-	// preparedNames are the names of the statements prepared on the target.
-	preparedNames map[string]bool
+	// prepared holds the statements prepared on the target by their names there.
+	prepared map[string]PreparedStatement
 }
 
 // NewConnection returns a connection whose target session is in its initial state.
 func NewConnection(conn target.Conn) *Connection {
-	return &Connection{Conn: conn, values: make(map[string]string), preparedNames: make(map[string]bool)}
+	return &Connection{Conn: conn, values: make(map[string]string), prepared: make(map[string]PreparedStatement)}
 }
 
 // SyncStatements returns the statements to run on the target before st, so that the
 // target's session has the values of s and the prepared statement that st executes. It
-// resets the target's session first if that has values that s lacks, or too many
-// prepared statements. RecordSynced must be called once the statements have succeeded.
+// resets the target's session first if that has values that s lacks, too many
+// prepared statements, or another one under the name of the one that st executes. RecordSynced must be called once the statements have succeeded.
 func (c *Connection) SyncStatements(s *Session, st statement.Statement) []statement.Statement {
 	var steps []statement.Statement
-	reset := len(c.preparedNames) > maxPrepared
+	reset := len(c.prepared) > maxPrepared
 	for name := range c.values {
 		if _, isSet := s.Values[name]; !isSet {
 			reset = true
 		}
 	}
+	executed := s.Prepared[st.Name]
+	name := executed.targetName()
+	current, isPrepared := c.prepared[name]
+	if st.Kind == statement.Execute && isPrepared && current != executed {
+		reset = true // two statements share a name, which is a hash
+	}
 	if reset {
 		steps = append(steps, statement.Statement{Kind: statement.Reset})
 	}
@@ -45,11 +51,8 @@
 			steps = append(steps, statement.Statement{Kind: statement.Set, Name: name, Argument: value})
 		}
 	}
-	if st.Kind == statement.Execute {
-		prepared := s.Prepared[st.Name]
-		if name := prepared.targetName(); reset || !c.preparedNames[name] {
-			steps = append(steps, statement.Statement{Kind: statement.Prepare, Name: name, Argument: prepared.Shape, Writes: prepared.Writes})
-		}
+	if st.Kind == statement.Execute && (reset || !isPrepared) {
+		steps = append(steps, statement.Statement{Kind: statement.Prepare, Name: name, Argument: executed.Shape, Writes: executed.Writes})
 	}
 	return steps
 }
@@ -61,18 +64,18 @@
 		switch step.Kind {
 		case statement.Reset:
 			clear(c.values)
-			clear(c.preparedNames)
+			clear(c.prepared)
 		case statement.Set:
 			c.values[step.Name] = step.Argument
 		case statement.Prepare:
-			c.preparedNames[step.Name] = true
+			c.prepared[step.Name] = PreparedStatement{Writes: step.Writes, Shape: step.Argument}
 		}
 	}
 }
 
 // ForgetPrepared discards the record of prepared statements, so that each is
 // prepared again before its next use.
-func (c *Connection) ForgetPrepared() { clear(c.preparedNames) }
+func (c *Connection) ForgetPrepared() { clear(c.prepared) }
 
 // Translate returns the statement to send to the target: one that executes a
 // prepared statement refers to it by its name there.
