Keep the keys of services with slashes apart

By reading: the key of a suspicion is a service, a slash and an instance, and was split at the first slash. A suspicion of the primary of service "a/b" counted as one of service "a" by an instance "b/...". Keys of other names stay as they are, so that instances of earlier versions find them.

--- a/edge/keys.go
+++ b/edge/keys.go
@@ -56,8 +56,10 @@
 	return prefixSuspicions + string(service) + "/" + string(id)
 }
 
-// splitServiceKey splits a key that consists of a prefix, a service and an instance.
+// splitServiceKey splits a key that consists of a prefix, a service and an instance. The name of a
+// service may contain a slash, that of an instance does not.
 func splitServiceKey(prefix, key string) (topology.ServiceID, topology.InstanceID) {
-	service, instance, _ := strings.Cut(strings.TrimPrefix(key, prefix), "/")
-	return topology.ServiceID(service), topology.InstanceID(instance)
+	name := strings.TrimPrefix(key, prefix)
+	i := strings.LastIndexByte(name, '/')
+	return topology.ServiceID(name[:max(i, 0)]), topology.InstanceID(name[i+1:])
 }
