--- a/soak/session.go
+++ b/soak/session.go
@@ -57,7 +57,7 @@
 }
 
 // checkResponses checks that each success of a read, a write or a commit carries the rows and the
-// signature of an execution of that statement, and that no other statement has either.
+// signature of one execution of that statement, and that no other success has any.
 func (c *checker) checkResponses(groups []*platformtest.Group) {
 	executions := executionsByID(groups)
 	for id, sent := range c.statements {
