--- a/soak/refusals.go
+++ b/soak/refusals.go
@@ -55,7 +55,7 @@
 // zero. Excused is what is no cost by the platform's documentation: the end of a withdrawn key, of
 // transactions that last for longer than transactionEndTime after a SIGTERM, and of connections
 // whose statement the daemon has not taken; and what happens while over half of the daemons stop
-// or after a stall of the machine.
+// or a target stutters, or after a stall of the machine.
 func (h *history) checkPlannedStops(groups []*platformtest.Group, run plannedRun) []string {
 	executions := executionsByID(groups)
 	h.mu.Lock()
@@ -84,7 +84,7 @@
 }
 
 // disturbs reports whether, between two times, over half of the daemons were stopping or away,
-// when the platform's balancer uses them all, or the machine stalled.
+// when the platform's balancer uses them all, a target stuttered, or the machine stalled.
 func (l *lossRecord) disturbs(start, end time.Time, run plannedRun) bool {
 	stopping := 0
 	for _, s := range l.stops {
@@ -92,7 +92,8 @@
 			stopping++
 		}
 	}
-	return 2*stopping > run.daemons || l.stalledBetween(start, end)
+	stuttered := slices.ContainsFunc(l.stutters, func(s *faultInterval) bool { return s.overlaps(start, end) })
+	return stuttered || 2*stopping > run.daemons || l.stalledBetween(start, end)
 }
 
 // excuses reports whether a refusal is no cost of a planned stop.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -54,8 +54,7 @@
 	// AnyBytes has callers send values and prepared shapes with any bytes that the protocol
 	// allows, and set session values. Their other draws stay the same.
 	AnyBytes bool
-	// Stutter has targets send one response in stutterInterval twice, from the time when callers
-	// are served until faults are cleared.
+	// Stutter has targets send responses twice, beside the other faults.
 	Stutter bool
 	// FaultLog receives a line with the time of each fault.
 	FaultLog io.Writer
@@ -271,7 +270,6 @@
 	h.awaitSuccesses()
 	h.plannedRun.servedFrom = time.Now()
 	h.logEvent("serving")
-	h.startStutter()
 	h.startInjectors(&injectors, stopFaults)
 	time.Sleep(h.options.FaultDuration / 2)
 	h.withdrawKey()
@@ -293,6 +291,9 @@
 // startInjectors starts what disturbs the run until stop is closed.
 func (h *harness) startInjectors(injectors *sync.WaitGroup, stop <-chan struct{}) {
 	source := func(number uint64) *rand.Rand { return rand.New(rand.NewPCG(h.options.Seed, number)) }
+	if h.options.Stutter {
+		injectors.Go(func() { h.stutterTargets(source(stutterSource), stop) })
+	}
 	if h.options.PlannedStopsOnly {
 		injectors.Go(func() { h.stopInSeries(source(plannedStopsSource), stop) })
 		return
--- a/soak/unanswered.go
+++ b/soak/unanswered.go
@@ -61,6 +61,9 @@
 	// stops are the times from the SIGTERM of a daemon in a series until the balancer may find it
 	// ready again.
 	stops []*faultInterval
+	// stutters are the times in which a target sends responses twice and, for the last of them to
+	// have an effect, the timeout of a route.
+	stutters []*faultInterval
 	// stalls are the times in which a thread of a process waited for a processor.
 	stalls []faultInterval
 	// refusals are the error responses.
@@ -90,6 +93,12 @@
 // records its next start.
 func (h *history) addStop() (end func()) { return h.beginInterval(&h.stops, probeInterval) }
 
+// addStutter records that a target sends responses twice from now on, and returns the function that
+// records the end.
+func (h *history) addStutter() (end func()) {
+	return h.beginInterval(&h.stutters, platformtest.RouteTimeout)
+}
+
 // beginInterval adds an interval that begins now, and returns the function that has it end after a
 // delay.
 func (h *history) beginInterval(intervals *[]*faultInterval, delay time.Duration) (end func()) {
