Soak: report responses outside the grammar and messages that nobody asked for

A response that the callers' reader rejects counted as a statement without an answer, and bytes that arrived between statements only ended the connection. Both are now violations of MIXED, except an ERROR between statements, which a daemon may send before it closes a connection. A test shows that the checker reports each and no broken connection.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -72,6 +72,7 @@
 			time.Sleep(reconnectBackoff)
 			continue
 		}
+		c.history.addUnsolicited(c.daemon, c.conn.Unsolicited())
 		if c.conn.Ended() || !c.setValue() || !c.runOperation() {
 			c.conn.Close()
 			c.conn = nil
@@ -93,6 +94,7 @@
 	daemon := candidates[c.random.IntN(len(candidates))]
 	sentAt := time.Now()
 	conn, response, err := platformtest.DialCaller(c.addresses[daemon], c.database.Host, c.customer.Key, responseTimeout)
+	c.history.addProtocolError(err)
 	if err == nil && !response.OK() {
 		c.history.addRefusal(refusal{response: response, customer: c.customer.Name, daemon: daemon, sentAt: sentAt, at: time.Now()})
 	}
@@ -138,6 +140,7 @@
 	c.history.addSession(id, c.session)
 	sentAt := time.Now()
 	response, err := c.conn.Do(id, text, responseTimeout)
+	c.history.addProtocolError(err)
 	switch {
 	case err != nil:
 		c.history.addUnanswered(unansweredStatement{id: id, text: text, daemon: c.daemon, sentAt: sentAt, endedAt: time.Now(), transactionBegunAt: c.transactionBegunAt})
--- a/soak/history.go
+++ b/soak/history.go
@@ -79,6 +79,8 @@
 	statements map[string]sentStatement
 	// keyWithdrawnAt holds, by customer, when the customer's key was withdrawn.
 	keyWithdrawnAt map[string]time.Time
+	// protocolErrors are what daemons sent to callers against the protocol.
+	protocolErrors []string
 	// disturbances are the times at which a suspension or a fault of the network was injected
 	// or reverted.
 	disturbances []time.Time
--- a/soak/session.go
+++ b/soak/session.go
@@ -1,6 +1,9 @@
 package soak
 
 import (
+	"bytes"
+	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -56,9 +59,34 @@
 	h.statements[id] = sent
 }
 
+// addProtocolError records an error of a caller's connection if it is that the daemon sent what the
+// protocol does not allow.
+func (h *history) addProtocolError(err error) {
+	if !errors.As(err, new(*platformtest.ProtocolError)) {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.protocolErrors = append(h.protocolErrors, err.Error())
+}
+
+// addUnsolicited records what a daemon sent while no statement was outstanding. Only an ERROR
+// counts as a response to nothing.
+func (h *history) addUnsolicited(daemon int, received []byte) {
+	if len(received) == 0 || bytes.HasPrefix(received, []byte("ERROR ")) {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.protocolErrors = append(h.protocolErrors, fmt.Sprintf("daemon %d sent %q while no statement was outstanding", daemon+1, received))
+}
+
 // checkResponses checks that each success of a read, a write or a commit carries the rows and the
 // signature of one execution of that statement, and that no other success has any.
 func (c *checker) checkResponses(groups []*platformtest.Group) {
+	for _, text := range c.protocolErrors {
+		c.addViolation("MIXED: %s", text)
+	}
 	executions := executionsByID(groups)
 	for id, sent := range c.statements {
 		if sent.response == nil {
--- a/soak/session_test.go
+++ b/soak/session_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"io"
 	"strconv"
 	"strings"
 	"testing"
@@ -58,21 +59,25 @@
 		change func(h *history)
 		want   string
 	}{
-		"nothing":            {func(*history) {}, ""},
-		"rows":               {respond("3", func(r *platformtest.Response) { r.Rows = []string{"x"} }), "MIXED: 3, "},
-		"row cut":            {respond("5", func(r *platformtest.Response) { r.Rows = []string{"a"} }), "MIXED: 5, "},
-		"row doubled":        {respond("5", func(r *platformtest.Response) { r.Rows = append(r.Rows, r.Rows...) }), "MIXED: 5, "},
-		"no row":             {respond("5", func(r *platformtest.Response) { r.Rows = nil }), "MIXED: 5, "},
-		"signature":          {respond("3", func(r *platformtest.Response) { r.Signature = "ledger-1.1" }), "MIXED: 3, "},
-		"no signature":       {respond("4", func(r *platformtest.Response) { r.Signature = "-" }), "MIXED: 4, "},
-		"signature of a SET": {respond("1", func(r *platformtest.Response) { r.Signature = "s-1.1" }), "MIXED: 1, "},
-		"row of a SET":       {respond("1", func(r *platformtest.Response) { r.Rows = []string{""} }), "MIXED: 1, "},
-		"value":              {inSession("3", "SET v x\n"), "PINNED: 3 was executed with the values"},
-		"value too many":     {inSession("4", "SET w x"), "PINNED: 4 was executed with the values"},
-		"shape":              {inSession("4", "PREPARE p WRITE q"), "PINNED: 4 was executed with the prepared statement"},
-		"mode":               {inSession("4", "PREPARE p READ q\n\xff"), "PINNED: 4 was executed with the prepared statement"},
-		"text after LF":      {sentAs("4", "EXECUTE p a a\n\xfe"), "UNASKED: 4 was sent as"},
-		"text with blank":    {sentAs("4", "EXECUTE p a a\n\xff "), "UNASKED: 4 was sent as"},
+		"nothing":             {func(*history) {}, ""},
+		"rows":                {respond("3", func(r *platformtest.Response) { r.Rows = []string{"x"} }), "MIXED: 3, "},
+		"row cut":             {respond("5", func(r *platformtest.Response) { r.Rows = []string{"a"} }), "MIXED: 5, "},
+		"row doubled":         {respond("5", func(r *platformtest.Response) { r.Rows = append(r.Rows, r.Rows...) }), "MIXED: 5, "},
+		"no row":              {respond("5", func(r *platformtest.Response) { r.Rows = nil }), "MIXED: 5, "},
+		"signature":           {respond("3", func(r *platformtest.Response) { r.Signature = "ledger-1.1" }), "MIXED: 3, "},
+		"no signature":        {respond("4", func(r *platformtest.Response) { r.Signature = "-" }), "MIXED: 4, "},
+		"signature of a SET":  {respond("1", func(r *platformtest.Response) { r.Signature = "s-1.1" }), "MIXED: 1, "},
+		"row of a SET":        {respond("1", func(r *platformtest.Response) { r.Rows = []string{""} }), "MIXED: 1, "},
+		"value":               {inSession("3", "SET v x\n"), "PINNED: 3 was executed with the values"},
+		"value too many":      {inSession("4", "SET w x"), "PINNED: 4 was executed with the values"},
+		"shape":               {inSession("4", "PREPARE p WRITE q"), "PINNED: 4 was executed with the prepared statement"},
+		"mode":                {inSession("4", "PREPARE p READ q\n\xff"), "PINNED: 4 was executed with the prepared statement"},
+		"response to nothing": {func(h *history) { h.addUnsolicited(1, []byte("READY I 1.1\r\n")) }, "MIXED: daemon 2 sent"},
+		"error to nothing":    {func(h *history) { h.addUnsolicited(1, []byte("ERROR ABORTED -\r\n")) }, ""},
+		"malformed response":  {func(h *history) { h.addProtocolError(&platformtest.ProtocolError{Step: "execute statement"}) }, "MIXED: execute statement: message from"},
+		"broken connection":   {func(h *history) { h.addProtocolError(io.ErrUnexpectedEOF) }, ""},
+		"text after LF":       {sentAs("4", "EXECUTE p a a\n\xfe"), "UNASKED: 4 was sent as"},
+		"text with blank":     {sentAs("4", "EXECUTE p a a\n\xff "), "UNASKED: 4 was sent as"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g, err := platformtest.StartGroup("s", 1, 3, 16, 0)
