Hold targets' PostgreSQL responses against the protocol's grammar

What callers saw: a response that a PostgreSQL target had not formed well was passed on as the response to the statement. ReadyForQuery alone, without CommandComplete, counted as success of a Query: a write was then committed and acknowledged without its completion. Rows without a description, rows after the completion, a completion after an error, two errors, COPY data outside of a COPY and a transaction status that contradicts the response passed as well. An ErrorResponse without SQLSTATE counted as no error, so that the COMMIT of a failed write was sent.

Cause: the connection counted only the outstanding ReadyForQuery messages. What came before each was checked in part for extended queries, and not at all for simple ones.

Change: connection/upstream holds each message against the requests that were sent and the phase of the response that is due, and breaks the connection at the first departure. The error reaches the same code as a lost connection: a read is retried elsewhere or fails, a write before its COMMIT is retried or refused as not run, an open transaction is lost, and after COMMIT the outcome is resolved by the transaction ID.

--- a/connection/upstream/check.go
+++ b/connection/upstream/check.go
@@ -20,7 +20,7 @@
 // nor sent bytes outside a response. Otherwise the connection is marked broken: it
 // cannot run another request, not even within its transaction.
 func (c *Conn) CheckAlive() error {
-	if c.pendingReady != 0 || c.HasBufferedInput() {
+	if !c.grammar.idle() || c.HasBufferedInput() {
 		c.broken.Store(true)
 		return &ProtocolError{c.config.Target, "connection is not idle"}
 	}
--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -1,14 +1,16 @@
 // Package upstream connects to targets over the PostgreSQL wire protocol: dialing,
 // login with the instance's own credentials and the exchange of messages. A
-// connection counts its outstanding responses, so that one with an incomplete or
-// late response is closed rather than reused. The package neither pools
-// connections nor chooses targets.
+// connection holds the target's messages against the protocol's grammar of responses,
+// so that one with an incomplete, late or malformed response is closed rather than
+// reused. The package neither pools connections nor chooses targets.
 package upstream
 
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"net"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -54,9 +56,8 @@
 	processID    uint32
 	cancelSecret []byte
 	status       TransactionStatus
-	// pendingReady counts the ReadyForQuery messages that the target has yet to
-	// send, one for each Query and Sync.
-	pendingReady int
+	// grammar follows the outstanding responses.
+	grammar grammar
 	// broken is set once the connection must not be reused.
 	broken atomic.Bool
 
@@ -91,10 +92,7 @@
 
 // Send queues a message until Flush.
 func (c *Conn) Send(message pgproto3.FrontendMessage) {
-	switch message.(type) {
-	case *pgproto3.Query, *pgproto3.Sync:
-		c.pendingReady++
-	}
+	c.grammar.sent(message)
 	c.frontend.Send(message)
 }
 
@@ -107,34 +105,29 @@
 	return nil
 }
 
-// Receive returns the target's next message, valid until the next call. It returns
-// a *ProtocolError for a message outside any response, except those that a target
-// may send at any time: notices, parameter statuses and notifications.
+// Receive returns the target's next message, valid until the next call. It returns a
+// *ProtocolError for a message that cannot come at this point of the outstanding responses.
+// The connection is broken then, as after any error.
 func (c *Conn) Receive() (pgproto3.BackendMessage, error) {
 	message, err := c.frontend.Receive()
 	if err != nil {
 		c.broken.Store(true)
 		return nil, eris.Wrapf(err, "receive from target %s", c.config.Target)
 	}
-	switch message := message.(type) {
+	switch message.(type) {
 	case *pgproto3.NoticeResponse, *pgproto3.ParameterStatus, *pgproto3.NotificationResponse:
 		return message, nil
-	case *pgproto3.ReadyForQuery:
-		c.pendingReady--
-		c.status = TransactionStatus(message.TxStatus)
 	}
-	if c.pendingReady < 0 || (c.pendingReady == 0 && !isReadyForQuery(message)) {
+	if !c.grammar.accept(message, c.status) {
 		c.broken.Store(true)
-		return nil, &ProtocolError{c.config.Target, "response without a request"}
+		return nil, &ProtocolError{c.config.Target, strings.TrimPrefix(fmt.Sprintf("%T", message), "*pgproto3.") + " does not continue the response"}
+	}
+	if ready, ok := message.(*pgproto3.ReadyForQuery); ok {
+		c.status = TransactionStatus(ready.TxStatus)
 	}
 	return message, nil
 }
 
-func isReadyForQuery(message pgproto3.BackendMessage) bool {
-	_, ready := message.(*pgproto3.ReadyForQuery)
-	return ready
-}
-
 // HasBufferedInput reports whether received bytes wait for Receive.
 func (c *Conn) HasBufferedInput() bool { return c.frontend.ReadBufferLen() > 0 }
 
@@ -160,7 +153,7 @@
 // Reusable reports whether the connection can serve another session: every response
 // is complete, no transaction is open and it is not broken.
 func (c *Conn) Reusable() bool {
-	return !c.broken.Load() && c.pendingReady == 0 && c.status == Idle && !c.HasBufferedInput()
+	return !c.broken.Load() && c.grammar.idle() && c.status == Idle && !c.HasBufferedInput()
 }
 
 // MarkBroken keeps the connection from being reused.
--- a/connection/upstream/fuzz_test.go
+++ b/connection/upstream/fuzz_test.go
@@ -43,7 +43,7 @@
 			if err != nil {
 				break
 			}
-			ready = isReadyForQuery(message)
+			_, ready = message.(*pgproto3.ReadyForQuery)
 		}
 		if conn.Reusable() && !ready {
 			t.Error("reusable without ReadyForQuery")
--- a/request/execute/batch_exchange.go
+++ b/request/execute/batch_exchange.go
@@ -183,7 +183,7 @@
 // handleError forwards or withholds an error of the target, which ends the
 // batch.
 func (e *batchExchange) handleError(message *pgproto3.ErrorResponse) error {
-	if isFatal(message) {
+	if upstream.IsFatal(message) {
 		return e.pipeline.sessionLost(message)
 	}
 	e.errorCode = sqlstate.Code(message.Code)
--- a/request/execute/pipeline.go
+++ b/request/execute/pipeline.go
@@ -109,7 +109,7 @@
 				result.value = append([]byte(nil), message.Values[0]...)
 			}
 		case *pgproto3.ErrorResponse:
-			if isFatal(message) {
+			if upstream.IsFatal(message) {
 				return queryResult{}, p.sessionLost(message)
 			}
 			failure := *message
@@ -159,12 +159,6 @@
 	return id, nil
 }
 
-// isFatal reports whether the target closes the connection after the error.
-func isFatal(response *pgproto3.ErrorResponse) bool {
-	return response.Severity == "FATAL" || response.Severity == "PANIC" ||
-		response.SeverityUnlocalized == "FATAL" || response.SeverityUnlocalized == "PANIC"
-}
-
 // sessionLost marks the connection as broken and returns the error for a target
 // that closes it.
 func (p *pipeline) sessionLost(response *pgproto3.ErrorResponse) error {
