Accept only the exact result of a statement that the instance added

What callers saw: a write outside of a transaction took effect twice. The instance asks for the transaction ID before it sends COMMIT. A response without a row, with two rows, with an empty value or with two results counted as "no ID", which means that the transaction has written nothing; when the response to COMMIT was then lost, the write counted as not run and ran again.

Cause: the result of an added statement was the last command tag, compared by prefix, and the first column of the last row, whatever else the response held. Null, an empty value and no row were the same. The transaction status was not looked at.

Evidence: TestMalformedTransactionIDDoesNotRepeatAWrite answers the query for the ID with fixed bytes and drops the response to the first COMMIT.

Change: an added statement needs one CommandComplete with exactly its tag, one row of one column after a SELECT and none otherwise, and the transaction status that follows from it; an ID is null or a positive number. Anything else breaks the connection: before COMMIT the write has not run and is retried, and after COMMIT its outcome is resolved. The fake target reports null for "no ID", as PostgreSQL does; it sent an empty value.

--- a/request/execute/batch_exchange.go
+++ b/request/execute/batch_exchange.go
@@ -229,7 +229,7 @@
 // unexpectedMessage returns the error for a message that cannot belong to the
 // response. Nothing that follows it on the connection can be trusted.
 func (e *batchExchange) unexpectedMessage() error {
-	return &upstream.ProtocolError{Target: e.pipeline.conn.Target(), Reason: "response does not match the request"}
+	return e.pipeline.protocolError("response does not match the request")
 }
 
 // handleCommandComplete forwards a CommandComplete, or holds it until the
@@ -274,7 +274,6 @@
 		return err
 	}
 	if len(e.expected) > 0 {
-		e.pipeline.conn.MarkBroken()
 		return e.unexpectedMessage()
 	}
 	return nil
--- a/request/execute/fake_conn_test.go
+++ b/request/execute/fake_conn_test.go
@@ -57,8 +57,7 @@
 		}
 		fault := noFault
 		if query, ok := message.(*pgproto3.Query); ok {
-			c.handleQuery(query.String)
-			c.addMessages(&pgproto3.ReadyForQuery{TxStatus: c.txStatus})
+			c.handleScriptedQuery(query.String)
 			fault = c.targets.nextFault(c.id)
 		} else {
 			c.handleExtended(message)
@@ -69,6 +68,18 @@
 	}
 }
 
+// handleScriptedQuery responds to a Query, by the script for it if there is one.
+func (c *fakeConn) handleScriptedQuery(query string) {
+	scripted, ok := c.targets.nextScript(query)
+	if !scripted.skipped {
+		c.handleQuery(query)
+		c.addMessages(&pgproto3.ReadyForQuery{TxStatus: c.txStatus})
+	}
+	if ok {
+		c.response = []byte(scripted.response)
+	}
+}
+
 // handleExtended responds to an extended query message. Each portal returns its
 // only parameter.
 func (c *fakeConn) handleExtended(message pgproto3.FrontendMessage) {
@@ -141,13 +152,16 @@
 		c.addRow(c.settings[words[1]])
 	case words[0] == "INSERT":
 		c.uncommitted = append(c.uncommitted, words[1])
+		if c.txStatus == 'I' {
+			c.commit()
+		}
 		c.addCommandComplete("INSERT 0 1")
 	case words[0] == "CALL":
 		c.uncommitted = append(c.uncommitted, words[1])
 		c.commit()
 		c.addCommandComplete("CALL")
 	case query == queryTransactionID:
-		c.addRow(c.assignTransactionID())
+		c.addTransactionID()
 	case words[0] == "TABLE":
 		count, _ := strconv.Atoi(words[1])
 		c.addRows(words[2], count)
@@ -170,17 +184,20 @@
 	c.addCommandComplete("SELECT " + strconv.Itoa(count))
 }
 
-// assignTransactionID assigns and returns the transaction ID. A transaction
-// that has written nothing has none.
-func (c *fakeConn) assignTransactionID() string {
-	if len(c.uncommitted) == 0 {
-		return ""
+// addTransactionID assigns and returns the transaction ID. A transaction that has
+// written nothing has none, which is null.
+func (c *fakeConn) addTransactionID() {
+	if len(c.uncommitted) > 0 {
+		c.targets.mu.Lock()
+		defer c.targets.mu.Unlock()
+		c.targets.mu.nextID++
+		c.transactionID = c.targets.mu.nextID
+		c.addRow(strconv.FormatUint(c.transactionID, 10))
+		return
 	}
-	c.targets.mu.Lock()
-	defer c.targets.mu.Unlock()
-	c.targets.mu.nextID++
-	c.transactionID = c.targets.mu.nextID
-	return strconv.FormatUint(c.transactionID, 10)
+	c.addMessages(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("v"), DataTypeOID: textOID}}},
+		&pgproto3.DataRow{Values: [][]byte{nil}})
+	c.addCommandComplete("SELECT 1")
 }
 
 func (c *fakeConn) endTransaction() {
--- a/request/execute/fake_targets_test.go
+++ b/request/execute/fake_targets_test.go
@@ -42,6 +42,8 @@
 		sync.Mutex
 		// faults are applied to the next Queries, one each, in order.
 		faults []responseFault
+		// scripts replace the responses to the next Queries with their texts, in order.
+		scripts map[string][]script
 		// received is everything that was sent to the targets.
 		received []byte
 		// committed counts how often each value was committed.
@@ -116,6 +118,34 @@
 	return fault
 }
 
+// script is a response in wire format, without the codec under test.
+type script struct {
+	response string
+	// skipped keeps the target from running the statement.
+	skipped bool
+}
+
+// addScript replaces the response to the next Query with the text.
+func (f *fakeTargets) addScript(query string, s script) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.mu.scripts == nil {
+		f.mu.scripts = make(map[string][]script)
+	}
+	f.mu.scripts[query] = append(f.mu.scripts[query], s)
+}
+
+func (f *fakeTargets) nextScript(query string) (script, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	scripts := f.mu.scripts[query]
+	if len(scripts) == 0 {
+		return script{}, false
+	}
+	f.mu.scripts[query] = scripts[1:]
+	return scripts[0], true
+}
+
 // clearFaults drops the remaining faults and makes all targets reachable.
 func (f *fakeTargets) clearFaults() {
 	f.mu.Lock()
--- /dev/null
+++ b/request/execute/own_statement_test.go
@@ -0,0 +1,67 @@
+package execute
+
+import "testing"
+
+// Messages of a target in wire format.
+const (
+	wireReadyIdle  = "Z\x00\x00\x00\x05I"
+	wireReadyOpen  = "Z\x00\x00\x00\x05T"
+	wireColumn     = "T\x00\x00\x00\x1a\x00\x01v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x19\xff\xff\xff\xff\xff\xff\x00\x00"
+	wireNull       = "D\x00\x00\x00\x0a\x00\x01\xff\xff\xff\xff"
+	wireOne        = "D\x00\x00\x00\x0b\x00\x01\x00\x00\x00\x011"
+	wireEmpty      = "D\x00\x00\x00\x0a\x00\x01\x00\x00\x00\x00"
+	wireSelectNone = "C\x00\x00\x00\x0dSELECT 0\x00"
+	wireSelectOne  = "C\x00\x00\x00\x0dSELECT 1\x00"
+	wireSelectTwo  = "C\x00\x00\x00\x0dSELECT 2\x00"
+	wireBegin      = "C\x00\x00\x00\x0aBEGIN\x00"
+	wireCommit     = "C\x00\x00\x00\x0bCOMMIT\x00"
+)
+
+// Guards against a transaction ID that is read from a response to another statement. "No ID" means
+// that the transaction has written nothing: a write whose COMMIT is then lost would run
+// again.
+func TestMalformedTransactionIDDoesNotRepeatAWrite(t *testing.T) {
+	for name, response := range map[string]string{
+		"no row":       wireColumn + wireSelectNone + wireReadyOpen,
+		"two rows":     wireColumn + wireNull + wireNull + wireSelectTwo + wireReadyOpen,
+		"empty":        wireColumn + wireEmpty + wireSelectOne + wireReadyOpen,
+		"no result":    wireSelectOne + wireReadyOpen,
+		"two results":  wireColumn + wireNull + wireSelectOne + wireColumn + wireNull + wireSelectOne + wireReadyOpen,
+		"wrong status": wireColumn + wireNull + wireSelectOne + wireReadyIdle,
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, targets := newFakeHarness(t, 1)
+			client := h.connectRaw(testKey, "")
+			targets.addScript(queryTransactionID, script{response: response})
+			targets.scheduleFaults(noFault, noFault, noFault, responseFault{truncateAt: 0})
+			got := client.query("INSERT a")
+			if targets.insertCount("a") != 1 || got[0] != "done INSERT 0 1" {
+				t.Errorf("response %v, took effect %d times", got, targets.insertCount("a"))
+			}
+		})
+	}
+}
+
+// Guards against the result of another statement that is taken for the one of a statement that
+// the instance added.
+func TestOwnStatementNeedsItsExactResult(t *testing.T) {
+	for name, c := range map[string]struct{ query, response string }{
+		"begin, prefix of the tag":      {queryBegin, "C\x00\x00\x00\x0bBEGINS\x00" + wireReadyOpen},
+		"begin with rows":               {queryBegin, wireColumn + wireOne + wireBegin + wireReadyOpen},
+		"begin twice":                   {queryBegin, wireBegin + wireBegin + wireReadyOpen},
+		"commit leaves the transaction": {queryCommit, wireCommit + wireReadyOpen},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, targets := newFakeHarness(t, 1)
+			client := h.connectRaw(testKey, "")
+			targets.addScript(c.query, script{response: c.response})
+			got := client.query("INSERT a")
+			if targets.insertCount("a") != 1 || got[0] != "done INSERT 0 1" {
+				t.Errorf("response %v, took effect %d times", got, targets.insertCount("a"))
+			}
+			if !h.hasLogged("violated the protocol") && !h.hasLogged("in-doubt commit") {
+				t.Error("the result was accepted")
+			}
+		})
+	}
+}
--- a/request/execute/pipeline.go
+++ b/request/execute/pipeline.go
@@ -2,8 +2,8 @@
 
 import (
 	"errors"
+	"slices"
 	"strconv"
-	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/rotisserie/eris"
@@ -33,16 +33,16 @@
 )
 
 // Command tags of the added statements, and of the other statements that begin
-// a transaction.
+// a transaction. An added SELECT returns one row.
 const (
 	tagBegin    = "BEGIN"
 	tagStart    = "START TRANSACTION"
 	tagCommit   = "COMMIT"
 	tagRollback = "ROLLBACK"
-	tagSelect   = "SELECT"
+	tagSelect   = "SELECT 1"
 	tagSet      = "SET"
 	tagReset    = "RESET"
-	tagDiscard  = "DISCARD"
+	tagDiscard  = "DISCARD TEMP"
 )
 
 // errTargetEndedSession reports that a target ended the session.
@@ -64,7 +64,9 @@
 // queryResult is the result of a statement that the instance added.
 type queryResult struct {
 	commandTag string
-	// value is the first column of the last row.
+	// statements and rows count the CommandComplete and DataRow messages.
+	statements, rows int
+	// value is the only column of the last row; nil for null.
 	value []byte
 	// failure is the target's error, if any.
 	failure *pgproto3.ErrorResponse
@@ -74,21 +76,49 @@
 func (p *pipeline) queueQuery(query string) { p.conn.Send(&pgproto3.Query{String: query}) }
 
 // awaitResult receives the result of the next added statement. Its command tag
-// must begin with one of the tags; otherwise the result is that of another
-// statement, which is an *upstream.ProtocolError. When the target refused the
-// statement, only the result's failure is set.
+// must be one of the tags, and its rows and its transaction status must be those of
+// that statement; otherwise the result is that of another one, which is an
+// *upstream.ProtocolError. When the target refused the statement, only the
+// result's failure is set.
 func (p *pipeline) awaitResult(tags ...string) (queryResult, error) {
+	before := p.conn.Status()
 	result, err := p.receiveResult()
 	if err != nil || result.failure != nil {
 		return result, err
 	}
-	for _, tag := range tags {
-		if strings.HasPrefix(result.commandTag, tag) {
-			return result, nil
-		}
+	if !slices.Contains(tags, result.commandTag) || !result.isComplete() || p.conn.Status() != statusAfter(result.commandTag, before) {
+		return result, p.protocolError("response does not match the request")
+	}
+	return result, nil
+}
+
+// isComplete reports whether the result is that of one statement, with one row for a
+// SELECT and none for others.
+func (r *queryResult) isComplete() bool {
+	wantRows := 0
+	if r.commandTag == tagSelect {
+		wantRows = 1
 	}
+	return r.statements == 1 && r.rows == wantRows
+}
+
+// statusAfter returns the transaction status after an added statement that succeeded.
+func statusAfter(tag string, before status) status {
+	switch tag {
+	case tagBegin, tagStart:
+		return statusInTransaction
+	case tagCommit, tagRollback:
+		return statusIdle
+	default:
+		return before
+	}
+}
+
+// protocolError marks the connection as broken and returns the error for a target that
+// violated the protocol.
+func (p *pipeline) protocolError(reason string) error {
 	p.conn.MarkBroken()
-	return result, &upstream.ProtocolError{Target: p.conn.Target(), Reason: "response does not match the request"}
+	return &upstream.ProtocolError{Target: p.conn.Target(), Reason: reason}
 }
 
 // receiveResult receives messages up to the next ReadyForQuery.
@@ -104,10 +134,13 @@
 			return result, nil
 		case *pgproto3.CommandComplete:
 			result.commandTag = string(message.CommandTag)
+			result.statements++
 		case *pgproto3.DataRow:
-			if len(message.Values) > 0 {
-				result.value = append([]byte(nil), message.Values[0]...)
+			if len(message.Values) != 1 {
+				return queryResult{}, p.protocolError("row of another statement")
 			}
+			result.value = slices.Clone(message.Values[0])
+			result.rows++
 		case *pgproto3.ErrorResponse:
 			if upstream.IsFatal(message) {
 				return queryResult{}, p.sessionLost(message)
@@ -117,8 +150,7 @@
 		case *pgproto3.RowDescription, *pgproto3.NoticeResponse, *pgproto3.ParameterStatus,
 			*pgproto3.NotificationResponse:
 		default:
-			p.conn.MarkBroken()
-			return queryResult{}, &upstream.ProtocolError{Target: p.conn.Target(), Reason: "unexpected message"}
+			return queryResult{}, p.protocolError("unexpected message")
 		}
 	}
 }
@@ -148,13 +180,12 @@
 	if result.failure != nil {
 		return 0, eris.Errorf("target %s refused to report the transaction ID: SQLSTATE %s", p.conn.Target(), result.failure.Code)
 	}
-	if len(result.value) == 0 {
+	if result.value == nil {
 		return 0, nil
 	}
 	id, err := strconv.ParseUint(string(result.value), 10, 64)
-	if err != nil {
-		p.conn.MarkBroken()
-		return 0, eris.Wrapf(err, "parse the transaction ID from target %s", p.conn.Target())
+	if err != nil || id == 0 {
+		return 0, p.protocolError("invalid transaction ID")
 	}
 	return id, nil
 }
