Refuse the transaction ID of an earlier transaction

What callers saw: a write that had not taken effect was acknowledged. When the response to the query for the transaction ID is the late copy of the one before, the ID is that of a transaction which has committed, and a COMMIT whose response is lost is resolved by it.

Cause: nothing tied the ID to the transaction in which it was asked for.

Evidence: TestTransactionIDOfAnEarlierWriteIsRefused (the ID 1 again for the second write, whose COMMIT does not run): the second write was acknowledged and took effect 0 times.

Change: a server assigns IDs in rising order and a connection runs one transaction after the other, so the connection records the last one and refuses an ID that is not higher. The write has not run then and is retried.

--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -68,6 +68,9 @@
 	// SettingsUnknown is set when the target's session may have settings that are not
 	// recorded in Settings.
 	SettingsUnknown bool
+	// LastTransactionID is the last transaction ID that the target reported on the
+	// connection, which the next must exceed.
+	LastTransactionID uint64
 }
 
 // Settings are the SQL values of a connection's session settings by name.
--- a/request/execute/own_statement_test.go
+++ b/request/execute/own_statement_test.go
@@ -65,3 +65,17 @@
 		})
 	}
 }
+
+// Guards against the late copy of a whole response: it holds the ID of a transaction that was
+// committed before, by which a lost COMMIT would be resolved as done.
+func TestTransactionIDOfAnEarlierWriteIsRefused(t *testing.T) {
+	h, targets := newFakeHarness(t, 1)
+	client := h.connectRaw(testKey, "")
+	client.query("INSERT a")
+	targets.addScript(queryTransactionID, script{response: wireColumn + wireOne + wireSelectOne + wireReadyOpen})
+	targets.addScript(queryCommit, script{skipped: true, response: wireReadyIdle})
+	got := client.query("INSERT b")
+	if acknowledged := got[0] == "done INSERT 0 1"; acknowledged != (targets.insertCount("b") == 1) {
+		t.Errorf("response %v, took effect %d times", got, targets.insertCount("b"))
+	}
+}
--- a/request/execute/pipeline.go
+++ b/request/execute/pipeline.go
@@ -184,9 +184,10 @@
 		return 0, nil
 	}
 	id, err := strconv.ParseUint(string(result.value), 10, 64)
-	if err != nil || id == 0 {
-		return 0, p.protocolError("invalid transaction ID")
+	if err != nil || id <= p.conn.LastTransactionID {
+		return 0, p.protocolError("invalid transaction ID, or that of an earlier transaction")
 	}
+	p.conn.LastTransactionID = id
 	return id, nil
 }
 
