Report what ran behind a refused BEGIN as in doubt

What callers saw: the instance sends BEGIN, the statement and what follows in one pipeline. When the target refuses that BEGIN with an error that does not end the session, the statement behind it runs on its own and commits. A write then was retried and took effect twice, or was refused as not run; in a transaction of the caller, the error of BEGIN was sent in place of the response of a statement that had committed.

Cause: a refused BEGIN counted as proof that nothing behind it had run. One way to it was a cancel request, which the instance sent on as soon as it had the connection and which could hit BEGIN.

Change: when the response to such a BEGIN is not that of an open transaction, the outcome is unknown (08007), and the connection is closed. Cancel requests go to the target only once its BEGIN is confirmed; before that they end the request's context, and the connection is closed without COMMIT. A lost connection means "not run", as before. A BEGIN that was sent alone, or to a replica, still gets the target's own error.

--- a/request/execute/attempt.go
+++ b/request/execute/attempt.go
@@ -11,8 +11,8 @@
 
 // attempt is one attempt of a request on one target connection. From start to
 // suspend, the connection is interrupted when the request's context is done or
-// when the monitor finds the target unusable, and cancel requests are sent for
-// it.
+// when the monitor finds the target unusable. From admitCancel on, cancel requests
+// are sent for it.
 type attempt struct {
 	*pipeline
 	request *request
@@ -71,11 +71,15 @@
 func (a *attempt) start() {
 	conn := a.lease.Conn()
 	a.pipeline = &pipeline{conn: conn, response: &a.request.response}
-	a.request.setActiveConn(conn)
 	a.stopInterrupt = conn.InterruptOnDone(a.request.ctx)
 	a.monitor = startMonitor(a.request, a.target, a.term, a.primary, conn.Interrupt)
 }
 
+// admitCancel lets cancel requests reach the target. Before that they cancel the
+// request's context: a BEGIN that a cancel request hits would leave the statements
+// behind it to run on their own.
+func (a *attempt) admitCancel() { a.request.setActiveConn(a.conn) }
+
 // detachContext bounds the use of the connection by a timeout, in place of the
 // request's context, until the returned function is called. From then on only
 // the monitor and Abandon interrupt the connection.
--- a/request/execute/fake_targets_test.go
+++ b/request/execute/fake_targets_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -161,6 +162,22 @@
 	return f.mu.committed[value]
 }
 
+// stall makes the targets count as unreachable.
+func (f *fakeTargets) stall(ids ...topology.TargetID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range ids {
+		f.mu.stalled[id] = true
+	}
+}
+
+// awaitReceived waits until the text was sent to a target.
+func (f *fakeTargets) awaitReceived(text string) {
+	for !f.hasReceived(text) {
+		runtime.Gosched()
+	}
+}
+
 // View implements group.Watcher. A stalled target counts as unreachable.
 func (f *fakeTargets) View() *group.View {
 	f.mu.Lock()
--- a/request/execute/pinned.go
+++ b/request/execute/pinned.go
@@ -70,6 +70,7 @@
 	if err := a.conn.CheckAlive(); err != nil {
 		return nil, err
 	}
+	a.admitCancel()
 	if a.mayCommitWrites() {
 		if err := a.prepareCommit(commit); err != nil {
 			return nil, err
--- a/request/execute/read.go
+++ b/request/execute/read.go
@@ -163,10 +163,11 @@
 		return exchange, err
 	}
 	if a.primary {
-		if err := a.awaitBegin(); err != nil {
+		if err := a.awaitBegin(tagBegin); err != nil {
 			return exchange, err
 		}
 	}
+	a.admitCancel()
 	if err := exchange.forwardResponse(); err != nil || !a.primary {
 		return exchange, err
 	}
--- a/request/execute/transaction.go
+++ b/request/execute/transaction.go
@@ -154,9 +154,10 @@
 	if err := a.awaitSettings(settings); err != nil {
 		return exchange, err
 	}
-	if err := a.awaitDeferredBegin(); err != nil || ends {
+	if err := a.awaitDeferredBegin(ends); err != nil || ends {
 		return exchange, err
 	}
+	a.admitCancel()
 	if err := exchange.forwardResponse(); err != nil || !requestsID {
 		return exchange, err
 	}
@@ -164,8 +165,12 @@
 }
 
 // awaitDeferredBegin receives the result of a deferred BEGIN. An error of the
-// target is for the caller, who chose the modes of the transaction.
-func (a *attempt) awaitDeferredBegin() error {
+// target is for the caller, who chose the modes of the transaction, if nothing can
+// have run behind it: the batch is not sent yet, or a replica has run it.
+func (a *attempt) awaitDeferredBegin(alone bool) error {
+	if a.primary && !alone {
+		return a.awaitBegin(tagBegin, tagStart)
+	}
 	result, err := a.awaitResult(tagBegin, tagStart)
 	if err != nil || result.failure == nil {
 		return err
@@ -185,6 +190,7 @@
 // exchangeBatch applies the session's settings and runs the caller's batch as
 // it is.
 func (a *attempt) exchangeBatch() (*batchExchange, error) {
+	a.admitCancel()
 	settings := a.queueSettings(a.request.session.Settings)
 	exchange := a.queueBatch(a.request.session, a.request.plan)
 	if err := exchange.flush(); err != nil {
--- a/request/execute/write.go
+++ b/request/execute/write.go
@@ -8,6 +8,7 @@
 
 	"samphirehitch.example/samphirehitch/connection/caller"
 	"samphirehitch.example/samphirehitch/connection/sqlstate"
+	"samphirehitch.example/samphirehitch/connection/upstream"
 	"samphirehitch.example/samphirehitch/process/group"
 	"samphirehitch.example/samphirehitch/process/platform"
 	"samphirehitch.example/samphirehitch/process/topology"
@@ -141,9 +142,10 @@
 	if err := a.awaitSettings(settings); err != nil {
 		return exchange, err
 	}
-	if err := a.awaitBegin(); err != nil {
+	if err := a.awaitBegin(tagBegin); err != nil {
 		return exchange, err
 	}
+	a.admitCancel()
 	if err := exchange.forwardResponse(); err != nil {
 		return exchange, err
 	}
@@ -163,17 +165,19 @@
 	return exchange, err
 }
 
-// awaitBegin receives the result of BEGIN.
-func (a *attempt) awaitBegin() error {
-	result, err := a.awaitResult(tagBegin)
-	if err != nil {
+// awaitBegin receives the result of a BEGIN behind which the batch was sent. If it has
+// not opened a transaction, the batch has run on its own, so its outcome is unknown.
+func (a *attempt) awaitBegin(tags ...string) error {
+	result, err := a.awaitResult(tags...)
+	var violation *upstream.ProtocolError
+	if result.failure == nil && !errors.As(err, &violation) {
 		return err
 	}
+	a.conn.MarkBroken()
 	if result.failure != nil {
-		a.conn.MarkBroken()
-		return errors.New("target refused BEGIN: SQLSTATE " + result.failure.Code)
+		err = errors.New("target refused BEGIN: SQLSTATE " + result.failure.Code)
 	}
-	return nil
+	return refusal.New(refusal.OutcomeUnknown, refusal.StepExchange, string(a.target), err)
 }
 
 // rollback rolls back the transaction after the batch has failed. The error is
--- a/request/refusal/refusal.go
+++ b/request/refusal/refusal.go
@@ -90,7 +90,7 @@
 	TransactionLost    = Kind{sqlstate.SerializationFailure, NotRun, "the transaction was lost before its commit", "retry the whole transaction", []Step{StepExchange, StepCommit}}
 	NotCommitted       = Kind{sqlstate.SerializationFailure, NotRun, "the primary was replaced and the transaction did not commit", "retry the whole transaction", []Step{StepResolve}}
 	ReplicaRefused     = Kind{sqlstate.SerializationFailure, NotRun, "a replica refused the statement as a write after a part of the answer was sent", "retry; the statement then goes to the primary", []Step{StepExchange}}
-	OutcomeUnknown     = Kind{sqlstate.TransactionResolutionUnknown, Unknown, "the commit could not be confirmed", "look up whether the change is there before a retry", []Step{StepCommit, StepConfirm, StepResolve}}
+	OutcomeUnknown     = Kind{sqlstate.TransactionResolutionUnknown, Unknown, "the commit could not be confirmed", "look up whether the change is there before a retry", []Step{StepExchange, StepCommit, StepConfirm, StepResolve}}
 	Unsupported        = Kind{sqlstate.FeatureNotSupported, NotRun, "the feature needs a session of its own on the target", "do without the feature, or connect to the target", []Step{StepClassify}}
 	FailedTransaction  = Kind{sqlstate.InFailedTransaction, NotRun, "the transaction has failed", "send ROLLBACK", []Step{StepClassify}}
 	UnknownStatement   = Kind{sqlstate.InvalidStatementName, NotRun, "the prepared statement does not exist", "prepare it again", []Step{StepClassify}}
