Put off a BEGIN only if its modes are valid

What callers saw: after "BEGIN READ COMMITTED", which PostgreSQL refuses, the instance responded with BEGIN. It sent the statement to the target with the first statement of the transaction, so that BEGIN failed and the statement behind it ran and committed on its own, although the caller had not asked for a commit.

Cause: a BEGIN was put off if all its words occur in transaction modes, in any order.

Change: the modes are checked against those of the PostgreSQL documentation. Any other BEGIN goes to the target at once and alone, and the caller gets its error.

--- a/request/classify/classify.go
+++ b/request/classify/classify.go
@@ -53,7 +53,7 @@
 	MayChangeSettings bool
 	// ReadOnly is set for a BEGIN with READ ONLY.
 	ReadOnly bool
-	// OnlyModes is set for a BEGIN without any words but transaction modes.
+	// OnlyModes is set for a BEGIN that holds nothing but valid transaction modes.
 	OnlyModes bool
 	// Chain is set for a COMMIT or ROLLBACK with AND CHAIN.
 	Chain bool
@@ -149,6 +149,7 @@
 // scanStatement classifies one statement and advances the scanner past its semicolon.
 func scanStatement(s *scanner) Statement {
 	first := s.next()
+	parenthesized := first.kind == tokenPunctuation && first.text == "("
 	for first.kind == tokenPunctuation && first.text == "(" {
 		first = s.next()
 	}
@@ -169,7 +170,9 @@
 	case "copy":
 		return scanCopy(s)
 	case "begin", "start":
-		return scanBegin(s)
+		result := scanBegin(s, first)
+		result.OnlyModes = result.OnlyModes && !parenthesized
+		return result
 	case "commit", "end":
 		return scanTransactionEnd(s, KindCommit)
 	case "rollback", "abort":
--- a/request/classify/classify_test.go
+++ b/request/classify/classify_test.go
@@ -70,3 +70,26 @@
 		Scan("SELECT price, stock FROM sheet WHERE house = $1 AND day >= $2 ORDER BY price LIMIT 50")
 	}
 }
+
+// Guards against a BEGIN that the instance puts off although targets refuse it: the
+// statement that is sent behind it would run on its own.
+func TestOnlyAValidBeginIsPutOff(t *testing.T) {
+	for _, text := range []string{
+		"BEGIN", "begin work;", "BEGIN TRANSACTION READ ONLY", "START TRANSACTION", "BEGIN READ WRITE, NOT DEFERRABLE",
+		"START TRANSACTION ISOLATION LEVEL SERIALIZABLE READ ONLY DEFERRABLE", "BEGIN ISOLATION LEVEL repeatable /* . */ read",
+		"BEGIN ISOLATION LEVEL READ COMMITTED, READ ONLY", "BEGIN ISOLATION LEVEL READ UNCOMMITTED",
+	} {
+		if !Scan(text).OnlyModes {
+			t.Errorf("%q is not put off", text)
+		}
+	}
+	for _, text := range []string{
+		"(BEGIN", "START", "START WORK", "BEGIN READ", "BEGIN READ COMMITTED", "BEGIN SERIALIZABLE", "BEGIN ISOLATION LEVEL", "BEGIN , READ ONLY",
+		"BEGIN READ ONLY,", "BEGIN READ ONLY,, READ WRITE", "BEGIN TRANSACTION WORK", "BEGIN NOT", "BEGIN DEFERRABLE READ", "BEGIN ONLY",
+		"BEGIN \"read\" only", "BEGIN 'work'", "BEGIN WORK ISOLATION SERIALIZABLE", "BEGIN " + strings.Repeat("READ ONLY ", 40),
+	} {
+		if Scan(text).OnlyModes {
+			t.Errorf("%q is put off", text)
+		}
+	}
+}
--- a/request/classify/statements.go
+++ b/request/classify/statements.go
@@ -133,31 +133,21 @@
 
 // scanBegin classifies a statement after BEGIN or START and looks for READ ONLY among
 // its modes.
-func scanBegin(s *scanner) Statement {
-	result := Statement{Kind: KindBegin, OnlyModes: true}
+func scanBegin(s *scanner, first token) Statement {
+	result := Statement{Kind: KindBegin}
+	var modes transactionModes
 	previousRead := false
 	for {
 		t := s.next()
 		if t.kind == tokenEnd || t.text == ";" {
+			result.OnlyModes = modes.isValid(first)
 			return result
 		}
 		if previousRead {
 			result.ReadOnly = t.isKeyword("only")
 		}
 		previousRead = t.isKeyword("read")
-		result.OnlyModes = result.OnlyModes && isTransactionMode(t)
-	}
-}
-
-// isTransactionMode reports whether the token may be part of a transaction's modes.
-func isTransactionMode(t token) bool {
-	var word [maxKeywordLength]byte
-	switch string(appendLower(word[:0], t.text)) {
-	case "work", "transaction", "isolation", "level", "serializable", "repeatable", "read",
-		"committed", "uncommitted", "only", "write", "not", "deferrable", ",":
-		return t.kind == tokenWord || t.kind == tokenPunctuation
-	default:
-		return false
+		modes.add(t)
 	}
 }
 
--- a/request/execute/begin_test.go
+++ b/request/execute/begin_test.go
@@ -56,3 +56,13 @@
 		t.Errorf("took effect %d times", got)
 	}
 }
+
+// Guards against a BEGIN that is refused only with the statement that follows it, which
+// would then run on its own.
+func TestInvalidBeginIsRefusedAtOnce(t *testing.T) {
+	h, targets := newFakeHarness(t, 1)
+	client := h.connectRaw(testKey, "")
+	targets.addScript("BEGIN READ COMMITTED", script{skipped: true, response: wireErrorBusy + wireReadyIdle})
+	client.send(queryMessage("BEGIN READ COMMITTED"))
+	client.expect("error 53300", "ready I")
+}
