Send an unwrapped batch only after its settings are confirmed

What callers saw: a batch that runs outside of a transaction of the instance, such as VACUUM, CREATE DATABASE or BEGIN to COMMIT in one text, ran although a setting ahead of it was refused, with the search path of another session for example. The caller got the error of the setting, as if nothing had run.

Cause: the settings and the batch were sent in one pipeline. Where the instance wraps the batch, the transaction is not committed after such an error; here nothing undoes it.

Evidence: TestRefusedSettingKeepsAnUnwrappedStatementFromRunning failed: the target had received the statement.

Change: on this path the settings get a round trip of their own, if there are any to set.

Measured: the test passes, as does request/execute.

--- a/request/execute/transaction.go
+++ b/request/execute/transaction.go
@@ -188,17 +188,22 @@
 }
 
 // exchangeBatch applies the session's settings and runs the caller's batch as
-// it is.
+// it is. The batch is sent once the settings are confirmed: no transaction of the
+// instance would undo what it did without them.
 func (a *attempt) exchangeBatch() (*batchExchange, error) {
 	a.admitCancel()
-	settings := a.queueSettings(a.request.session.Settings)
+	if settings := a.queueSettings(a.request.session.Settings); settings > 0 {
+		if err := a.conn.Flush(); err != nil {
+			return nil, err
+		}
+		if err := a.awaitSettings(settings); err != nil {
+			return nil, err
+		}
+	}
 	exchange := a.queueBatch(a.request.session, a.request.plan)
 	if err := exchange.flush(); err != nil {
 		return exchange, err
 	}
-	if err := a.awaitSettings(settings); err != nil {
-		return exchange, err
-	}
 	return exchange, exchange.forwardResponse()
 }
 
