Hold the transaction status against the statement

What callers saw: a response whose transaction status the statement cannot leave was passed on. A read outside of a transaction got the rows with which another session's transaction had begun. A write after which the target reports no open transaction was committed and acknowledged, or ended the caller's transaction silently. A COMMIT for which the target responded ROLLBACK without a failed transaction was passed on as a rollback, though the write had been committed.

Cause: the status was read only to decide whether the connection can be reused or the session is pinned.

Change: after each batch the status must follow from its statement and from the status before. A COMMIT responds with ROLLBACK if, and only if, the transaction had failed.

--- a/request/execute/batch_exchange.go
+++ b/request/execute/batch_exchange.go
@@ -50,6 +50,8 @@
 	withheldError *pgproto3.ErrorResponse
 	// errorCode is the SQLSTATE of the error that ended the batch, if any.
 	errorCode sqlstate.Code
+	// statusBefore is the transaction status before the batch.
+	statusBefore status
 	// commandTag is that of the last CommandComplete.
 	commandTag string
 }
@@ -156,6 +158,7 @@
 // receiveResponse forwards messages up to the batch's ReadyForQuery. After an
 // error the connection is not reused.
 func (e *batchExchange) receiveResponse() error {
+	e.statusBefore = e.pipeline.conn.Status()
 	for {
 		message, err := e.pipeline.conn.Receive()
 		if err != nil {
@@ -255,8 +258,10 @@
 	}
 	statement := &e.plan.statement
 	switch statement.Kind {
-	case classify.KindCommit, classify.KindRollback:
-		return controlsTransaction
+	case classify.KindCommit:
+		return (e.commandTag == tagRollback) == (e.statusBefore == statusFailed) && controlsTransaction
+	case classify.KindRollback:
+		return e.commandTag == tagRollback
 	case classify.KindBegin, classify.KindOutsideTransaction, classify.KindInTransaction:
 		return true
 	default:
@@ -264,9 +269,13 @@
 	}
 }
 
-// checkComplete checks that the response to an extended batch that succeeded is
-// complete, and responds to the local steps at its end.
+// checkComplete checks the transaction status after the batch and that the response to
+// an extended batch that succeeded is complete, and responds to the local steps at
+// its end.
 func (e *batchExchange) checkComplete() error {
+	if err := e.checkStatus(); err != nil {
+		return err
+	}
 	if e.errorCode != "" || e.plan.batch.Query != nil {
 		return nil
 	}
--- a/request/execute/begin_test.go
+++ b/request/execute/begin_test.go
@@ -2,8 +2,6 @@
 
 import "testing"
 
-const wireErrorBusy = "E\x00\x00\x00\x16SERROR\x00C53300\x00M.\x00\x00"
-
 // Guards against a promise that a write did not run, when the target has refused the BEGIN
 // that was sent ahead of it: the write then has run and committed on its own.
 func TestWriteBehindARefusedBeginIsInDoubt(t *testing.T) {
--- a/request/execute/own_statement_test.go
+++ b/request/execute/own_statement_test.go
@@ -2,21 +2,6 @@
 
 import "testing"
 
-// Messages of a target in wire format.
-const (
-	wireReadyIdle  = "Z\x00\x00\x00\x05I"
-	wireReadyOpen  = "Z\x00\x00\x00\x05T"
-	wireColumn     = "T\x00\x00\x00\x1a\x00\x01v\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x19\xff\xff\xff\xff\xff\xff\x00\x00"
-	wireNull       = "D\x00\x00\x00\x0a\x00\x01\xff\xff\xff\xff"
-	wireOne        = "D\x00\x00\x00\x0b\x00\x01\x00\x00\x00\x011"
-	wireEmpty      = "D\x00\x00\x00\x0a\x00\x01\x00\x00\x00\x00"
-	wireSelectNone = "C\x00\x00\x00\x0dSELECT 0\x00"
-	wireSelectOne  = "C\x00\x00\x00\x0dSELECT 1\x00"
-	wireSelectTwo  = "C\x00\x00\x00\x0dSELECT 2\x00"
-	wireBegin      = "C\x00\x00\x00\x0aBEGIN\x00"
-	wireCommit     = "C\x00\x00\x00\x0bCOMMIT\x00"
-)
-
 // Guards against a transaction ID that is read from a response to another statement. "No ID" means
 // that the transaction has written nothing: a write whose COMMIT is then lost would run
 // again.
