Refuse rows that the command tag does not count

What callers saw: a SELECT whose rows were in part missing, or had come twice, succeeded with the wrong rows.

Cause: "SELECT 3" states the number of rows, and nothing compared it with what had arrived.

Evidence: four cases of TestMalformedResponseClosesTheConnection (fewer rows, more rows, more rows of a portal, no count) failed.

Change: the grammar counts the rows behind a description, or of an Execute, and refuses another count in the tag of a SELECT. A tag without rows and description, as of CREATE TABLE AS, is not compared. The stand-in counted all rows of a portal in the tag of its last part; it now counts those of that part, as PostgreSQL does.

--- a/connection/upstream/grammar.go
+++ b/connection/upstream/grammar.go
@@ -1,6 +1,9 @@
 package upstream
 
 import (
+	"strconv"
+	"strings"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
@@ -51,6 +54,8 @@
 	phase responsePhase
 	// columns is the number of values in each row of phaseRows.
 	columns int
+	// rows counts the rows of phaseRows.
+	rows int
 	// completed is set once a statement of the Query that is due has ended.
 	completed bool
 }
@@ -197,10 +202,10 @@
 		if !isQuery {
 			return g.end(requestDescribePortal)
 		}
-		g.phase, g.columns = phaseRows, len(message.Fields)
+		g.phase, g.columns, g.rows = phaseRows, len(message.Fields), 0
 		return true
 	case *pgproto3.DataRow:
-		g.phase, g.columns = phaseRows, len(message.Values)
+		g.phase, g.columns, g.rows = phaseRows, len(message.Values), 1
 		return g.due[0] == requestExecute
 	case *pgproto3.PortalSuspended:
 		return g.end(requestExecute)
@@ -231,9 +236,10 @@
 func (g *grammar) acceptRow(message pgproto3.BackendMessage) bool {
 	switch message := message.(type) {
 	case *pgproto3.DataRow:
+		g.rows++
 		return len(message.Values) == g.columns
 	case *pgproto3.CommandComplete:
-		return g.complete()
+		return g.countsRows(string(message.CommandTag)) && g.complete()
 	case *pgproto3.PortalSuspended:
 		return g.end(requestExecute)
 	default:
@@ -241,6 +247,13 @@
 	}
 }
 
+// countsRows reports whether a command tag states the number of rows. Only that of SELECT
+// always counts what was sent.
+func (g *grammar) countsRows(tag string) bool {
+	count, isSelect := strings.CutPrefix(tag, "SELECT")
+	return !isSelect || count == " "+strconv.Itoa(g.rows)
+}
+
 // complete ends a statement of a Query, or the response to an Execute.
 func (g *grammar) complete() bool {
 	if g.due[0] != requestQuery {
--- a/connection/upstream/grammar_test.go
+++ b/connection/upstream/grammar_test.go
@@ -21,6 +21,7 @@
 	rowX           = "D\x00\x00\x00\x0b\x00\x01\x00\x00\x00\x01x"
 	rowXY          = "D\x00\x00\x00\x10\x00\x02\x00\x00\x00\x01x\x00\x00\x00\x01y"
 	done           = "C\x00\x00\x00\x0dSELECT 1\x00"
+	doneTwo        = "C\x00\x00\x00\x0dSELECT 2\x00"
 	emptyQuery     = "I\x00\x00\x00\x04"
 	errorBusy      = "E\x00\x00\x00\x16SERROR\x00C53300\x00M.\x00\x00"
 	errorFatal     = "E\x00\x00\x00\x16SFATAL\x00C57P01\x00M.\x00\x00"
@@ -88,6 +89,10 @@
 		"row without description":        {oneQuery, rowX + done + readyIdle},
 		"row after completion":           {oneQuery, rowDescription + rowX + done + rowX + readyIdle},
 		"row of another width":           {oneQuery, rowDescription + rowXY + done + readyIdle},
+		"fewer rows than counted":        {oneQuery, rowDescription + done + readyIdle},
+		"more rows than counted":         {oneQuery, rowDescription + rowX + rowX + done + readyIdle},
+		"more rows of a portal":          {pipeline, parseComplete + bindComplete + rowX + rowX + done + readyIdle},
+		"uncounted rows":                 {oneQuery, rowDescription + rowX + "C\x00\x00\x00\x0bSELECT\x00" + readyIdle},
 		"description twice":              {oneQuery, rowDescription + rowDescription + done + readyIdle},
 		"row after error":                {oneQuery, rowDescription + rowX + errorBusy + rowX + readyIdle},
 		"completion after error":         {oneQuery, errorBusy + done + readyIdle},
@@ -128,7 +133,7 @@
 		requests []pgproto3.FrontendMessage
 		script   string
 	}{
-		"rows":                     {oneQuery, rowDescription + rowX + rowX + done + readyIdle},
+		"rows":                     {oneQuery, rowDescription + rowX + rowX + doneTwo + readyIdle},
 		"no rows":                  {oneQuery, done + readyIdle},
 		"empty query":              {oneQuery, emptyQuery + readyIdle},
 		"several statements":       {oneQuery, done + rowDescription + rowX + done + readyIdle},
@@ -140,7 +145,8 @@
 		"transaction":              {twoQueries, done + readyOpen + done + readyIdle},
 		"failed transaction":       {twoQueries, done + readyOpen + errorBusy + readyFailed},
 		"empty query after error":  {twoQueries, errorBusy + readyFailed + emptyQuery + readyFailed},
-		"pipeline":                 {pipeline, parseComplete + bindComplete + rowX + rowX + done + readyIdle},
+		"pipeline":                 {pipeline, parseComplete + bindComplete + rowX + rowX + doneTwo + readyIdle},
+		"table from a query":       {oneQuery, doneTwo + readyIdle},
 		"suspended portal":         {pipeline, parseComplete + bindComplete + rowX + suspended + readyOpen},
 		"error in a pipeline":      {pipeline, parseComplete + errorBusy + readyIdle},
 		"error of the commit":      {pipeline, parseComplete + bindComplete + done + errorBusy + readyIdle},
--- a/standin/session/extended.go
+++ b/standin/session/extended.go
@@ -168,6 +168,7 @@
 	rows := boundPortal.result.rows
 	if limit := int(message.MaxRows); limit > 0 && len(rows) > limit {
 		boundPortal.result.rows = rows[limit:]
+		boundPortal.result.countRows()
 		s.sendRows(boundPortal.result, rows[:limit], boundPortal.formats)
 		s.backend.Send(&pgproto3.PortalSuspended{})
 		return nil
--- a/standin/session/run_statement.go
+++ b/standin/session/run_statement.go
@@ -24,6 +24,13 @@
 	isNull bool
 }
 
+// countRows makes the tag of a SELECT state the number of the rows that are left.
+func (r *result) countRows() {
+	if strings.HasPrefix(r.tag, "SELECT ") {
+		r.tag = "SELECT " + strconv.Itoa(len(r.rows))
+	}
+}
+
 // runStatement runs a statement in the open transaction. Without one it opens an
 // implicit transaction, which the caller commits.
 func (s *Session) runStatement(st statement.Statement, arguments []string) (result, error) {
