Refuse a response that belongs to a statement of another kind

What callers saw: the late response to another statement was passed on as that of the caller's. A read got INSERT 0 1, SET, an empty query's response or the results of two statements; a write got rows and was committed behind them. A CopyInResponse to a SELECT made the instance ask the caller for copy data.

Cause: only the tags of BEGIN, COMMIT and ROLLBACK were held against the statement.

Change: a batch of one statement completes once, with a command tag that its first keyword allows, and only COPY takes or sends copy data. Keywords with many tags are not compared, nor are batches of several statements. Otherwise the connection is closed, and a read is retried elsewhere, a write runs again, as its transaction is not committed.

--- a/request/execute/batch_exchange.go
+++ b/request/execute/batch_exchange.go
@@ -189,6 +189,9 @@
 	if upstream.IsFatal(message) {
 		return e.pipeline.sessionLost(message)
 	}
+	if !e.canContain(message) {
+		return e.unexpectedMessage()
+	}
 	e.errorCode = sqlstate.Code(message.Code)
 	if e.isWithheld() {
 		withheld := *message
@@ -213,6 +216,9 @@
 
 // handleMessage forwards one message of the response to the batch.
 func (e *batchExchange) handleMessage(message pgproto3.BackendMessage) error {
+	if !e.canContain(message) {
+		return e.unexpectedMessage()
+	}
 	if e.plan.batch.Query == nil {
 		return e.handleExtended(message)
 	}
@@ -221,14 +227,33 @@
 		return e.handleCommandComplete(message)
 	case *pgproto3.CopyInResponse:
 		return e.forwardCopyData(message)
-	case *pgproto3.RowDescription, *pgproto3.DataRow, *pgproto3.EmptyQueryResponse,
-		*pgproto3.CopyOutResponse, *pgproto3.CopyData, *pgproto3.CopyDone:
+	case *pgproto3.RowDescription, *pgproto3.DataRow, *pgproto3.CopyOutResponse,
+		*pgproto3.CopyData, *pgproto3.CopyDone:
 		return e.pipeline.response.write(message)
 	default:
 		return e.unexpectedMessage()
 	}
 }
 
+// canContain reports whether the response to the batch can contain the message. One
+// statement completes once, and only COPY sends or takes copy data.
+func (e *batchExchange) canContain(message pgproto3.BackendMessage) bool {
+	if e.plan.statement.Multiple {
+		return true
+	}
+	if e.plan.batch.Query != nil && e.commandTag != "" {
+		return false
+	}
+	switch message.(type) {
+	case *pgproto3.CopyInResponse, *pgproto3.CopyOutResponse:
+		return classify.CanComplete(e.plan.text, "COPY")
+	case *pgproto3.EmptyQueryResponse:
+		return e.plan.statement.Kind == classify.KindEmpty
+	default:
+		return true
+	}
+}
+
 // unexpectedMessage returns the error for a message that cannot belong to the
 // response. Nothing that follows it on the connection can be trusted.
 func (e *batchExchange) unexpectedMessage() error {
@@ -249,8 +274,7 @@
 }
 
 // commandTagMatches reports whether the command tag can belong to the batch. It
-// detects the response to a transaction control statement in place of another
-// one, and the reverse.
+// detects the response to a statement of another kind.
 func (e *batchExchange) commandTagMatches() bool {
 	controlsTransaction := false
 	for _, tag := range []string{tagBegin, tagStart, tagCommit, tagRollback} {
@@ -259,13 +283,17 @@
 	statement := &e.plan.statement
 	switch statement.Kind {
 	case classify.KindCommit:
-		return (e.commandTag == tagRollback) == (e.statusBefore == statusFailed) && controlsTransaction
+		if e.statusBefore == statusFailed {
+			return e.commandTag == tagRollback
+		}
+		return e.commandTag == tagCommit
 	case classify.KindRollback:
 		return e.commandTag == tagRollback
 	case classify.KindBegin, classify.KindOutsideTransaction, classify.KindInTransaction:
 		return true
 	default:
-		return !controlsTransaction || statement.EndsTransaction
+		return (!controlsTransaction || statement.EndsTransaction) &&
+			(statement.Multiple || classify.CanComplete(e.plan.text, e.commandTag))
 	}
 }
 
--- a/request/execute/fake_conn_test.go
+++ b/request/execute/fake_conn_test.go
@@ -149,7 +149,7 @@
 		delete(c.settings, words[1])
 		c.addCommandComplete("RESET")
 	case words[0] == "SHOW":
-		c.addRow(c.settings[words[1]])
+		c.addRowsWithTag(c.settings[words[1]], 1, "SHOW")
 	case words[0] == "INSERT":
 		c.uncommitted = append(c.uncommitted, words[1])
 		if c.txStatus == 'I' {
@@ -177,11 +177,15 @@
 func (c *fakeConn) addRow(value string) { c.addRows(value, 1) }
 
 func (c *fakeConn) addRows(value string, count int) {
+	c.addRowsWithTag(value, count, "SELECT "+strconv.Itoa(count))
+}
+
+func (c *fakeConn) addRowsWithTag(value string, count int, tag string) {
 	c.addMessages(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("v"), DataTypeOID: textOID}}})
 	for range count {
 		c.addMessages(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
 	}
-	c.addCommandComplete("SELECT " + strconv.Itoa(count))
+	c.addCommandComplete(tag)
 }
 
 // addTransactionID assigns and returns the transaction ID. A transaction that has
