Check the connection before COMMIT is sent

What callers saw: a write that was rolled back was acknowledged. When the target's response to the query for the transaction ID is followed at once by more messages, such as the copy of an earlier response to COMMIT, the first of them was taken for the response to the COMMIT that was sent next.

Cause: the connection was checked for unread bytes before COMMIT in the transactions of callers, but not in those that the instance opens for a single write.

Evidence: TestCommitNeedsAQuietConnection failed: the write was acknowledged and took effect 0 times.

Change: the same check before that COMMIT. The write has not run then and is retried.

Measured: the test passes, as does request/execute.

--- a/request/execute/own_statement_test.go
+++ b/request/execute/own_statement_test.go
@@ -64,3 +64,15 @@
 		t.Errorf("response %v, took effect %d times", got, targets.insertCount("b"))
 	}
 }
+
+// Guards against a COMMIT that is sent on a connection with more responses than statements.
+func TestCommitNeedsAQuietConnection(t *testing.T) {
+	h, targets := newFakeHarness(t, 1)
+	client := h.connectRaw(testKey, "")
+	targets.addScript(queryTransactionID, script{response: wireColumn + wireOne + wireSelectOne + wireReadyOpen + wireCommit + wireReadyIdle})
+	targets.addScript(queryCommit, script{skipped: true, response: wireReadyIdle})
+	got := client.query("INSERT a")
+	if acknowledged := got[0] == "done INSERT 0 1"; acknowledged != (targets.insertCount("a") == 1) {
+		t.Errorf("response %v, took effect %d times", got, targets.insertCount("a"))
+	}
+}
--- a/request/execute/wire_messages_test.go
+++ b/request/execute/wire_messages_test.go
@@ -18,4 +18,5 @@
 	wireVacuum     = "C\x00\x00\x00\x0bVACUUM\x00"
 	wireFailed     = "Z\x00\x00\x00\x05E"
 	wireErrorBusy  = "E\x00\x00\x00\x16SERROR\x00C53300\x00M.\x00\x00"
+	wireReadOnly   = "E\x00\x00\x00\x16SERROR\x00C25006\x00M.\x00\x00"
 )
--- a/request/execute/write.go
+++ b/request/execute/write.go
@@ -240,6 +240,9 @@
 		a.conn.MarkBroken()
 		return ctxErr
 	}
+	if err := a.conn.CheckAlive(); err != nil {
+		return asWriteNotRun(err)
+	}
 	stop := a.detachContext(r.executor.config.CommitTimeout)
 	defer stop()
 	commit.sent = true
