Confirm a refused COMMIT before the caller is told of it

What callers saw: an error that arrives ahead of the response to COMMIT, such as the late copy of an earlier one, was taken for that response. The caller got it as a promise that nothing was kept, though the transaction had committed; with SQLSTATE 25006 a write ran again and took effect twice.

Cause: nothing showed that the error belongs to COMMIT.

Change: after an error in response to COMMIT, the instance asks for the transaction ID in a round trip of its own. The target must answer that no transaction is open. If the response to COMMIT comes instead, the connection is closed and the outcome is resolved by the transaction ID. Only refused commits pay for it. A late copy of a successful response to COMMIT, which arrives while the next COMMIT is outstanding, is not detected.

--- a/request/execute/own_statement_test.go
+++ b/request/execute/own_statement_test.go
@@ -65,6 +65,37 @@
 	}
 }
 
+// Guards against an error that came twice: the copy is taken for the response to COMMIT, and
+// a write that has committed runs again on its word.
+func TestErrorAheadOfTheResponseToCommitIsNoPromise(t *testing.T) {
+	for name, c := range map[string]struct {
+		begin   bool
+		refusal string
+	}{
+		"write, read-only":       {false, wireReadOnly},
+		"transaction, read-only": {true, wireReadOnly},
+		"write, busy":            {false, wireErrorBusy},
+		"transaction, busy":      {true, wireErrorBusy},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, targets := newFakeHarness(t, 1)
+			client := h.connectRaw(testKey, "")
+			want := "done INSERT 0 1"
+			if c.begin {
+				client.query("BEGIN")
+			}
+			targets.addScript(queryCommit, script{response: c.refusal + wireReadyIdle + wireCommit + wireReadyIdle})
+			got := client.query("INSERT a")
+			if c.begin {
+				got, want = client.query("COMMIT"), "done COMMIT"
+			}
+			if got[0] != want || targets.insertCount("a") != 1 {
+				t.Errorf("response %v, took effect %d times", got, targets.insertCount("a"))
+			}
+		})
+	}
+}
+
 // Guards against a COMMIT that is sent on a connection with more responses than statements.
 func TestCommitNeedsAQuietConnection(t *testing.T) {
 	h, targets := newFakeHarness(t, 1)
--- a/request/execute/pinned.go
+++ b/request/execute/pinned.go
@@ -87,9 +87,15 @@
 	if err := exchange.flush(); err != nil {
 		return exchange, err
 	}
-	if err := exchange.forwardResponse(); err != nil || !requestsID {
+	if err := exchange.forwardResponse(); err != nil {
 		return exchange, err
 	}
+	if commit.sent && exchange.errorCode != "" && a.conn.Status() == statusIdle {
+		return exchange, a.confirmRefusal()
+	}
+	if !requestsID {
+		return exchange, nil
+	}
 	return exchange, a.awaitTransactionID(r.pinned)
 }
 
--- a/request/execute/write.go
+++ b/request/execute/write.go
@@ -247,6 +247,9 @@
 	defer stop()
 	commit.sent = true
 	result, err := a.roundTrip(queryCommit, tagCommit, tagRollback)
+	if err == nil && result.failure != nil {
+		err = a.confirmRefusal()
+	}
 	if err != nil {
 		return nil
 	}
@@ -255,6 +258,16 @@
 	return nil
 }
 
+// confirmRefusal checks that an error was the response to COMMIT, by a statement behind it. If
+// the error was the copy of an earlier one, the response to COMMIT comes now.
+func (a *attempt) confirmRefusal() error {
+	id, err := a.fetchTransactionID()
+	if err == nil && id != 0 {
+		err = a.protocolError("transaction is open after its COMMIT was refused")
+	}
+	return err
+}
+
 // confirmCommit waits until the group confirms the commit that the target
 // reported, and acknowledges it. A commit that was not reported or not
 // confirmed is in doubt, and its outcome is resolved.
