--- a/request/execute/write.go
+++ b/request/execute/write.go
@@ -8,6 +8,7 @@
 
 	"samphirehitch.example/samphirehitch/connection/caller"
 	"samphirehitch.example/samphirehitch/connection/sqlstate"
+	"samphirehitch.example/samphirehitch/connection/upstream"
 	"samphirehitch.example/samphirehitch/process/group"
 	"samphirehitch.example/samphirehitch/process/platform"
 	"samphirehitch.example/samphirehitch/process/topology"
@@ -141,9 +142,10 @@
 	if err := a.awaitSettings(settings); err != nil {
 		return exchange, err
 	}
-	if err := a.awaitBegin(); err != nil {
+	if err := a.awaitBegin(tagBegin); err != nil {
 		return exchange, err
 	}
+	a.admitCancel()
 	if err := exchange.forwardResponse(); err != nil {
 		return exchange, err
 	}
@@ -163,17 +165,19 @@
 	return exchange, err
 }
 
-// awaitBegin receives the result of BEGIN.
-func (a *attempt) awaitBegin() error {
-	result, err := a.awaitResult(tagBegin)
-	if err != nil {
+// awaitBegin receives the result of a BEGIN behind which the batch was sent. If it has
+// not opened a transaction, the batch has run on its own, so its outcome is unknown.
+func (a *attempt) awaitBegin(tags ...string) error {
+	result, err := a.awaitResult(tags...)
+	var violation *upstream.ProtocolError
+	if result.failure == nil && !errors.As(err, &violation) {
 		return err
 	}
+	a.conn.MarkBroken()
 	if result.failure != nil {
-		a.conn.MarkBroken()
-		return errors.New("target refused BEGIN: SQLSTATE " + result.failure.Code)
+		err = errors.New("target refused BEGIN: SQLSTATE " + result.failure.Code)
 	}
-	return nil
+	return refusal.New(refusal.OutcomeUnknown, refusal.StepExchange, string(a.target), err)
 }
 
 // rollback rolls back the transaction after the batch has failed. The error is
@@ -236,10 +240,16 @@
 		a.conn.MarkBroken()
 		return ctxErr
 	}
+	if err := a.conn.CheckAlive(); err != nil {
+		return asWriteNotRun(err)
+	}
 	stop := a.detachContext(r.executor.config.CommitTimeout)
 	defer stop()
 	commit.sent = true
 	result, err := a.roundTrip(queryCommit, tagCommit, tagRollback)
+	if err == nil && result.failure != nil {
+		err = a.confirmRefusal()
+	}
 	if err != nil {
 		return nil
 	}
@@ -248,6 +258,16 @@
 	return nil
 }
 
+// confirmRefusal checks that an error was the response to COMMIT, by a statement behind it. If
+// the error was the copy of an earlier one, the response to COMMIT comes now.
+func (a *attempt) confirmRefusal() error {
+	id, err := a.fetchTransactionID()
+	if err == nil && id != 0 {
+		err = a.protocolError("transaction is open after its COMMIT was refused")
+	}
+	return err
+}
+
 // confirmCommit waits until the group confirms the commit that the target
 // reported, and acknowledges it. A commit that was not reported or not
 // confirmed is in doubt, and its outcome is resolved.
