Answer statements at the end of a drain that was suspended

Callers saw: the connection of a statement that ran at the end of a drain closed without a response ("conn closed" in pgx, which reads the end of the stream), and the daemon ended with "drain caller connections: context deadline exceeded": TestStopAnswersAStatementThatOutlastsTheDrain, once, beside much load.

Cause: the last steps of a drain and the end of its context were independent timers. After a suspension of the process over the last steps, all of them are due at once, and the end of the context closed the sockets in the same moment as, or before, the steps that answer.

Now one goroutine takes the steps in their order. If the context is done first, the steps are taken at once, and the sockets are closed only when the responses have had their time after the last one: at most 0.5 s later than before. What is answered stays true, since the order is that of the schedule.

The test of a part of a request shares its body with the new one, unchanged.

--- a/connection/caller/drain.go
+++ b/connection/caller/drain.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -26,17 +27,24 @@
 	terminateAt time.Time
 	// abandonAt is when commits without a known outcome are answered as in doubt.
 	abandonAt time.Time
+	// deadline is when the sockets of the sessions that are left are closed, but not before
+	// responseTime after the previous step.
+	deadline     time.Time
+	responseTime time.Duration
 }
 
 // newDrainSchedule divides the time from now to the deadline.
 func newDrainSchedule(now, deadline time.Time) drainSchedule {
 	total := float64(deadline.Sub(now))
-	part := func(limit time.Duration, fraction float64) time.Time {
-		return deadline.Add(-min(limit, time.Duration(total*fraction)))
+	part := func(limit time.Duration, fraction float64) time.Duration {
+		return min(limit, time.Duration(total*fraction))
 	}
+	responseTime := part(drainResponseTime, maxResponsePart)
 	return drainSchedule{
-		terminateAt: part(drainCommitTime, maxCommitPart),
-		abandonAt:   part(drainResponseTime, maxResponsePart),
+		terminateAt:  deadline.Add(-part(drainCommitTime, maxCommitPart)),
+		abandonAt:    deadline.Add(-responseTime),
+		deadline:     deadline,
+		responseTime: responseTime,
 	}
 }
 
@@ -45,8 +53,10 @@
 // deadline, if it has one, are closed with an error: their statements are interrupted and
 // their transactions rolled back, except for commits, which get the remaining time and are
 // then answered as in doubt. So each statement that was read whole gets a response.
-// If the context is done first, Drain closes the sockets of the remaining sessions
-// and returns the context's error.
+// If the context is done first, as after a suspension of the process, these steps are taken at
+// once, and the responses get their time all the same. Then, or at once if the context has no
+// deadline or is done from the start, Drain closes the sockets of the remaining sessions and
+// returns the context's error.
 func (s *Server) Drain(ctx context.Context) error {
 	s.closeListeners()
 	s.sessions.forEach(func(c *connection) { c.drain() })
@@ -56,20 +66,37 @@
 		close(done)
 	}()
 	if deadline, ok := ctx.Deadline(); ok && ctx.Err() == nil {
-		schedule := newDrainSchedule(time.Now(), deadline)
-		defer s.runAt(schedule.terminateAt, func(c *connection) { c.terminate(errDraining) }).Stop()
-		defer s.runAt(schedule.abandonAt, func(c *connection) { c.handlerSession.Abandon() }).Stop()
-	}
-	select {
-	case <-done:
+		if s.endSessions(ctx, done, newDrainSchedule(time.Now(), deadline)) {
+			return nil
+		}
+	} else if closedBefore(done, ctx.Done(), nil) {
 		return nil
-	case <-ctx.Done():
 	}
 	s.sessions.forEach(func(c *connection) { _ = c.conn.socket.Close() })
-	return eris.Wrap(ctx.Err(), "drain caller connections")
+	return eris.Wrap(cmp.Or(ctx.Err(), context.DeadlineExceeded), "drain caller connections")
+}
+
+// endSessions takes the last steps of a drain, in their order however late they come. It reports
+// whether all sessions have ended.
+func (s *Server) endSessions(ctx context.Context, done <-chan struct{}, schedule drainSchedule) bool {
+	if closedBefore(done, ctx.Done(), time.After(time.Until(schedule.terminateAt))) {
+		return true
+	}
+	s.sessions.forEach(func(c *connection) { c.terminate(errDraining) })
+	if closedBefore(done, ctx.Done(), time.After(time.Until(schedule.abandonAt))) {
+		return true
+	}
+	s.sessions.forEach(func(c *connection) { c.handlerSession.Abandon() })
+	return closedBefore(done, nil, time.After(max(schedule.responseTime, time.Until(schedule.deadline))))
 }
 
-// runAt calls f for each session at a time, unless the timer is stopped before.
-func (s *Server) runAt(at time.Time, f func(*connection)) *time.Timer {
-	return time.AfterFunc(time.Until(at), func() { s.sessions.forEach(f) })
+// closedBefore waits for the first of three channels and reports whether it was done.
+func closedBefore(done, canceled <-chan struct{}, elapsed <-chan time.Time) bool {
+	select {
+	case <-done:
+		return true
+	case <-canceled:
+	case <-elapsed:
+	}
+	return false
 }
--- a/connection/caller/drain_test.go
+++ b/connection/caller/drain_test.go
@@ -23,14 +23,13 @@
 	}
 }
 
-// The connection of a caller that had sent a part of a request was closed without an error.
-func TestEndOfDrainAnswersAPartOfARequest(t *testing.T) {
+// mustAnswerAtItsEnd runs a drain beside a caller that has sent a part of a request.
+func mustAnswerAtItsEnd(t *testing.T, ctx context.Context) {
+	t.Helper()
 	s, _ := newTestServer(t, Config{})
 	c := dial(t, s)
 	c.login(testKey, testSecret, "ledger")
 	c.writeRaw([]byte{'Q', 0, 0})
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
 	drained := make(chan error, 1)
 	go func() { drained <- s.Drain(ctx) }()
 	c.receivedKinds = nil
@@ -43,3 +42,43 @@
 		t.Errorf("drain: %v", err)
 	}
 }
+
+// The connection of a caller that had sent a part of a request was closed without an error.
+func TestEndOfDrainAnswersAPartOfARequest(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	mustAnswerAtItsEnd(t, ctx)
+}
+
+// suspendedContext ends as soon as it is awaited, as if the process was suspended in between until
+// after the deadline.
+type suspendedContext struct {
+	context.Context
+	awaited chan struct{}
+}
+
+func (s suspendedContext) Deadline() (time.Time, bool) { return time.Now().Add(time.Minute), true }
+
+func (s suspendedContext) Done() <-chan struct{} {
+	select {
+	case <-s.awaited:
+	default:
+		close(s.awaited)
+	}
+	return s.awaited
+}
+
+func (s suspendedContext) Err() error {
+	select {
+	case <-s.awaited:
+		return context.DeadlineExceeded
+	default:
+		return nil
+	}
+}
+
+// A process that was suspended over the last steps of its drain closed connections without a
+// response.
+func TestDrainThatWasSuspendedAnswersAtItsEnd(t *testing.T) {
+	mustAnswerAtItsEnd(t, suspendedContext{t.Context(), make(chan struct{})})
+}
