Have a backup owner without a free connection decline what others may run

Callers saw: "no connection became free in time" (BUSY, not run) after the whole timeout of their statement, when daemons stop in series (KNOWN-RED, TestPlannedStopsCostCallersNothing).

Cause: an instance that ceases to be an owner, because another one leaves and the services are spread anew, is a backup owner from then on, with 3 to 6 connections instead of 57, which its transactions hold. Others learn of it up to 0.1 s later, and forward operations to it until then. As a backup owner it took them and queued them behind the transactions, although the new owners had connections.

TestFormerOwnerWithoutAFreeConnectionDeclines and TestBackupOwnerWithoutAFreeConnectionForwardsToAnother fail before with the same refusal.

Now an instance that does not own the service by the registrations that it knows declines an operation for which no connection is free, as one does that is no backup owner either; the forwarding instance goes to the next owner or backup owner. This also holds for a backup owner that would run its own callers' operations. If all decline, the first is asked again to run it all the same and queues it (TestFormerOwnerWithoutAFreeConnectionIsUsedAsTheLastInstance). It declines before the operation is admitted, so that no rate and no number of a transaction is used up. The messages are unchanged; instances of earlier versions understand the answer. Two operations that arrive at once may both find the last connection free, and one of them then waits as before.

The harness of the relay's tests locks the list of confirmations, which two sessions at once write.

--- a/process/dispatch/placement.go
+++ b/process/dispatch/placement.go
@@ -9,16 +9,27 @@
 // tryGrant leases a connection to the target with the lowest cost, or returns nil if no
 // target can run the request now.
 func (d *Dispatcher) tryGrant(now time.Duration, r *Request) *Lease {
+	best := d.cheapest(now, r)
+	if best.target == nil {
+		return nil
+	}
+	return d.leaseFrom(now, r, best)
+}
+
+// CanGrant reports whether Submit would grant the request at once.
+func (d *Dispatcher) CanGrant(now time.Duration, r *Request) bool {
+	return d.cheapest(now, r).target != nil
+}
+
+// cheapest returns the candidate with the lowest cost, one without a target if there is none.
+func (d *Dispatcher) cheapest(now time.Duration, r *Request) candidate {
 	var best candidate
 	for id, t := range d.targets {
 		if c, ok := d.evaluate(now, r, id, t); ok && (best.target == nil || c.cost < best.cost || c.cost == best.cost && id < best.target.ID) {
 			best = c
 		}
 	}
-	if best.target == nil {
-		return nil
-	}
-	return d.leaseFrom(now, r, best)
+	return best
 }
 
 // candidate is a target that could run a request now.
--- a/request/engine/operation.go
+++ b/request/engine/operation.go
@@ -171,6 +171,26 @@
 	return primary != "" && !e.Reachability.IsSuspected(op.service.id, primary)
 }
 
+// HasToWait reports whether a session's operation would wait here for a connection to become free.
+// It returns false while there is no primary for an operation that needs one: others have none
+// either.
+func (e *Engine) HasToWait(s *client.Session, writes bool) bool {
+	now := e.Clock()
+	op, refused := e.resolve(now, s)
+	if refused != nil {
+		return false
+	}
+	op.service.mu.Lock()
+	defer op.service.mu.Unlock()
+	op.chooseFloor(now, s)
+	request := op.dispatchRequest(s, writes || op.route.Consistency == catalog.Primary, now+op.route.StatementTimeout)
+	op.service.dispatch.SetPrimary(now, op.service.usablePrimary(now))
+	if request.NeedsPrimary && op.service.dispatch.Primary() == "" {
+		return false
+	}
+	return !op.service.dispatch.CanGrant(now, request)
+}
+
 // Authorize checks the route and the key of a new session.
 func (e *Engine) Authorize(s *client.Session) (code statement.Code, reason string) {
 	if _, refused := e.ResolveRoute(s); refused != nil {
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -67,7 +67,7 @@
 	// primary.
 	outcomeNoPrimary
 	// outcomeNotOwner: the instance declined the request because, as far as it knows, it
-	// does not own the service.
+	// does not own the service; as a backup owner it has no connection free.
 	outcomeNotOwner
 	// outcomeNotSent: the request was not sent, as the process exits.
 	outcomeNotSent
--- a/request/relay/harness_test.go
+++ b/request/relay/harness_test.go
@@ -228,6 +228,8 @@
 			f.applyConfiguration(eng, revision, confirmedAt)
 		},
 		OnConfigurationConfirmed: func(_ topology.InstanceID, version uint64, confirmedAt time.Duration) {
+			f.network.mu.Lock()
+			defer f.network.mu.Unlock()
 			f.confirmed = append(f.confirmed, confirmation{version, confirmedAt})
 		},
 		OnDemand: func(from topology.InstanceID, report share.Report) { f.demands[from] = report }})
--- a/request/relay/message.go
+++ b/request/relay/message.go
@@ -144,8 +144,9 @@
 	// FloorAge is the time since the floor was observed.
 	FloorAge  time.Duration       `cbor:"11,keyasint,omitempty"`
 	Statement statement.Statement `cbor:"12,keyasint"`
-	// DeclineUnlessOwner says that an instance which, by the registrations that it knows, neither
-	// owns the service nor is a backup owner should decline: another one may be.
+	// DeclineUnlessOwner says that an instance which, by the registrations that it knows, does not
+	// own the service should decline, unless it is a backup owner with a free connection: another
+	// one may own it.
 	DeclineUnlessOwner bool `cbor:"13,keyasint,omitempty"`
 }
 
@@ -184,7 +185,8 @@
 	// primary.
 	NoPrimary bool `cbor:"10,keyasint,omitempty"`
 	// NotOwner says that, by the registrations that the responding instance knows, it
-	// neither owns the service nor is a backup owner.
+	// neither owns the service nor is a backup owner, or that it declined as a backup owner
+	// without a free connection.
 	NotOwner bool `cbor:"11,keyasint,omitempty"`
 	// Placement is for the log and the metrics of the requesting instance.
 	Placement placement `cbor:"4,keyasint"`
--- a/request/relay/selector.go
+++ b/request/relay/selector.go
@@ -30,8 +30,9 @@
 	// excluded instances declined the operation or did not respond; withoutPrimary
 	// ones could not use the primary and are tried again until the deadline.
 	excluded, withoutPrimary []topology.InstanceID
-	// notOwners declined the operation because they do not know that they own the service. They
-	// are tried again, to run it all the same, when no other instance is left; insists is set then.
+	// notOwners declined the operation because they do not know that they own the service, or have
+	// no connection free as backup owners. They are tried again, to run it all the same, when no
+	// other instance is left; insists is set then.
 	notOwners []topology.InstanceID
 	insists   bool
 	deadline  time.Duration
@@ -51,6 +52,8 @@
 		switch {
 		case ok && to == s.relay.Self && !s.relay.Engine.CanRun(session, writes):
 			s.withoutPrimary = append(s.withoutPrimary, to)
+		case ok && to == s.relay.Self && !s.insists && s.relay.server.leavesToOwners(session, writes):
+			s.notOwners = append(s.notOwners, to)
 		case ok:
 			return to, true
 		case len(s.notOwners) > 0:
--- a/request/relay/server.go
+++ b/request/relay/server.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -145,11 +146,14 @@
 // run runs a request, unless this instance has to decline it.
 func (s *server) run(from topology.InstanceID, req *forwardRequest) *forwardResponse {
 	id := remoteSessionID{instance: from, id: req.Session}
-	if !req.InTransaction && s.lacksPrimary(req) {
-		return &forwardResponse{ID: req.ID, Declined: true, NoPrimary: true}
-	}
-	if req.DeclineUnlessOwner && s.ownsNot(req) {
-		return &forwardResponse{ID: req.ID, Declined: true, NotOwner: true}
+	if !req.InTransaction {
+		callerSession, writes := operationOf(req)
+		if !s.relay.Engine.CanRun(callerSession, writes) {
+			return &forwardResponse{ID: req.ID, Declined: true, NoPrimary: true}
+		}
+		if req.DeclineUnlessOwner && s.leavesToOwners(callerSession, writes) {
+			return &forwardResponse{ID: req.ID, Declined: true, NotOwner: true}
+		}
 	}
 	remote, ok := s.sessionFor(id, req)
 	if !ok {
@@ -185,14 +189,14 @@
 	return resp
 }
 
-// lacksPrimary reports whether the request needs a primary that this instance cannot
-// use.
-func (s *server) lacksPrimary(req *forwardRequest) bool {
-	callerSession := client.NewSession(0, req.Database, req.Key)
+// operationOf returns a session that stands for that of a request, and whether the request writes
+// or opens a transaction for writes.
+func operationOf(req *forwardRequest) (s *client.Session, writes bool) {
+	s = client.NewSession(0, req.Database, req.Key)
 	if req.Prepared != nil {
-		callerSession.AddPrepared(req.Statement.Name, *req.Prepared)
+		s.AddPrepared(req.Statement.Name, *req.Prepared)
 	}
-	return !s.relay.Engine.CanRun(callerSession, req.Begin == beginReadWrite || callerSession.MayWrite(req.Statement))
+	return s, req.Begin == beginReadWrite || s.MayWrite(req.Statement)
 }
 
 // sessionFor returns the session in which the request runs, or false when this
@@ -220,12 +224,22 @@
 	return remote, true
 }
 
-// ownsNot reports whether this instance knows that it neither owns the request's service nor
-// is a backup owner. Others may take an instance that has just started for an owner before it
-// does itself: their operations would wait for its only connection.
-func (s *server) ownsNot(req *forwardRequest) bool {
-	service, known := s.relay.Engine.ServiceOf(client.NewSession(0, req.Database, req.Key))
-	return known && !s.mayConnect(service)
+// leavesToOwners reports whether an operation should be tried at other instances first: this one
+// knows that it does not own the service, and is no backup owner either or would have to wait for
+// a connection. Others may take an instance that has just started for an owner before it does
+// itself, and one that has ceased to be an owner after it knows: their operations would wait for
+// the few connections of a backup owner, behind transactions.
+func (s *server) leavesToOwners(callerSession *client.Session, writes bool) bool {
+	service, known := s.relay.Engine.ServiceOf(callerSession)
+	if !known || s.owns(service) {
+		return false
+	}
+	return !s.mayConnect(service) || s.relay.Engine.HasToWait(callerSession, writes)
+}
+
+// owns reports whether this instance owns a service, by the registrations that it knows.
+func (s *server) owns(service topology.ServiceID) bool {
+	return slices.Contains(s.relay.routing.Load().owners.Owners(service), s.relay.Self)
 }
 
 // mayConnect reports whether this instance owns a service or is a backup owner, by the
