Late responses: keep the connection only after one with a signature

Callers could get the rows and the signature of another caller's statement: MIXED.

Cause: a read, write or COMMIT that timed out is awaited in the background, and its connection returned to the pool with any response in state I. The copy of a response to SET, PREPARE or ROLLBACK is such a response: it has no signature. The true response then arrives while the next caller's statement is outstanding. Its signature is new on the connection, so that it is taken. The direct path discards the connection after a response without a signature; this one did not.

--- a/request/engine/acquire.go
+++ b/request/engine/acquire.go
@@ -171,14 +171,15 @@
 const lateResponseTimeout = 5 * time.Second
 
 // awaitLateResponse waits in the background for a late response. The connection is
-// kept if the response arrives and leaves no transaction open, and closed otherwise.
+// kept if the response arrives, with the signature that a copy of one to a session value lacks,
+// and leaves no transaction open, and closed otherwise.
 func (e *Engine) awaitLateResponse(lc *leasedConn) {
 	lc.service.mu.Lock()
 	lc.service.dispatch.AbandonStatement(e.Clock(), lc.lease)
 	lc.service.mu.Unlock()
 	go func() {
 		response, err := lc.connection.Conn.ResumeRead(lateResponseTimeout)
-		if err != nil || response.State != statement.Idle {
+		if err != nil || response.State != statement.Idle || response.Signature == "" {
 			e.discard(lc, err != nil && connectionBroke(err))
 			return
 		}
--- a/request/engine/harness_test.go
+++ b/request/engine/harness_test.go
@@ -81,6 +81,8 @@
 	// respond returns the response to a statement. A response without a state, or a
 	// nil respond, means success.
 	respond func(s receivedStatement) (statement.Response, error)
+	// late, if not nil, returns the late response to a statement that timed out.
+	late func() (statement.Response, error)
 	// closed holds the numbers of the closed connections.
 	closed map[int]bool
 	// spent holds the numbers of the connections on which nothing more may be sent.
@@ -162,6 +164,9 @@
 }
 
 func (c *fakeConn) ResumeRead(time.Duration) (statement.Response, error) {
+	if c.targets.late != nil {
+		return c.targets.late()
+	}
 	return statement.Response{}, brokenError(true)
 }
 
