Statements: await no late response to one that was sent in part

A write of which only a part was sent within its time-out is refused or sent again elsewhere. Meanwhile its connection, and with it a share of the target's connections, was held for up to 5 s to wait for a response that cannot come.

Evidence: TestPartlySentStatementClosesItsConnection failed before: the connection stayed open.

--- a/request/engine/late_response_test.go
+++ b/request/engine/late_response_test.go
@@ -39,3 +39,10 @@
 		t.Fatalf("%d connections are open after the true response, want 1", open)
 	}
 }
+
+// There is no response to a statement of which the target received a part.
+func TestPartlySentStatementClosesItsConnection(t *testing.T) {
+	if open := runLate(t, false, statement.Response{State: statement.Idle, Signature: "x"}); open != 0 {
+		t.Fatalf("%d connections are open", open)
+	}
+}
--- a/request/engine/statement.go
+++ b/request/engine/statement.go
@@ -95,7 +95,7 @@
 func (e *Engine) handleStatementError(lc *leasedConn, writes bool, err error) (statement.Response, bool) {
 	response := statement.Response{Detail: err.Error(), State: statement.Idle}
 	timedOut := failureOf(err) == target.ResponseTimeout
-	if timedOut {
+	if timedOut && mayHaveBeenSent(err) {
 		e.awaitLateResponse(lc)
 	} else {
 		e.discardFailed(lc, err)
