Prepared statements: pass no NOSTMT of a target on to callers

A caller could get NOSTMT for a statement whose preparation was acknowledged to it, which breaks PINNED.

Cause: a target that lacks a statement was sent PREPARE again on the same connection, in a transaction too. Since no statement follows an error on its connection, the retry in a transaction never happens with targets and NOSTMT goes to the caller. Outside of transactions it does after the last attempt. The session itself answers NOSTMT for names that the caller did not prepare, so that one of a target is never the caller's doing.

The transaction is now aborted, and an operation without one gets BUSY: in both cases nothing ran.

Evidence: TestPreparedStatementIsNeverUnknownToItsSession failed before at the statement outside of a transaction ("unknown_prepared, want busy"); the one inside was not reached.

--- a/request/engine/statement.go
+++ b/request/engine/statement.go
@@ -14,6 +14,10 @@
 // exits.
 const reasonExiting = "the process exits"
 
+// reasonNotPrepared is the detail of responses to statements whose target lacks the prepared
+// statement, although its session has it.
+const reasonNotPrepared = "the target lacks the prepared statement"
+
 // RunStatement implements Runner. It retries on other connections until the
 // statement has run or may have run, or no attempts or time are left.
 func (e *Engine) RunStatement(s *client.Session, st statement.Statement, o *Outcome) statement.Response {
@@ -154,6 +158,7 @@
 		retry = true
 	case statement.UnknownPrepared:
 		lc.connection.ForgetPrepared()
+		response.Code, response.Detail = statement.Busy, reasonNotPrepared
 		retry = true
 	case statement.Busy, statement.ReadOnly:
 		retry = true
--- a/request/engine/transaction.go
+++ b/request/engine/transaction.go
@@ -190,6 +190,8 @@
 			return response
 		case response.Code == statement.UnknownPrepared && retry:
 			lc.connection.ForgetPrepared()
+		case response.Code == statement.UnknownPrepared:
+			return t.abort(reasonNotPrepared, false)
 		case response.Code == statement.Busy && retry:
 			time.Sleep(retryBackoff)
 		case response.Code == statement.OK:
--- a/request/engine/untrusted_response_test.go
+++ b/request/engine/untrusted_response_test.go
@@ -123,3 +123,22 @@
 		t.Fatalf("the floor is %+v", sample)
 	}
 }
+
+// A caller got NOSTMT for a statement whose preparation was acknowledged, as no statement follows an error on its connection.
+func TestPreparedStatementIsNeverUnknownToItsSession(t *testing.T) {
+	prepare := statement.Statement{Kind: statement.Prepare, ID: "p", Text: "PREPARE s READ q", Name: "s", Argument: "q"}
+	execute := statement.Statement{Kind: statement.Execute, ID: "e", Text: "EXECUTE s a", Name: "s", Argument: "a"}
+	h := newHarness(t)
+	h.targets.respond = func(s receivedStatement) (statement.Response, error) {
+		if s.Kind != statement.Execute {
+			return statement.Response{}, nil
+		}
+		h.targets.spent = map[int]bool{s.conn: true}
+		return statement.Response{Code: statement.UnknownPrepared, State: statement.Idle}, nil
+	}
+	s := h.session(1, "strict")
+	h.mustRun(s, prepare, statement.OK)
+	h.mustRun(s, execute, statement.Busy)
+	h.mustRun(s, begin, statement.OK)
+	h.mustRun(s, execute, statement.Aborted)
+}
