Soak: any bytes in all runs, and a short run with targets that stutter

TestSoak has a case in which targets stutter beside the other faults. Details of refusals are counted without the positions that they quote.

--- a/cmd/samphirehitch-soak/main.go
+++ b/cmd/samphirehitch-soak/main.go
@@ -28,12 +28,12 @@
 	synchronousReplicas := app.Flag("synchronous-replicas", "Replicas that must have received a commit before it is acknowledged.").Int()
 	logFaults := app.Flag("log-faults", "Add faults of replication to the others.").Bool()
 	promotionFaults := app.Flag("promotion-faults", "Have promotions take effect late, and end the failover leaders that order them.").Bool()
-	anyBytes := app.Flag("any-bytes", "Have callers send any bytes that the protocol allows.").Bool()
+	plainValues := app.Flag("plain-values", "Have callers send letters and digits only, for daemons that cannot carry all bytes.").Bool()
 	stutter := app.Flag("stutter", "Have targets send some responses twice.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	failedRuns := 0
 	for current := *seed; current < *seed+*runs; current++ {
-		report, err := run(*program, *directory, current, soak.Options{OtherProgram: *otherProgram, FaultDuration: *length, Daemons: *daemons, Callers: *callers, FaultInjectors: *faultInjectors, Restores: *restores, PlannedStopsOnly: *plannedStops, SynchronousReplicas: *synchronousReplicas, LogFaults: *logFaults, PromotionFaults: *promotionFaults, AnyBytes: *anyBytes, Stutter: *stutter})
+		report, err := run(*program, *directory, current, soak.Options{OtherProgram: *otherProgram, FaultDuration: *length, Daemons: *daemons, Callers: *callers, FaultInjectors: *faultInjectors, Restores: *restores, PlannedStopsOnly: *plannedStops, SynchronousReplicas: *synchronousReplicas, LogFaults: *logFaults, PromotionFaults: *promotionFaults, PlainValues: *plainValues, Stutter: *stutter})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "samphirehitch-soak:", err)
 			os.Exit(2)
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -28,7 +28,7 @@
 type caller struct {
 	history *history
 	random  *rand.Rand
-	// bytes is the random source of values, nil if they are letters and digits.
+	// bytes is the random source of values, nil if they are letters and digits only.
 	bytes     *rand.Rand
 	number    int
 	customer  platformtest.Customer
--- a/soak/refusals.go
+++ b/soak/refusals.go
@@ -20,12 +20,17 @@
 	inTransaction bool
 }
 
-// portPattern matches the port of a loopback address in the detail of an error.
-var portPattern = regexp.MustCompile(`\b:\d{4,5}\b`)
+// portPattern matches the port of a loopback address, positionPattern the log position of a quoted
+// READY, in the detail of an error.
+var (
+	portPattern     = regexp.MustCompile(`\b:\d{4,5}\b`)
+	positionPattern = regexp.MustCompile(` \d+\.\d+"`)
+)
 
 // reason returns the code and the detail, without what differs between equal refusals.
 func (r refusal) reason() string {
-	return r.response.Code + " " + portPattern.ReplaceAllString(r.response.Detail, ":PORT")
+	detail := positionPattern.ReplaceAllString(r.response.Detail, ` POSITION"`)
+	return r.response.Code + " " + portPattern.ReplaceAllString(detail, ":PORT")
 }
 
 func (h *history) addRefusal(r refusal) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -51,9 +51,9 @@
 	// PromotionFaults has promotions take effect late, and adds series of failovers in which
 	// the leaders that order promotions are ended.
 	PromotionFaults bool
-	// AnyBytes has callers send values and prepared shapes with any bytes that the protocol
-	// allows, and set session values. Their other draws stay the same.
-	AnyBytes bool
+	// PlainValues has callers send values and shapes of letters and digits only, and set no session
+	// values, for daemons of earlier versions. The other draws stay the same.
+	PlainValues bool
 	// Stutter has targets send responses twice, beside the other faults.
 	Stutter bool
 	// FaultLog receives a line with the time of each fault.
@@ -328,7 +328,7 @@
 		all = append(all, d.number)
 	}
 	c.patient, c.rotation = h.options.PlannedStopsOnly, func() []int { return all }
-	if h.options.AnyBytes {
+	if !h.options.PlainValues {
 		c.bytes = rand.New(rand.NewPCG(h.options.Seed, uint64(valueSource+number)))
 	}
 	if c.patient {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,6 +26,7 @@
 var soakCases = map[string]Options{
 	"restores":   {Seed: 1, FaultDuration: 14 * time.Second, Daemons: 4, Callers: 12, FaultInjectors: 2, Restores: true},
 	"short":      {Seed: 1, FaultDuration: 8 * time.Second, Daemons: 4, Callers: 12, FaultInjectors: 2},
+	"stutter":    {Seed: 4, FaultDuration: 10 * time.Second, Daemons: 4, Callers: 12, FaultInjectors: 1, Stutter: true},
 	"log faults": {Seed: 3, FaultDuration: 12 * time.Second, Daemons: 4, Callers: 12, FaultInjectors: 2, LogFaults: true, SynchronousReplicas: 1},
 	// A replaced primary became available again, still reported itself as primary and was
 	// accepted, with its old term, as the successor of a later one. Reads were stale.
--- a/soak/values.go
+++ b/soak/values.go
@@ -33,8 +33,8 @@
 	return text
 }
 
-// setValue sets one of the session's values, now and then, if the caller sends any bytes. It
-// reports whether the connection is usable afterwards.
+// setValue sets one of the session's values now and then, if there is a source of values. It reports
+// whether the connection is usable afterwards.
 func (c *caller) setValue() bool {
 	if c.bytes == nil || c.bytes.IntN(8) > 0 {
 		return true
