--- a/soak/framing_test.go
+++ b/soak/framing_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -167,3 +168,36 @@
 func TestRefusalSentTwiceIsNoPromiseForNextStatement(t *testing.T) {
 	runWithStutter(t, platformtest.StutterOutstanding, 4)
 }
+
+// A key is compared whole, and what follows a line feed in it is no message.
+func TestKeyWithLineFeedIsComparedWhole(t *testing.T) {
+	h, stopCallers := startServing(t, Options{Daemons: 1, Callers: 2}, (*harness).newCaller)
+	c := h.newCaller(100)
+	added := platformtest.Customer{Name: "added", Key: "key\nQUERY 9 WRITE 2 z \r", Rate: 100, Burst: 100}
+	if err := h.putConfiguration(2, append([]platformtest.Customer{added}, customers...)); err != nil {
+		t.Fatal(err)
+	}
+	c.customer = added
+	for deadline := time.Now().Add(routeDeadline); !c.connect(); time.Sleep(reconnectBackoff) {
+		if time.Now().After(deadline) {
+			t.Fatal("the key is not accepted")
+		}
+	}
+	c.conn.Close()
+	if _, err := c.runOnNewConnection(platformtest.WriteText(c.item, "d"), platformtest.ReadText(c.item)); err != nil {
+		t.Error(err)
+	}
+	for _, suffix := range []string{"\nQUERY 9 WRITE 2 z", "\r", "\n", " ", "\x00"} {
+		conn, response, err := platformtest.DialCaller(c.addresses[0], c.database.Host, customers[0].Key+suffix, responseTimeout)
+		if err != nil || response.Code != "AUTHFAIL" {
+			t.Errorf("key with %q: response %+v, error %v", suffix, response, err)
+		}
+		if conn != nil {
+			conn.Close()
+		}
+	}
+	stopCallers()
+	for _, violation := range h.violations() {
+		t.Error(violation)
+	}
+}
