--- a/request/execute/batch_exchange.go
+++ b/request/execute/batch_exchange.go
@@ -50,6 +50,8 @@
 	withheldError *pgproto3.ErrorResponse
 	// errorCode is the SQLSTATE of the error that ended the batch, if any.
 	errorCode sqlstate.Code
+	// statusBefore is the transaction status before the batch.
+	statusBefore status
 	// commandTag is that of the last CommandComplete.
 	commandTag string
 }
@@ -156,6 +158,7 @@
 // receiveResponse forwards messages up to the batch's ReadyForQuery. After an
 // error the connection is not reused.
 func (e *batchExchange) receiveResponse() error {
+	e.statusBefore = e.pipeline.conn.Status()
 	for {
 		message, err := e.pipeline.conn.Receive()
 		if err != nil {
@@ -183,9 +186,12 @@
 // handleError forwards or withholds an error of the target, which ends the
 // batch.
 func (e *batchExchange) handleError(message *pgproto3.ErrorResponse) error {
-	if isFatal(message) {
+	if upstream.IsFatal(message) {
 		return e.pipeline.sessionLost(message)
 	}
+	if !e.canContain(message) {
+		return e.unexpectedMessage()
+	}
 	e.errorCode = sqlstate.Code(message.Code)
 	if e.isWithheld() {
 		withheld := *message
@@ -210,6 +216,9 @@
 
 // handleMessage forwards one message of the response to the batch.
 func (e *batchExchange) handleMessage(message pgproto3.BackendMessage) error {
+	if !e.canContain(message) {
+		return e.unexpectedMessage()
+	}
 	if e.plan.batch.Query == nil {
 		return e.handleExtended(message)
 	}
@@ -218,18 +227,37 @@
 		return e.handleCommandComplete(message)
 	case *pgproto3.CopyInResponse:
 		return e.forwardCopyData(message)
-	case *pgproto3.RowDescription, *pgproto3.DataRow, *pgproto3.EmptyQueryResponse,
-		*pgproto3.CopyOutResponse, *pgproto3.CopyData, *pgproto3.CopyDone:
+	case *pgproto3.RowDescription, *pgproto3.DataRow, *pgproto3.CopyOutResponse,
+		*pgproto3.CopyData, *pgproto3.CopyDone:
 		return e.pipeline.response.write(message)
 	default:
 		return e.unexpectedMessage()
 	}
 }
 
+// canContain reports whether the response to the batch can contain the message. One
+// statement completes once, and only COPY sends or takes copy data.
+func (e *batchExchange) canContain(message pgproto3.BackendMessage) bool {
+	if e.plan.statement.Multiple {
+		return true
+	}
+	if e.plan.batch.Query != nil && e.commandTag != "" {
+		return false
+	}
+	switch message.(type) {
+	case *pgproto3.CopyInResponse, *pgproto3.CopyOutResponse:
+		return classify.CanComplete(e.plan.text, "COPY")
+	case *pgproto3.EmptyQueryResponse:
+		return e.plan.statement.Kind == classify.KindEmpty
+	default:
+		return true
+	}
+}
+
 // unexpectedMessage returns the error for a message that cannot belong to the
 // response. Nothing that follows it on the connection can be trusted.
 func (e *batchExchange) unexpectedMessage() error {
-	return &upstream.ProtocolError{Target: e.pipeline.conn.Target(), Reason: "response does not match the request"}
+	return e.pipeline.protocolError("response does not match the request")
 }
 
 // handleCommandComplete forwards a CommandComplete, or holds it until the
@@ -246,8 +274,7 @@
 }
 
 // commandTagMatches reports whether the command tag can belong to the batch. It
-// detects the response to a transaction control statement in place of another
-// one, and the reverse.
+// detects the response to a statement of another kind.
 func (e *batchExchange) commandTagMatches() bool {
 	controlsTransaction := false
 	for _, tag := range []string{tagBegin, tagStart, tagCommit, tagRollback} {
@@ -255,18 +282,28 @@
 	}
 	statement := &e.plan.statement
 	switch statement.Kind {
-	case classify.KindCommit, classify.KindRollback:
-		return controlsTransaction
+	case classify.KindCommit:
+		if e.statusBefore == statusFailed {
+			return e.commandTag == tagRollback
+		}
+		return e.commandTag == tagCommit
+	case classify.KindRollback:
+		return e.commandTag == tagRollback
 	case classify.KindBegin, classify.KindOutsideTransaction, classify.KindInTransaction:
 		return true
 	default:
-		return !controlsTransaction || statement.EndsTransaction
+		return (!controlsTransaction || statement.EndsTransaction) &&
+			(statement.Multiple || classify.CanComplete(e.plan.text, e.commandTag))
 	}
 }
 
-// checkComplete checks that the response to an extended batch that succeeded is
-// complete, and responds to the local steps at its end.
+// checkComplete checks the transaction status after the batch and that the response to
+// an extended batch that succeeded is complete, and responds to the local steps at
+// its end.
 func (e *batchExchange) checkComplete() error {
+	if err := e.checkStatus(); err != nil {
+		return err
+	}
 	if e.errorCode != "" || e.plan.batch.Query != nil {
 		return nil
 	}
@@ -274,7 +311,6 @@
 		return err
 	}
 	if len(e.expected) > 0 {
-		e.pipeline.conn.MarkBroken()
 		return e.unexpectedMessage()
 	}
 	return nil
--- a/request/execute/fake_targets_test.go
+++ b/request/execute/fake_targets_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -42,6 +43,8 @@
 		sync.Mutex
 		// faults are applied to the next Queries, one each, in order.
 		faults []responseFault
+		// scripts replace the responses to the next Queries with their texts, in order.
+		scripts map[string][]script
 		// received is everything that was sent to the targets.
 		received []byte
 		// committed counts how often each value was committed.
@@ -116,6 +119,34 @@
 	return fault
 }
 
+// script is a response in wire format, without the codec under test.
+type script struct {
+	response string
+	// skipped keeps the target from running the statement.
+	skipped bool
+}
+
+// addScript replaces the response to the next Query with the text.
+func (f *fakeTargets) addScript(query string, s script) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.mu.scripts == nil {
+		f.mu.scripts = make(map[string][]script)
+	}
+	f.mu.scripts[query] = append(f.mu.scripts[query], s)
+}
+
+func (f *fakeTargets) nextScript(query string) (script, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	scripts := f.mu.scripts[query]
+	if len(scripts) == 0 {
+		return script{}, false
+	}
+	f.mu.scripts[query] = scripts[1:]
+	return scripts[0], true
+}
+
 // clearFaults drops the remaining faults and makes all targets reachable.
 func (f *fakeTargets) clearFaults() {
 	f.mu.Lock()
@@ -131,6 +162,22 @@
 	return f.mu.committed[value]
 }
 
+// stall makes the targets count as unreachable.
+func (f *fakeTargets) stall(ids ...topology.TargetID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range ids {
+		f.mu.stalled[id] = true
+	}
+}
+
+// awaitReceived waits until the text was sent to a target.
+func (f *fakeTargets) awaitReceived(text string) {
+	for !f.hasReceived(text) {
+		runtime.Gosched()
+	}
+}
+
 // View implements group.Watcher. A stalled target counts as unreachable.
 func (f *fakeTargets) View() *group.View {
 	f.mu.Lock()
--- a/request/execute/pinned.go
+++ b/request/execute/pinned.go
@@ -70,6 +70,7 @@
 	if err := a.conn.CheckAlive(); err != nil {
 		return nil, err
 	}
+	a.admitCancel()
 	if a.mayCommitWrites() {
 		if err := a.prepareCommit(commit); err != nil {
 			return nil, err
@@ -86,9 +87,15 @@
 	if err := exchange.flush(); err != nil {
 		return exchange, err
 	}
-	if err := exchange.forwardResponse(); err != nil || !requestsID {
+	if err := exchange.forwardResponse(); err != nil {
 		return exchange, err
 	}
+	if commit.sent && exchange.errorCode != "" && a.conn.Status() == statusIdle {
+		return exchange, a.confirmRefusal()
+	}
+	if !requestsID {
+		return exchange, nil
+	}
 	return exchange, a.awaitTransactionID(r.pinned)
 }
 
