Accept a target's login messages only in their order

What callers saw: nothing yet, by the record. A server at a target's address could leave out its part of SCRAM, the proof that it knows the password, and go on with AuthenticationOk, or send ReadyForQuery without any authentication; a session that began inside a transaction was accepted.

Cause: each login message was handled whenever it came.

Change: the login has phases, and each message belongs to some of them. SCRAM must be complete, with the target's signature verified, before AuthenticationOk; ReadyForQuery needs authentication and an idle session.

No test forges a first SCRAM message in place of the signature.

--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -123,7 +123,7 @@
 	}
 	if !c.grammar.accept(message, c.status) {
 		c.broken.Store(true)
-		return nil, &ProtocolError{c.config.Target, strings.TrimPrefix(fmt.Sprintf("%T", message), "*pgproto3.") + " does not continue the response"}
+		return nil, &ProtocolError{c.config.Target, messageName(message) + " does not continue the response"}
 	}
 	if ready, ok := message.(*pgproto3.ReadyForQuery); ok {
 		c.status = TransactionStatus(ready.TxStatus)
@@ -131,6 +131,11 @@
 	return message, nil
 }
 
+// messageName returns the name of the kind of a message.
+func messageName(message pgproto3.BackendMessage) string {
+	return strings.TrimPrefix(fmt.Sprintf("%T", message), "*pgproto3.")
+}
+
 // HasBufferedInput reports whether received bytes wait for Receive.
 func (c *Conn) HasBufferedInput() bool { return c.frontend.ReadBufferLen() > 0 }
 
--- a/connection/upstream/login.go
+++ b/connection/upstream/login.go
@@ -84,8 +84,7 @@
 	return tls.Client(socket, config.TLS), nil
 }
 
-// startSession sends the startup message, authenticates and waits for
-// ReadyForQuery.
+// startSession sends the startup message, authenticates and waits for ReadyForQuery.
 func (c *Conn) startSession() error {
 	c.frontend.Send(&pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersion30,
@@ -99,12 +98,38 @@
 	if err := c.frontend.Flush(); err != nil {
 		return err
 	}
+	return c.receiveLogin()
+}
+
+// loginPhase is how far a login has come.
+type loginPhase uint8
+
+const (
+	loginStarted loginPhase = iota
+	// loginPassword follows a password in clear text, loginSCRAM the first message of a
+	// SCRAM conversation, and loginVerified the proof that the target knows the password.
+	loginPassword
+	loginSCRAM
+	loginVerified
+	loginAuthenticated
+)
+
+// receiveLogin responds to the target's login messages until ReadyForQuery. It returns a
+// *ProtocolError for a message out of order, which includes a target that omits its part of
+// SCRAM.
+func (c *Conn) receiveLogin() error {
+	phase := loginStarted
 	var conversation *scram.ClientConversation
 	for {
 		message, err := c.frontend.Receive()
 		if err != nil {
 			return err
 		}
+		next, ok := nextLoginPhase(phase, message)
+		if !ok {
+			return &ProtocolError{c.config.Target, messageName(message) + " out of order in a login"}
+		}
+		phase = next
 		switch message := message.(type) {
 		case *pgproto3.AuthenticationCleartextPassword:
 			c.frontend.Send(&pgproto3.PasswordMessage{Password: c.config.Password})
@@ -119,13 +144,10 @@
 			c.processID = message.ProcessID
 			c.cancelSecret = message.SecretKey
 		case *pgproto3.ReadyForQuery:
-			c.status = TransactionStatus(message.TxStatus)
+			c.status = Idle
 			return nil
 		case *pgproto3.ErrorResponse:
 			return &LoginError{c.config.Target, sqlstate.Code(message.Code), message.Message}
-		case *pgproto3.AuthenticationOk, *pgproto3.ParameterStatus, *pgproto3.NoticeResponse:
-		default:
-			err = &ProtocolError{c.config.Target, "unexpected message during login"}
 		}
 		if err != nil {
 			return err
@@ -133,6 +155,31 @@
 	}
 }
 
+// nextLoginPhase returns the phase of the login after a message, and false if it cannot
+// come in this phase.
+func nextLoginPhase(phase loginPhase, message pgproto3.BackendMessage) (loginPhase, bool) {
+	switch message := message.(type) {
+	case *pgproto3.AuthenticationCleartextPassword:
+		return loginPassword, phase == loginStarted
+	case *pgproto3.AuthenticationSASL:
+		return loginSCRAM, phase == loginStarted
+	case *pgproto3.AuthenticationSASLContinue:
+		return loginSCRAM, phase == loginSCRAM
+	case *pgproto3.AuthenticationSASLFinal:
+		return loginVerified, phase == loginSCRAM
+	case *pgproto3.AuthenticationOk:
+		return loginAuthenticated, phase != loginSCRAM && phase != loginAuthenticated
+	case *pgproto3.BackendKeyData:
+		return phase, phase == loginAuthenticated
+	case *pgproto3.ReadyForQuery:
+		return phase, phase == loginAuthenticated && TransactionStatus(message.TxStatus) == Idle
+	case *pgproto3.ErrorResponse, *pgproto3.ParameterStatus, *pgproto3.NoticeResponse:
+		return phase, true
+	default:
+		return phase, false
+	}
+}
+
 // beginSCRAM sends the client's first SCRAM message. A password that SASLprep
 // (RFC 4013) does not allow is used as it is.
 func (c *Conn) beginSCRAM() (*scram.ClientConversation, error) {
@@ -154,9 +201,6 @@
 
 // continueSCRAM responds to the target's challenge with the client's proof.
 func (c *Conn) continueSCRAM(conversation *scram.ClientConversation, challenge []byte) error {
-	if conversation == nil {
-		return &ProtocolError{c.config.Target, "AuthenticationSASLContinue before AuthenticationSASL"}
-	}
 	response, err := conversation.Step(string(challenge))
 	if err != nil {
 		return err
@@ -167,9 +211,9 @@
 
 // finishSCRAM verifies the target's signature.
 func (c *Conn) finishSCRAM(conversation *scram.ClientConversation, signature []byte) error {
-	if conversation == nil {
-		return &ProtocolError{c.config.Target, "AuthenticationSASLFinal before AuthenticationSASL"}
-	}
 	_, err := conversation.Step(string(signature))
+	if err == nil && !conversation.Valid() {
+		err = &ProtocolError{c.config.Target, "SCRAM ended without the target's signature"}
+	}
 	return err
 }
