Check connections over TLS for unread bytes and for their end

What callers can see: a pooled connection over TLS that the target has closed, or on which it has sent a response too many, is given to the next statement, which may take the copy for its own response. The daemon sets no TLS for targets today, so this concerns the package and not yet a deployment.

Cause: the check peeks at the TCP socket, and was left out with TLS, where unread bytes may be records of TLS itself and where records may have been read ahead.

Change: TLS reads from a socket that does not wait for bytes. A record that was read ahead or has arrived, the end of the connection, and any other bytes break the connection. A record of TLS alone costs a connection, never a wrong response.

--- a/connection/upstream/cancel.go
+++ b/connection/upstream/cancel.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"io"
 	"net"
 	"time"
@@ -42,12 +41,3 @@
 	}
 	return nil
 }
-
-// tcpSocket returns the connection's TCP socket, or nil with TLS, where unread bytes
-// may be records of TLS itself.
-func (c *Conn) tcpSocket() net.Conn {
-	if _, isTLS := c.socket.(*tls.Conn); isTLS {
-		return nil
-	}
-	return c.socket
-}
--- a/connection/upstream/login.go
+++ b/connection/upstream/login.go
@@ -81,7 +81,7 @@
 	if response[0] != 'S' {
 		return nil, &ProtocolError{config.Target, "TLS request refused"}
 	}
-	return tls.Client(socket, config.TLS), nil
+	return tls.Client(&pollSocket{Conn: socket}, config.TLS), nil
 }
 
 // startSession sends the startup message, authenticates and waits for ReadyForQuery.
--- a/connection/upstream/upstream_test.go
+++ b/connection/upstream/upstream_test.go
@@ -2,7 +2,13 @@
 
 import (
 	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
+	"io"
+	"math/big"
 	"net"
 	"testing"
 	"time"
@@ -213,3 +219,59 @@
 		t.Error("reusable after an interruption")
 	}
 }
+
+// Guards against a check that a connection over TLS passes although the target has closed it
+// or has sent a response too many.
+func TestUnusableTLSConnectionIsDetected(t *testing.T) {
+	certificate := newCertificate(t)
+	for name, extra := range map[string]string{"closed": "", "response too many": done + readyIdle} {
+		t.Run(name, func(t *testing.T) {
+			proceed := make(chan struct{})
+			config := startTarget(t, func(socket net.Conn, _ *pgproto3.Backend) {
+				var request [8]byte
+				_, _ = io.ReadFull(socket, request[:])
+				_, _ = socket.Write([]byte("S"))
+				server := tls.Server(socket, &tls.Config{Certificates: []tls.Certificate{certificate}})
+				_, _ = pgproto3.NewBackend(server, server).ReceiveStartupMessage()
+				_, _ = server.Write([]byte(loginOK))
+				<-proceed
+				if extra == "" {
+					return
+				}
+				_, _ = server.Write([]byte(extra))
+				_, _ = server.Read(request[:])
+			})
+			config.TLS = &tls.Config{InsecureSkipVerify: true}
+			conn, err := dial(t, config)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			for range 3 {
+				if err := conn.CheckReusable(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			close(proceed)
+			for conn.CheckReusable() == nil {
+			}
+			if conn.Reusable() {
+				t.Error("the connection is reusable")
+			}
+		})
+	}
+}
+
+// newCertificate returns a self-signed certificate.
+func newCertificate(t *testing.T) tls.Certificate {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotBefore: time.Unix(0, 0), NotAfter: time.Unix(1<<33, 0)}
+	encoded, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tls.Certificate{Certificate: [][]byte{encoded}, PrivateKey: private}
+}
