Name prepared statements on targets by a cryptographic hash

What callers can see: a statement that executes the shape of another customer. Sessions share a target's connections, and a prepared statement is kept there under a name that is derived from its shape. Two shapes with the same XXH64 got the same name, so that the one that was prepared first was executed for both.

Cause: XXH64 has no secret and can be inverted step by step. A customer can choose a shape for its hash.

Evidence: TestShapesWithTheSameHashHaveDifferentNames computes two shapes of 64 bytes with the same XXH64; they had the same name.

It is about 20 bytes longer, which counts towards the length of the messages that carry it.

Measured: connection/client, request/engine and platform/... pass.

--- a/connection/client/session.go
+++ b/connection/client/session.go
@@ -4,11 +4,10 @@
 package client
 
 import (
-	"strconv"
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"samphirehitch.example/samphirehitch/process/statement"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
@@ -20,15 +19,20 @@
 	Shape string `cbor:"2,keyasint"`
 }
 
+// targetNameHashBytes is the length of the hash in a statement's name on targets.
+const targetNameHashBytes = 16
+
 // targetName returns the statement's name on targets. It is derived from the
 // statement, so that sessions with the same statement share one name, and different
-// statements do not collide when sessions gave them the same name.
+// statements do not collide when sessions gave them the same name. Customers choose
+// the shapes and share connections, so the hash is a cryptographic one.
 func (p PreparedStatement) targetName() string {
 	mode := "r"
 	if p.Writes {
 		mode = "w"
 	}
-	return mode + strconv.FormatUint(xxhash.Sum64String(p.Shape), 36)
+	hash := sha256.Sum256([]byte(p.Shape))
+	return mode + hex.EncodeToString(hash[:targetNameHashBytes])
 }
 
 // Session is the state of one caller's session. Except for Gate, it is used by one goroutine at
