Don't take the daemon's own suspension for a silent target

Cause: a target is unusable when its latest status request failed and its last response is older than the stall timeout (1 s). After a suspension of the daemon the request that was in flight fails at once, and the last response is older than the suspension: one failed request is enough, however shortly the target has been silent for a daemon that runs. The same holds for the first failed request after a time without heartbeats.

Now the view says since when a target is silent: since its last response, but of the time before the first failed request only what one request shows, a heartbeat interval and the request's timeout (400 ms). Without a suspension this is the time of the last response, as before. A suspension between two failed requests still counts.

TestSuspensionOfTheProcessIsNoSilenceOfAMember fails if the time of the last response is used. go test -race of process/group, request/execute and daemon passes.

--- a/process/group/config.go
+++ b/process/group/config.go
@@ -21,6 +21,9 @@
 	MinRequestInterval time.Duration
 	// RetryInterval is the interval after a request that failed.
 	RetryInterval time.Duration
+	// MaxFirstSilence is the longest silence that the first failed request to a member shows: a
+	// heartbeat interval and the time of a request. What is longer is due to this process.
+	MaxFirstSilence time.Duration
 	// MaxConfirmationAge bounds the age of the responses that confirm a commit,
 	// counted from when they were requested.
 	MaxConfirmationAge time.Duration
@@ -35,6 +38,7 @@
 		HeartbeatInterval:  150 * time.Millisecond,
 		MinRequestInterval: time.Millisecond,
 		RetryInterval:      50 * time.Millisecond,
+		MaxFirstSilence:    400 * time.Millisecond,
 		MaxConfirmationAge: 200 * time.Millisecond,
 		IdleTimeout:        5 * time.Second,
 	}
--- a/process/group/rounds.go
+++ b/process/group/rounds.go
@@ -24,9 +24,10 @@
 	requestedAt     time.Duration
 	pending         bool
 	// failedSequence is the sequence of the last request that failed, and misses
-	// counts the failed requests since the last response.
+	// counts the failed requests since the last response. silentSince is valid if there are any.
 	failedSequence uint64
 	misses         int
+	silentSince    time.Duration
 	// pollSequence is the sequence at the last Poll: a request with a higher
 	// sequence has to be sent.
 	pollSequence uint64
@@ -145,6 +146,9 @@
 		return
 	}
 	m.pending = false
+	if m.misses == 0 {
+		m.silentSince = max(m.statusRequestedAt, now-r.config.MaxFirstSilence)
+	}
 	m.misses++
 	m.failedSequence = sequence
 	r.Tick(now, out)
@@ -191,6 +195,7 @@
 			Known:             m.hasStatus,
 			StatusRequestedAt: m.statusRequestedAt,
 			Reachable:         m.hasStatus && m.misses == 0,
+			SilentSince:       m.silentSince,
 			Leaving:           m.Leaving || m.status.Leaving,
 		}
 	}
--- a/process/group/rounds_test.go
+++ b/process/group/rounds_test.go
@@ -123,3 +123,30 @@
 	}
 	return text.String()
 }
+
+// After a suspension of the process the request that was in flight failed, and a member that was well
+// counted as silent for all of the suspension.
+func TestSuspensionOfTheProcessIsNoSilenceOfAMember(t *testing.T) {
+	config := DefaultRoundsConfig()
+	for name, test := range map[string]struct{ failedAt, want time.Duration }{
+		"without":   {2*config.HeartbeatInterval + 50*time.Millisecond, config.HeartbeatInterval},
+		"suspended": {time.Minute, time.Minute - config.MaxFirstSilence},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rounds := NewRounds("s", config)
+			var out Output
+			rounds.SetWatching(0, true, &out)
+			rounds.SetTargets(0, []TargetConfig{{Target: platform.Target{ID: "a"}}}, &out)
+			rounds.HandleStatus(time.Millisecond, out.StatusRequests[0].Sequence, topology.Status{Target: "a"}, &out)
+			rounds.Tick(config.HeartbeatInterval, &out)
+			rounds.HandleStatus(config.HeartbeatInterval+time.Millisecond, out.StatusRequests[1].Sequence, topology.Status{Target: "a"}, &out)
+			rounds.Tick(2*config.HeartbeatInterval, &out)
+			rounds.HandleStatusFailure(test.failedAt, out.StatusRequests[2].Sequence, &out)
+			rounds.Tick(test.failedAt+config.RetryInterval, &out)
+			rounds.HandleStatusFailure(test.failedAt+config.HeartbeatInterval, out.StatusRequests[3].Sequence, &out)
+			if got := rounds.View().Targets[0]; got.Reachable || got.SilentSince != test.want {
+				t.Errorf("reachable: %v, silent since %v, want %v", got.Reachable, got.SilentSince, test.want)
+			}
+		})
+	}
+}
--- a/process/group/view.go
+++ b/process/group/view.go
@@ -22,6 +22,10 @@
 	StatusRequestedAt time.Duration
 	// Reachable is set if the member responded to its latest completed request.
 	Reachable bool
+	// SilentSince is the monotonic time since which a member that is not reachable has not
+	// responded. It is not before the last response was requested, and leaves out a time without
+	// requests or a suspension of this process, before the first request that failed.
+	SilentSince time.Duration
 	// Leaving is set when the service's record or the member itself reports that the
 	// member is leaving.
 	Leaving bool
--- a/request/execute/fake_targets_test.go
+++ b/request/execute/fake_targets_test.go
@@ -149,7 +149,7 @@
 			requestedAt -= time.Hour
 		}
 		view.Targets = append(view.Targets, group.TargetView{
-			Target: target, Status: status, Known: true, Reachable: !f.mu.stalled[target.ID], StatusRequestedAt: requestedAt,
+			Target: target, Status: status, Known: true, Reachable: !f.mu.stalled[target.ID], StatusRequestedAt: requestedAt, SilentSince: requestedAt,
 		})
 	}
 	return view
--- a/request/execute/target_monitor.go
+++ b/request/execute/target_monitor.go
@@ -71,7 +71,7 @@
 	if target == nil {
 		return false
 	}
-	silence := m.request.executor.deps.Clock() - target.StatusRequestedAt
+	silence := m.request.executor.deps.Clock() - target.SilentSince
 	return target.Known && !target.Reachable && silence > m.request.executor.config.StallTimeout
 }
 
--- a/request/execute/target_monitor_test.go
+++ b/request/execute/target_monitor_test.go
@@ -56,3 +56,16 @@
 		}
 	})
 }
+
+// A daemon that had been suspended took the first status request that failed for a target that
+// had been silent all the while, and gave up the transactions on it.
+func TestTargetIsUnusableOnlyAfterItsSilence(t *testing.T) {
+	x := New(Config{}, Deps{Clock: func() time.Duration { return time.Minute }})
+	m := &targetMonitor{request: &request{sessionExecutor: &sessionExecutor{executor: x}}, target: "t-1"}
+	for _, silence := range []time.Duration{defaultStallTimeout, defaultStallTimeout + time.Millisecond} {
+		view := &group.View{Targets: []group.TargetView{{Target: platform.Target{ID: "t-1"}, Known: true, SilentSince: time.Minute - silence}}}
+		if got, want := m.isUnusable(view), silence > defaultStallTimeout; got != want {
+			t.Errorf("silent for %v: unusable %v, want %v", silence, got, want)
+		}
+	}
+}
