Tell a forwarded transaction's caller that its key was withdrawn

Cause: an owner that has rolled back a transaction declines its statements without a reason, and the instance of the caller named the same one for all.

Now it names the withdrawal when its own configuration, by the time of the answer, no longer gives the key to the customer. If it learns of it later still, the answer is as before. Code and effect are the same.

--- a/request/engine/session.go
+++ b/request/engine/session.go
@@ -85,9 +85,9 @@
 	return s.tx != nil && !s.failed && s.tx.HoldsConnection()
 }
 
-// reasonKeyWithdrawn is the detail of responses to statements of transactions whose key was
+// ReasonKeyWithdrawn is the detail of responses to statements of transactions whose key was
 // withdrawn.
-const reasonKeyWithdrawn = "the key was withdrawn"
+const ReasonKeyWithdrawn = "the key was withdrawn"
 
 // KeyWithdrawn reports whether the key of an open transaction is known to have been withdrawn.
 func (s *Session) KeyWithdrawn() bool { return s.State() == statement.Open && s.tx.KeyWithdrawn() }
@@ -96,7 +96,7 @@
 // withdrawn. The caller learns of it with its next statement.
 func (s *Session) ExpireWithdrawn() {
 	if s.KeyWithdrawn() {
-		s.ExpireTransaction(reasonKeyWithdrawn)
+		s.ExpireTransaction(ReasonKeyWithdrawn)
 	}
 }
 
--- a/request/relay/forward.go
+++ b/request/relay/forward.go
@@ -352,7 +352,7 @@
 	case outcomeCompleted:
 		return response
 	case outcomeDeclined:
-		return statement.Response{Code: statement.Aborted, Detail: "home has ended the transaction", State: statement.Failed}
+		return statement.Response{Code: statement.Aborted, Detail: t.endedReason(), State: statement.Failed}
 	case outcomeNotSent:
 		t.sendAbort(t.owner)
 		return statement.Response{Code: statement.Aborted, Detail: refusedExiting.Detail, State: statement.Failed}
@@ -364,6 +364,14 @@
 	}
 }
 
+// endedReason returns why the owner has ended the transaction, as far as this instance knows.
+func (t *transaction) endedReason() string {
+	if t.KeyWithdrawn() {
+		return engine.ReasonKeyWithdrawn
+	}
+	return "home has ended the transaction"
+}
+
 // Commit implements the engine's Transaction.
 func (t *transaction) Commit(st statement.Statement, o *engine.Outcome) statement.Response {
 	var response statement.Response
--- a/request/relay/withdrawn_key_test.go
+++ b/request/relay/withdrawn_key_test.go
@@ -7,6 +7,7 @@
 
 	"samphirehitch.example/samphirehitch/process/statement"
 	"samphirehitch.example/samphirehitch/process/topology"
+	"samphirehitch.example/samphirehitch/request/engine"
 )
 
 // withdrawKeyAt has an instance learn of a configuration without the callers' key.
@@ -97,3 +98,28 @@
 	f.mustRun(session, statement.Write, statement.Aborted)
 	f.requireOnlyRollback(first, before)
 }
+
+// An owner that knew of the withdrawal first had the caller told that it had ended the
+// transaction, as if for a fault, although the instance of the caller knew of it by then.
+func TestCallerIsToldThatTheKeyOfItsForwardedTransactionWasWithdrawn(t *testing.T) {
+	f := newFleet(t)
+	first, _ := f.owners()
+	var outcome engine.Outcome
+	transaction, response := f.network.relays["e"].Begin(f.newSession().Client, false, &outcome)
+	if response.Code != statement.OK {
+		t.Fatalf("begin: %s (%s)", response.Code, response.Detail)
+	}
+	write := statement.Statement{Kind: statement.Write, ID: "1", Text: "t"}
+	if response := transaction.Run(write, &outcome); response.Code != statement.OK {
+		t.Fatalf("write: %s (%s)", response.Code, response.Detail)
+	}
+	f.withdrawKeyAt(first)
+	owner := f.network.relays[first]
+	for owner.Tick(); owner.HasRemoteOperations(); {
+		time.Sleep(time.Millisecond) // until the rollback, in its own goroutine, is done
+	}
+	f.withdrawKeyAt("e")
+	if response := transaction.Run(write, &outcome); response.Code != statement.Aborted || response.Detail != engine.ReasonKeyWithdrawn {
+		t.Errorf("%s (%s), want aborted (%s)", response.Code, response.Detail, engine.ReasonKeyWithdrawn)
+	}
+}
