Transactions: a write whose target is in no transaction is in doubt

What callers could see: ABORTED or BUSY, promises that nothing is kept, for a write that its target had committed on its own (REFUSED). Cause: a BEGIN that fails can be confirmed by the copy of an earlier response in state T. The statement behind it runs outside of a transaction, and a response in state I, the true one of BEGIN or that of the statement, ended the transaction as aborted. Change: in state I a transaction that has sent a write is in doubt, one that has only read is aborted. No position is taken from the response. Evidence: TestWriteOfATransactionThatNeverBeganIsInDoubt ended with "write: aborted, want in_doubt" before. Measured: tests of request/engine and request/relay pass with -race.

--- a/request/engine/transaction.go
+++ b/request/engine/transaction.go
@@ -180,6 +180,9 @@
 		if err != nil {
 			return t.abort(err.Error(), failureOf(err) != target.ResponseTimeout && connectionBroke(err))
 		}
+		if response.State == statement.Idle {
+			return t.endOutside()
+		}
 		if response.Code == statement.OK && response.Signature == "" {
 			return t.abort("unusable answer", false)
 		}
@@ -195,7 +198,7 @@
 		case response.Code == statement.Busy && retry:
 			time.Sleep(retryBackoff)
 		case response.Code == statement.OK:
-			return t.abort("the target left the transaction", false)
+			return t.abort("the target has failed the transaction", false)
 		default:
 			return t.fail(response)
 		}
@@ -231,6 +234,16 @@
 	return statement.Response{Code: statement.Aborted, Detail: reason, State: statement.Failed}
 }
 
+// endOutside ends a transaction whose target is in none: its BEGIN was confirmed by the copy of an
+// earlier response and has failed, so that a write may have run on its own.
+func (t *transaction) endOutside() statement.Response {
+	response := t.abort("the target is in no transaction", false)
+	if t.wrote {
+		response.Code = statement.InDoubt
+	}
+	return response
+}
+
 // fail rolls the transaction back at the target after an error. For the caller the
 // transaction is failed until it sends COMMIT or ROLLBACK.
 func (t *transaction) fail(response statement.Response) statement.Response {
--- a/request/engine/untrusted_response_test.go
+++ b/request/engine/untrusted_response_test.go
@@ -142,3 +142,27 @@
 	h.mustRun(s, begin, statement.OK)
 	h.mustRun(s, execute, statement.Aborted)
 }
+
+// BEGIN was confirmed by the copy of an earlier response and has failed: the statement behind it ran on its own.
+func TestWriteOfATransactionThatNeverBeganIsInDoubt(t *testing.T) {
+	for _, response := range []statement.Response{
+		{State: statement.Idle, Signature: "x"},
+		{State: statement.Idle, Code: statement.Busy},
+	} {
+		for st, want := range map[statement.Statement]statement.Code{writeA: statement.InDoubt, readA: statement.Aborted} {
+			h := newHarness(t)
+			h.targets.respond = func(s receivedStatement) (statement.Response, error) {
+				if s.Kind == st.Kind {
+					return response, nil
+				}
+				return statement.Response{}, nil
+			}
+			s := h.session(1, "strict")
+			h.mustRun(s, begin, statement.OK)
+			h.mustRun(s, st, want)
+			if open := h.targets.openConnections(); open != 0 {
+				t.Errorf("%s: %d connections are open", st.Kind, open)
+			}
+		}
+	}
+}
