Frame messages of the review's databases at CR LF

The stand-in of the review read a message up to any LF, which is the mistake of the code that it judges, so that no case could show it. A statement without its fields stopped it: the session panicked while it held the lock of its group. Change: a reader of its own, which ends a message at CR LF, is bounded at 1 MiB and takes no message that is cut off; the words and the number of their arguments are checked, and the last one extends to the end. A statement that is not well formed is MALFORMED, any other message ends the session. test.sh runs the tests of the stand-in, which ./... passes over.

--- a/review/_standin/database.go
+++ b/review/_standin/database.go
@@ -203,10 +203,10 @@
 
 func (m *member) serve(conn net.Conn) {
 	defer conn.Close()
-	in := bufio.NewReaderSize(conn, 4096)
+	in := newMessageReader(conn)
 	s := &session{member: m, out: bufio.NewWriter(conn), state: "I", prepared: make(map[string]bool)}
 	fields, err := m.readMessage(in, 4)
-	if err != nil || len(fields) < 3 || fields[0] != "STARTUP" {
+	if err != nil || len(fields) < 3 || fields[0] != "STARTUP" || fields[1] == "" || fields[2] == "" {
 		return
 	}
 	s.customer = fields[2]
@@ -242,7 +242,7 @@
 	}
 	for {
 		fields, err := m.readMessage(in, 3)
-		if err != nil || fields[0] != "QUERY" || len(fields) < 3 {
+		if err != nil || fields[0] != "QUERY" || len(fields) < 3 || fields[1] == "" {
 			return
 		}
 		if s.query(fields[1], fields[2]) != nil {
@@ -251,20 +251,6 @@
 	}
 }
 
-// readMessage reads a line and splits it into at most count fields. While the member is
-// dark it does not return.
-func (m *member) readMessage(in *bufio.Reader, count int) ([]string, error) {
-	line, err := in.ReadString('\n')
-	if err != nil {
-		return nil, err
-	}
-	m.group.mu.Lock()
-	dark := time.Until(m.darkUntil)
-	m.group.mu.Unlock()
-	time.Sleep(dark)
-	return strings.SplitN(strings.TrimSuffix(line, "\r\n"), " ", count), nil
-}
-
 func (s *session) send(lines ...string) error {
 	for _, line := range lines {
 		if _, err := s.out.WriteString(line + "\r\n"); err != nil {
@@ -323,10 +309,10 @@
 // query runs one statement and answers it.
 func (s *session) query(id, text string) error {
 	m, g := s.member, s.member.group
-	words := strings.SplitN(text, " ", 3)
-	if words[0] == "AFTERLSN" && len(words) == 3 {
+	c, wellFormed := parseCall(text)
+	if wellFormed && c.keyword == "AFTERLSN" {
 		var term, number int
-		if _, err := fmt.Sscanf(words[1], "%d.%d", &term, &number); err != nil {
+		if _, err := fmt.Sscanf(c.arguments[0], "%d.%d", &term, &number); err != nil {
 			return s.fail("MALFORMED")
 		}
 		g.mu.Lock()
@@ -335,13 +321,14 @@
 		if lacks {
 			return s.fail("LAGGING")
 		}
-		text = words[2]
-		words = strings.SplitN(text, " ", 3)
+		text = c.arguments[1]
+		c, wellFormed = parseCall(text)
+		wellFormed = wellFormed && c.keyword != "AFTERLSN"
 	}
-	if s.state == "E" && words[0] != "ROLLBACK" && words[0] != "COMMIT" {
+	if !wellFormed || s.state == "E" && c.keyword != "ROLLBACK" && c.keyword != "COMMIT" {
 		return s.fail("MALFORMED")
 	}
-	switch words[0] {
+	switch c.keyword {
 	case "BEGIN":
 		g.mu.Lock()
 		leads := m.leads
@@ -355,7 +342,7 @@
 		s.state, s.pending = "I", nil
 		return s.ready("COMPLETE -")
 	case "PREPARE":
-		s.prepared[words[1]] = strings.HasPrefix(words[2], "WRITE")
+		s.prepared[c.arguments[0]] = c.arguments[1] == "WRITE"
 		return s.ready("COMPLETE -")
 	case "RESET":
 		clear(s.prepared)
@@ -372,7 +359,7 @@
 	case "STATUS":
 		return s.status()
 	}
-	return s.data(id, text, words)
+	return s.data(id, text, c)
 }
 
 // status answers STATUS, which occupies a slot.
@@ -393,15 +380,15 @@
 }
 
 // data runs a read, a write or a commit, which occupies a slot.
-func (s *session) data(id, text string, words []string) error {
+func (s *session) data(id, text string, c call) error {
 	m, g := s.member, s.member.group
-	keyword, arguments := words[0], words[1:]
+	keyword, arguments := c.keyword, c.arguments
 	if keyword == "EXECUTE" {
-		writes, known := s.prepared[words[1]]
+		writes, known := s.prepared[arguments[0]]
 		if !known {
 			return s.fail("NOSTMT")
 		}
-		keyword, arguments = "READ", strings.SplitN(words[2], " ", 2)
+		keyword, arguments = "READ", arguments[1:]
 		if writes {
 			keyword = "WRITE"
 		}
@@ -425,7 +412,7 @@
 	wrote := false
 	switch keyword {
 	case "READ":
-		answer = append([]string{"ROW " + m.value(arguments[0])}, answer...)
+		answer = append([]string{"ROW " + m.value(strings.Join(arguments, " "))}, answer...)
 	case "WRITE":
 		e := entry{id: id, item: arguments[0]}
 		if len(arguments) > 1 {
--- a/test.sh
+++ b/test.sh
@@ -13,7 +13,7 @@
 output=$(mktemp)
 trap 'rm -f "$output"' EXIT
 status=0
-go test -race -timeout 20m "${skip[@]}" ./... 2>&1 | tee "$output" || status=$?
+go test -race -timeout 20m "${skip[@]}" ./... ./review/_standin 2>&1 | tee "$output" || status=$?
 if [ "$status" -ne 0 ]; then
   echo '== failures'
   grep -E -m 20 -A 25 '^ *--- FAIL|^panic: |^fatal error: |^SIG[A-Z]+: |^unexpected fault|DATA RACE|ThreadSanitizer|^runtime: ' "$output" || true
