Refuse HTTP bodies with data after the request

httpjson.Handle decoded the first JSON value of a body and ignored what followed, so that a body with two requests was served as the first.

--- a/process/platform/httpjson/httpjson.go
+++ b/process/platform/httpjson/httpjson.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -109,8 +108,11 @@
 			return
 		}
 		var request Req
-		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-		if err := decoder.Decode(&request); err != nil && !errors.Is(err, io.EOF) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		if err == nil && len(body) > 0 {
+			err = json.Unmarshal(body, &request)
+		}
+		if err != nil {
 			writeError(w, http.StatusBadRequest, CodeBadRequest, err.Error())
 			return
 		}
