--- a/request/relay/other_peer_test.go
+++ b/request/relay/other_peer_test.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"samphirehitch.example/samphirehitch/process/statement"
 	"samphirehitch.example/samphirehitch/process/topology"
 )
 
@@ -46,3 +48,31 @@
 		t.Errorf("confirmed at %v", f.configurationsConfirmedAt)
 	}
 }
+
+// A response that arrives twice, at once or while a later request is outstanding, answers only its own.
+func TestResponseThatComesTwiceAnswersOneRequest(t *testing.T) {
+	f := newFleet(t)
+	first, _ := f.owners()
+	run := 0
+	f.targets[first].setRespond(func(_ statement.Statement, response *statement.Response) {
+		run++
+		response.Signature = fmt.Sprint(run)
+	})
+	var earlier [][]byte
+	f.network.alter = func(receiver topology.InstanceID, data []byte) []byte {
+		for _, response := range earlier {
+			f.network.relays["e"].Receive(first, response)
+		}
+		if receiver == "e" {
+			earlier = append(earlier, data)
+			f.network.relays["e"].Receive(first, data)
+		}
+		return data
+	}
+	session := f.newSession()
+	for i := range 5 {
+		if response := session.Run(statement.Statement{Kind: statement.Read, ID: fmt.Sprint(i), Text: "t"}); response.Signature != fmt.Sprint(i+1) {
+			t.Errorf("read %d got signature %q", i, response.Signature)
+		}
+	}
+}
