Share the set-up of the relay tests

A read that waits at its target and a transaction that has written were set up by the same lines in several tests. No check changes. Measured: request/relay passes with -race, twice.

--- a/request/relay/harness_test.go
+++ b/request/relay/harness_test.go
@@ -323,6 +323,28 @@
 	return e.Engine.NewSession(client.NewSession(1, "d", "secret"), e)
 }
 
+// startBlockedRead starts a read and returns when it has reached the target of an owner, which
+// responds once release is called.
+func (f *fleet) startBlockedRead(owner topology.InstanceID) (responses chan statement.Response, release func()) {
+	block := make(chan struct{})
+	f.targets[owner].block = block
+	responses = make(chan statement.Response, 1)
+	go func() { responses <- f.newSession().Run(statement.Statement{Kind: statement.Read, ID: "1", Text: "t"}) }()
+	for len(f.targets[owner].received()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	return responses, func() { close(block) }
+}
+
+// openTransaction returns a session with an open transaction that has written.
+func (f *fleet) openTransaction() *engine.Session {
+	f.t.Helper()
+	session := f.newSession()
+	f.mustRun(session, statement.Begin, statement.OK)
+	f.mustRun(session, statement.Write, statement.OK)
+	return session
+}
+
 func (f *fleet) mustRun(session *engine.Session, kind statement.Kind, want statement.Code) {
 	f.t.Helper()
 	if response := session.Run(statement.Statement{Kind: kind, ID: "1", Text: "t"}); response.Code != want {
--- a/request/relay/invalid_message_test.go
+++ b/request/relay/invalid_message_test.go
@@ -54,9 +54,7 @@
 func TestTransactionEndsWithRequestThatCannotBeDecoded(t *testing.T) {
 	f := newFleet(t)
 	first, _ := f.owners()
-	session := f.newSession()
-	f.mustRun(session, statement.Begin, statement.OK)
-	f.mustRun(session, statement.Write, statement.OK)
+	session := f.openTransaction()
 	f.spoilRequests(first)
 	f.mustRun(session, statement.Write, statement.Aborted)
 	f.awaitNoOperations(first)
--- a/request/relay/large_message_test.go
+++ b/request/relay/large_message_test.go
@@ -34,9 +34,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t)
 			first, _ := f.owners()
-			other := f.newSession()
-			f.mustRun(other, statement.Begin, statement.OK)
-			f.mustRun(other, statement.Write, statement.OK)
+			other := f.openTransaction()
 			f.returnRows(first, rows)
 			f.mustRun(f.newSession(), statement.Read, statement.ExecutionFailed)
 			f.mustRun(f.newSession(), statement.Write, statement.InDoubt)
@@ -89,9 +87,7 @@
 func TestLargeRequestIsRefused(t *testing.T) {
 	f := newFleet(t)
 	first, _ := f.owners()
-	other := f.newSession()
-	f.mustRun(other, statement.Begin, statement.OK)
-	f.mustRun(other, statement.Write, statement.OK)
+	other := f.openTransaction()
 	session := f.newSession()
 	f.setLargeValues(session)
 	f.mustRun(session, statement.Write, statement.Busy)
@@ -108,9 +104,7 @@
 func TestLargeRequestAbortsItsTransaction(t *testing.T) {
 	f := newFleet(t)
 	first, _ := f.owners()
-	session := f.newSession()
-	f.mustRun(session, statement.Begin, statement.OK)
-	f.mustRun(session, statement.Write, statement.OK)
+	session := f.openTransaction()
 	f.setLargeValues(session)
 	f.mustRun(session, statement.Commit, statement.Aborted)
 	f.awaitNoOperations(first)
--- a/request/relay/late_response_test.go
+++ b/request/relay/late_response_test.go
@@ -67,18 +67,12 @@
 func TestResponseOfAnotherInstanceIsIgnored(t *testing.T) {
 	f := newFleet(t)
 	first, other := f.owners()
-	block := make(chan struct{})
-	f.targets[first].block = block
 	e := f.network.relays["e"]
-	responses := make(chan statement.Response, 1)
-	go func() { responses <- f.newSession().Run(statement.Statement{Kind: statement.Read, ID: "1", Text: "t"}) }()
-	for len(f.targets[first].received()) == 0 {
-		time.Sleep(time.Millisecond) // until the statement has reached its target
-	}
+	responses, release := f.startBlockedRead(first)
 	for _, id := range e.pendingIDs() {
 		e.Receive(other, encode(&message{Response: &forwardResponse{ID: id, Result: statement.Response{Signature: "of another owner", State: statement.Idle}}}))
 	}
-	close(block)
+	release()
 	if response := <-responses; response.Signature != "x" {
 		t.Fatalf("the response has signature %q", response.Signature)
 	}
--- a/request/relay/unknown_number_test.go
+++ b/request/relay/unknown_number_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"samphirehitch.example/samphirehitch/process/statement"
 )
@@ -12,18 +11,12 @@
 func TestResponseWithUnknownCodeDoesNotPanic(t *testing.T) {
 	f := newFleet(t)
 	first, _ := f.owners()
-	block := make(chan struct{})
-	f.targets[first].block = block
 	e := f.network.relays["e"]
-	responses := make(chan statement.Response, 1)
-	go func() { responses <- f.newSession().Run(statement.Statement{Kind: statement.Read, ID: "1", Text: "t"}) }()
-	for len(f.targets[first].received()) == 0 {
-		time.Sleep(time.Millisecond) // until the statement has reached its target
-	}
+	responses, release := f.startBlockedRead(first)
 	for _, id := range e.pendingIDs() {
 		e.Receive(first, encode(&message{Response: &forwardResponse{ID: id, Result: statement.Response{Code: 200, Signature: "of a faulty owner", State: statement.Idle}}}))
 	}
-	close(block)
+	release()
 	if response := <-responses; response.Code != statement.OK || response.Signature != "x" {
 		t.Fatalf("the response is %+v", response)
 	}
