Queue copy data only after its statement is sent

What callers saw: a COPY whose text is longer than 16 KiB failed with 08P01, or its data was lost: the connection to the target received the bytes in another order than they were queued, or not all of them.

Cause: a large batch is sent in the background. The target's CopyInResponse can arrive before that goroutine has cleared the buffer, and the caller's data was queued into the same buffer meanwhile.

Change: the instance waits for the end of the sending before it queues copy data. The target has read the statement by then, so the wait is short.

--- a/request/execute/batch_exchange.go
+++ b/request/execute/batch_exchange.go
@@ -143,18 +143,25 @@
 // being sent in the background, the connection is interrupted to end that too.
 func (e *batchExchange) forwardResponse() error {
 	err := e.receiveResponse()
-	if e.flushed == nil {
-		return err
-	}
-	if err != nil {
+	if err != nil && e.flushed != nil {
 		e.pipeline.conn.Interrupt()
 	}
-	if sendErr := <-e.flushed; err == nil {
+	if sendErr := e.awaitFlush(); err == nil {
 		err = sendErr
 	}
 	return err
 }
 
+// awaitFlush waits until a large batch is sent. Nothing may be queued before that.
+func (e *batchExchange) awaitFlush() error {
+	if e.flushed == nil {
+		return nil
+	}
+	err := <-e.flushed
+	e.flushed = nil
+	return err
+}
+
 // receiveResponse forwards messages up to the batch's ReadyForQuery. After an
 // error the connection is not reused.
 func (e *batchExchange) receiveResponse() error {
--- a/request/execute/copy.go
+++ b/request/execute/copy.go
@@ -16,6 +16,9 @@
 // forwardCopyData forwards the CopyInResponse to the caller, and then the
 // caller's data to the target, up to the CopyDone or CopyFail.
 func (e *batchExchange) forwardCopyData(response *pgproto3.CopyInResponse) error {
+	if err := e.awaitFlush(); err != nil {
+		return err
+	}
 	if err := e.pipeline.response.write(response); err != nil {
 		return err
 	}
--- a/request/execute/session_features_test.go
+++ b/request/execute/session_features_test.go
@@ -206,3 +206,17 @@
 	client.expect("ready I")
 	<-sent
 }
+
+// Guards against copy data that is queued while the large text of its COPY is still being
+// sent in the background, which could drop it.
+func TestCopyDataFollowsALargeStatement(t *testing.T) {
+	h := newHarness(t)
+	client := h.connectRaw(testKey, "")
+	for range 20 {
+		client.send(queryMessage("COPY kv FROM STDIN" + strings.Repeat(" ", 2*concurrentFlushBytes)))
+		client.expect("CopyInResponse")
+		client.send(&pgproto3.CopyData{Data: []byte("a\t1\n")}, &pgproto3.CopyDone{})
+		client.expect("done COPY 1", "ready I")
+		client.query("DELETE FROM kv WHERE key = 'a'")
+	}
+}
