Fuzz the responses to a query and to a pipeline

Cause: FuzzTarget reads arbitrary bytes as a login and one response; pipelines were not covered. Change: FuzzResponses starts behind a login of fixed bytes.

--- a/connection/upstream/fuzz_test.go
+++ b/connection/upstream/fuzz_test.go
@@ -50,3 +50,40 @@
 		}
 	})
 }
+
+// FuzzResponses reads arbitrary bytes as the responses to a Query and to a pipeline. The
+// connection must be reusable only after both, and never again after an error.
+func FuzzResponses(f *testing.F) {
+	responses := parseComplete + bindComplete + rowX + done + readyIdle
+	f.Add([]byte(rowDescription + rowX + done + readyIdle + responses))
+	f.Add([]byte(errorBusy + readyIdle + parseComplete + errorBusy + readyIdle))
+	f.Add([]byte(copyOut + copyData + copyDone + done + readyIdle + timeZone + responses))
+	f.Add([]byte(done + readyIdle + readyIdle + responses + notice))
+	f.Fuzz(func(t *testing.T, input []byte) {
+		socket := &bytesConn{reader: bytes.NewReader(append([]byte(loginOK), input...))}
+		conn, err := logIn(t.Context(), Config{Target: "t"}, socket)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, request := range append(oneQuery, pipeline...) {
+			conn.Send(request)
+		}
+		ready := 0
+		for err == nil {
+			var message pgproto3.BackendMessage
+			message, err = conn.Receive()
+			if _, isReady := message.(*pgproto3.ReadyForQuery); isReady {
+				ready++
+			}
+			if ready > 2 {
+				t.Fatal("more responses than requests")
+			}
+			if err == nil && conn.Reusable() && ready != 2 {
+				t.Fatalf("reusable after %d responses", ready)
+			}
+		}
+		if conn.Reusable() {
+			t.Error("reusable after an error")
+		}
+	})
+}
