Do not promise "not run" for changed rows without a transaction ID

What callers can see: a write to a foreign table, which gets no transaction ID, runs twice or is refused as not committed although it took effect, when the response to its COMMIT is lost.

Cause: "no ID" counted as "has written nothing". The ID covers only what the target itself stores.

Evidence: TestWriteWithoutAnIDIsInDoubtIfItChangedRows (INSERT 0 1 without an ID, COMMIT without its response) failed in both of its cases with rows: the write took effect twice, the transaction was refused with 40001.

Change: if a command tag has counted changed rows and there is no ID, the outcome of a lost COMMIT is unknown (08007). Without changed rows it is not run, as before. Changes that a function or a procedure makes on other servers stay unseen.

--- a/request/execute/batch_exchange.go
+++ b/request/execute/batch_exchange.go
@@ -1,6 +1,8 @@
 package execute
 
 import (
+	"strings"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"samphirehitch.example/samphirehitch/connection/session"
@@ -54,6 +56,8 @@
 	statusBefore status
 	// commandTag is that of the last CommandComplete.
 	commandTag string
+	// changedRows is set once a command tag has counted changed rows.
+	changedRows bool
 }
 
 // queueBatch queues the caller's messages, for extended ones with the Parse
@@ -274,12 +278,25 @@
 	if !e.commandTagMatches() {
 		return e.unexpectedMessage()
 	}
+	e.changedRows = e.changedRows || countsChangedRows(e.commandTag)
 	if e.pipeline.holdCommandComplete {
 		return e.pipeline.response.hold(message)
 	}
 	return e.pipeline.response.write(message)
 }
 
+// countsChangedRows reports whether a command tag counts rows that a statement has changed.
+// COPY counts those that it has read as well.
+func countsChangedRows(tag string) bool {
+	verb, count, _ := strings.Cut(tag, " ")
+	switch verb {
+	case "INSERT", "UPDATE", "DELETE", "MERGE", "COPY":
+		return count != "0" && count != "0 0"
+	default:
+		return false
+	}
+}
+
 // commandTagMatches reports whether the command tag can belong to the batch. It
 // detects the response to a statement of another kind.
 func (e *batchExchange) commandTagMatches() bool {
--- a/request/execute/own_statement_test.go
+++ b/request/execute/own_statement_test.go
@@ -107,3 +107,38 @@
 		t.Errorf("response %v, took effect %d times", got, targets.insertCount("a"))
 	}
 }
+
+// Guards against a promise for rows that the transaction ID does not cover, such as those of a
+// foreign table: a write without an ID has changed nothing only if its tag counts no rows.
+func TestWriteWithoutAnIDIsInDoubtIfItChangedRows(t *testing.T) {
+	noID := script{response: wireColumn + wireNull + wireSelectOne + wireReadyOpen}
+	for name, c := range map[string]struct {
+		begin bool
+		tag   string
+		want  string
+	}{
+		"write":                  {false, wireInsert, "error 08007"},
+		"transaction":            {true, wireInsert, "error 08007"},
+		"write of no rows":       {false, "C\x00\x00\x00\x0fINSERT 0 0\x00", "done INSERT 0 1"},
+		"transaction of no rows": {true, "C\x00\x00\x00\x0fINSERT 0 0\x00", "error 40001"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, targets := newFakeHarness(t, 1)
+			client := h.connectRaw(testKey, "")
+			if c.begin {
+				client.query("BEGIN")
+			}
+			targets.addScript("INSERT a", script{response: c.tag + wireReadyOpen})
+			targets.addScript(queryTransactionID, noID)
+			targets.addScript(queryTransactionID, noID)
+			targets.addScript(queryCommit, script{response: wireReadyIdle})
+			got := client.query("INSERT a")
+			if c.begin {
+				got = client.query("COMMIT")
+			}
+			if got[0] != c.want {
+				t.Errorf("response %v, took effect %d times; want %s", got, targets.insertCount("a"), c.want)
+			}
+		})
+	}
+}
--- a/request/execute/pinned.go
+++ b/request/execute/pinned.go
@@ -44,6 +44,7 @@
 			return err
 		}
 	}
+	r.pinned.changedRows = r.pinned.changedRows || exchange.changedRows
 	r.recordSetting(a, exchange)
 	a.conn.SettingsUnknown = a.conn.SettingsUnknown || r.plan.statement.MayChangeSettings
 	r.status = a.conn.Status()
@@ -51,7 +52,7 @@
 	case r.status == statusIdle:
 		r.finishPinned(exchange)
 	case r.plan.statement.EndsTransaction:
-		r.pinned.transactionID = 0
+		r.pinned.transactionID, r.pinned.changedRows = 0, false
 	}
 	if commit.sent && exchange.commandTag == queryCommit && exchange.errorCode == "" {
 		commit.reported = true
@@ -125,7 +126,7 @@
 	if ctxErr := r.contextErr(refusal.StepCommit); ctxErr != nil {
 		return ctxErr
 	}
-	commit.idUnknown = commit.transactionID == 0 && r.plan.statement.Multiple
+	commit.idUnknown = commit.transactionID == 0 && (r.plan.statement.Multiple || r.pinned.changedRows)
 	commit.sent = true
 	a.holdCommandComplete = true
 	return nil
--- a/request/execute/session.go
+++ b/request/execute/session.go
@@ -71,6 +71,9 @@
 	// transactionID is zero until it is known, and while the transaction has
 	// written nothing.
 	transactionID uint64
+	// changedRows is set once a statement has changed rows. A transaction without an ID
+	// then has written where the ID does not tell, such as to a foreign table.
+	changedRows bool
 	// settingsAtBegin are the session's settings before the transaction. They
 	// are restored unless it commits.
 	settingsAtBegin session.Settings
--- a/request/execute/transaction.go
+++ b/request/execute/transaction.go
@@ -111,6 +111,7 @@
 		a.discardConn()
 		return &targetError{a.target, errors.New("replaced primary refused the write as read-only")}
 	}
+	pinned.changedRows = exchange.changedRows
 	r.pinned = &pinned
 	r.deferredBegin = nil
 	r.status = a.conn.Status()
--- a/request/execute/write.go
+++ b/request/execute/write.go
@@ -161,6 +161,7 @@
 	result, err := a.awaitResult(tagSelect)
 	if err == nil && exchange.errorCode == "" {
 		commit.transactionID, err = a.parseTransactionID(result)
+		commit.idUnknown = commit.idUnknown || (commit.transactionID == 0 && exchange.changedRows)
 	}
 	return exchange, err
 }
