Pass a search path given at start-up on as a list

What callers saw: with search_path=depot,mill among the start-up parameters, names were looked up in no schema but one that is called "depot,mill".

Cause: the value was replayed as one literal. SET takes each literal of a search path as one identifier, so the separator became part of a name. A start-up packet takes the value as a list.

Evidence: TestSearchPathReachesTargetsAsAList failed: the target received the list as one literal.

Change: the value is split as PostgreSQL splits a list of identifiers, and each part is quoted. A list that PostgreSQL refuses is refused at the login.

Measured: the test, those of connection/... and request/execute with -race pass.

--- a/connection/caller/parameters.go
+++ b/connection/caller/parameters.go
@@ -93,7 +93,11 @@
 	if !session.IsReplayable(name) {
 		return &FatalError{Code: sqlstate.FeatureNotSupported, Message: "start-up parameter is not supported: " + name}
 	}
-	c.session.Settings = c.session.Settings.With(name, "TO "+session.QuoteLiteral(value))
+	literal, ok := session.SettingLiteral(name, value)
+	if !ok {
+		return &FatalError{Code: sqlstate.InvalidParameterValue, Message: "invalid value for start-up parameter " + name}
+	}
+	c.session.Settings = c.session.Settings.With(name, "TO "+literal)
 	return nil
 }
 
--- a/connection/session/settings.go
+++ b/connection/session/settings.go
@@ -69,3 +69,56 @@
 	}
 	return "'" + quoted + "'"
 }
+
+// SettingLiteral returns the SQL text of a setting's value as it is given at start-up, and false
+// for one that a target refuses. A search path is a list, whose parts SET takes as literals of
+// their own; other settings take one.
+func SettingLiteral(name, value string) (string, bool) {
+	if name != "search_path" || strings.Trim(value, listSpace) == "" {
+		return QuoteLiteral(value), true
+	}
+	var literals []string
+	for {
+		identifier, rest, ok := cutIdentifier(strings.TrimLeft(value, listSpace))
+		if !ok {
+			return "", false
+		}
+		literals = append(literals, QuoteLiteral(identifier))
+		rest = strings.TrimLeft(rest, listSpace)
+		if rest == "" {
+			return strings.Join(literals, ", "), true
+		}
+		if rest[0] != ',' {
+			return "", false
+		}
+		value = rest[1:]
+	}
+}
+
+// listSpace is the white space around the parts of a list.
+const listSpace = " \t\n\r\f\v"
+
+// cutIdentifier cuts an identifier, in lower case unless quoted, from the front of a list. It
+// returns false if there is none.
+func cutIdentifier(list string) (identifier, rest string, ok bool) {
+	if !strings.HasPrefix(list, `"`) {
+		end := strings.IndexAny(list, ","+listSpace)
+		if end < 0 {
+			end = len(list)
+		}
+		return strings.ToLower(list[:end]), list[end:], end > 0
+	}
+	rest = list[1:]
+	for {
+		part, after, closed := strings.Cut(rest, `"`)
+		identifier += part
+		if !closed {
+			return "", "", false
+		}
+		if !strings.HasPrefix(after, `"`) {
+			return identifier, after, identifier != ""
+		}
+		identifier += `"`
+		rest = after[1:]
+	}
+}
--- a/request/execute/setting_order_test.go
+++ b/request/execute/setting_order_test.go
@@ -14,3 +14,13 @@
 		t.Error("the statement was sent")
 	}
 }
+
+// Guards against a search path given at start-up that reaches targets as the name of one schema.
+func TestSearchPathReachesTargetsAsAList(t *testing.T) {
+	h, targets := newFakeHarness(t, 1)
+	client := h.connectRaw(testKey, "search_path=depot,mill")
+	client.query("SELECT 'x'")
+	if !targets.hasReceived("SET search_path TO 'depot', 'mill'\x00") {
+		t.Error("the target received another search path")
+	}
+}
