Refuse target credentials that contain NUL

What callers can see: a database name with NUL in a service's record, which JSON can hold, ended its field in the start-up message early; what followed was read as further parameters, such as another user.

Cause: the codec writes names as they are.

Evidence: TestCredentialsWithNULAreRefused failed in 3 of 3 cases: the login succeeded.

Change: the connection refuses a database, user or password with NUL before it sends anything.

Measured: connection/upstream passes with -race.

--- a/connection/upstream/login.go
+++ b/connection/upstream/login.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -84,8 +86,14 @@
 	return tls.Client(&pollSocket{Conn: socket}, config.TLS), nil
 }
 
+// errNULInCredentials reports a database, user or password that no start-up message can carry.
+var errNULInCredentials = errors.New("the database, the user or the password contains NUL")
+
 // startSession sends the startup message, authenticates and waits for ReadyForQuery.
 func (c *Conn) startSession() error {
+	if strings.Contains(c.config.Database+c.config.User+c.config.Password, "\x00") {
+		return errNULInCredentials
+	}
 	c.frontend.Send(&pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersion30,
 		Parameters: map[string]string{
