--- a/request/execute/batch_exchange.go
+++ b/request/execute/batch_exchange.go
@@ -1,6 +1,8 @@
 package execute
 
 import (
+	"strings"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"samphirehitch.example/samphirehitch/connection/session"
@@ -54,6 +56,8 @@
 	statusBefore status
 	// commandTag is that of the last CommandComplete.
 	commandTag string
+	// changedRows is set once a command tag has counted changed rows.
+	changedRows bool
 }
 
 // queueBatch queues the caller's messages, for extended ones with the Parse
@@ -143,18 +147,25 @@
 // being sent in the background, the connection is interrupted to end that too.
 func (e *batchExchange) forwardResponse() error {
 	err := e.receiveResponse()
-	if e.flushed == nil {
-		return err
-	}
-	if err != nil {
+	if err != nil && e.flushed != nil {
 		e.pipeline.conn.Interrupt()
 	}
-	if sendErr := <-e.flushed; err == nil {
+	if sendErr := e.awaitFlush(); err == nil {
 		err = sendErr
 	}
 	return err
 }
 
+// awaitFlush waits until a large batch is sent. Nothing may be queued before that.
+func (e *batchExchange) awaitFlush() error {
+	if e.flushed == nil {
+		return nil
+	}
+	err := <-e.flushed
+	e.flushed = nil
+	return err
+}
+
 // receiveResponse forwards messages up to the batch's ReadyForQuery. After an
 // error the connection is not reused.
 func (e *batchExchange) receiveResponse() error {
@@ -267,12 +278,25 @@
 	if !e.commandTagMatches() {
 		return e.unexpectedMessage()
 	}
+	e.changedRows = e.changedRows || countsChangedRows(e.commandTag)
 	if e.pipeline.holdCommandComplete {
 		return e.pipeline.response.hold(message)
 	}
 	return e.pipeline.response.write(message)
 }
 
+// countsChangedRows reports whether a command tag counts rows that a statement has changed.
+// COPY counts those that it has read as well.
+func countsChangedRows(tag string) bool {
+	verb, count, _ := strings.Cut(tag, " ")
+	switch verb {
+	case "INSERT", "UPDATE", "DELETE", "MERGE", "COPY":
+		return count != "0" && count != "0 0"
+	default:
+		return false
+	}
+}
+
 // commandTagMatches reports whether the command tag can belong to the batch. It
 // detects the response to a statement of another kind.
 func (e *batchExchange) commandTagMatches() bool {
