--- a/soak/caller.go
+++ b/soak/caller.go
@@ -179,7 +179,11 @@
 // identify each write by its value.
 func (c *caller) nextValue() string {
 	c.writeCount++
-	return c.appendBytes(fmt.Sprintf("d%d.%d", c.number, c.writeCount))
+	value := fmt.Sprintf("d%d.%d", c.number, c.writeCount)
+	if c.bytes == nil {
+		return value
+	}
+	return c.appendBytes(value + ".") // so that no random byte continues the number
 }
 
 // recordWrite records a write attempt with its outcome: acknowledged, reported as not
