--- a/request/engine/response_state_test.go
+++ b/request/engine/response_state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 
 	"samphirehitch.example/samphirehitch/process/statement"
 )
@@ -76,3 +77,19 @@
 		}
 	}
 }
+
+// A connection whose ROLLBACK was confirmed in an open transaction went to the next caller.
+func TestRollbackConfirmedInAnOpenTransactionClosesItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.respondOnce(statement.Rollback, statement.Response{State: statement.Open}, false)
+		s := h.session(1, "strict")
+		h.mustRun(s, begin, statement.OK)
+		h.mustRun(s, writeA, statement.OK)
+		s.Rollback()
+		synctest.Wait()
+		if open := h.targets.openConnections(); open != 0 {
+			t.Fatalf("%d connections are open", open)
+		}
+	})
+}
