Test that a name with NUL cannot add start-up parameters

Cause: a service's record, which is JSON, can hold a database name with NUL, which would end its field in the start-up message early. Change: a test only. The codec refuses to encode such a name, so the login fails before anything is sent. Measured: the test passes on the code as it was.

--- a/connection/upstream/login_test.go
+++ b/connection/upstream/login_test.go
@@ -37,3 +37,16 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a name that ends its field early, so that what follows is read as further
+// start-up parameters.
+func TestNamesWithNULAreRefused(t *testing.T) {
+	for _, config := range []Config{
+		{Target: "t", Database: "kv\x00user\x00postgres"}, {Target: "t", User: "a\x00"},
+	} {
+		socket := &bytesConn{reader: bytes.NewReader([]byte(loginOK))}
+		if _, err := logIn(t.Context(), config, socket); err == nil {
+			t.Errorf("logged in with %+v", config)
+		}
+	}
+}
