--- a/request/execute/begin_test.go
+++ b/request/execute/begin_test.go
@@ -62,6 +62,7 @@
 	h, targets := newFakeHarness(t, 1)
 	client := h.connectRaw(testKey, "")
 	targets.addScript("BEGIN READ COMMITTED", script{skipped: true, response: wireErrorBusy + wireReadyIdle})
-	client.send(queryMessage("BEGIN READ COMMITTED"))
-	client.expect("error 53300", "ready I")
+	if got := client.query("BEGIN READ COMMITTED"); len(got) != 2 || got[0] != "error 53300" || got[1] != "ready I" {
+		t.Errorf("response %v", got)
+	}
 }
