Test that a response that is cut off is no outcome

Targets send the start of one response in ten, of all kinds, and close the connection; they refuse one statement in four. Callers get no success and no promise for a write that may have run, in one daemon and across links.

--- a/soak/framing_test.go
+++ b/soak/framing_test.go
@@ -132,7 +132,7 @@
 }
 
 // runWithStutter runs callers, in one daemon and in several, at targets that send one response in
-// ten twice, and checks what they saw. Targets refuse every refused-th statement, none for zero.
+// ten in a mode, and checks what they saw. Targets refuse every refused-th statement, none for zero.
 func runWithStutter(t *testing.T, mode platformtest.StutterMode, refused int) {
 	for path, daemons := range paths {
 		t.Run(path, func(t *testing.T) {
@@ -150,7 +150,7 @@
 			for _, violation := range h.violations() {
 				t.Error(violation)
 			}
-			t.Logf("%d responses sent twice; %s", stutter.Count(), h.history.summary(h.groups))
+			t.Logf("%d responses chosen; %s", stutter.Count(), h.history.summary(h.groups))
 		})
 	}
 }
@@ -164,6 +164,9 @@
 	}
 }
 
+// A part of a response is neither a success nor a promise that a write did not run.
+func TestResponseCutOffIsNoOutcome(t *testing.T) { runWithStutter(t, platformtest.CutOff, 4) }
+
 // A write ran, and its caller got the second copy of the refusal of the statement before.
 func TestRefusalSentTwiceIsNoPromiseForNextStatement(t *testing.T) {
 	runWithStutter(t, platformtest.StutterOutstanding, 4)
