--- a/connection/client/connection.go
+++ b/connection/client/connection.go
@@ -37,11 +37,14 @@
 			reset = true
 		}
 	}
+	var name string
+	var isPrepared bool
 	executed := s.Prepared[st.Name]
-	name := executed.targetName()
-	current, isPrepared := c.prepared[name]
-	if st.Kind == statement.Execute && isPrepared && current != executed {
-		reset = true // two statements share a name, which is a hash
+	if st.Kind == statement.Execute {
+		name = executed.targetName()
+		var current PreparedStatement
+		current, isPrepared = c.prepared[name]
+		reset = reset || isPrepared && current != executed // two statements share a name, which is a hash
 	}
 	if reset {
 		steps = append(steps, statement.Statement{Kind: statement.Reset})
