Prepared statements: refuse a shape that cannot be sent to a target as malformed

Callers saw BUSY after six attempts for a PREPARE that the name on the target makes longer than 1 MiB. Evidence: TestShapeThatCannotBeEncodedIsMalformed got busy before. Measured: request/engine passes with -race.

--- a/request/engine/statement.go
+++ b/request/engine/statement.go
@@ -72,6 +72,9 @@
 	}
 	if err := e.syncSessionState(lc, s, st, statement.Idle, timeout); err != nil {
 		e.discard(lc, connectionBroke(err))
+		if failureOf(err) == target.InvalidStatement {
+			return statement.Response{Code: statement.Malformed, Detail: err.Error(), State: statement.Idle}, false
+		}
 		return statement.Response{Code: statement.Busy, Detail: err.Error(), State: statement.Idle}, true
 	}
 	if !e.mayUseTarget(lc) {
--- a/request/engine/untrusted_response_test.go
+++ b/request/engine/untrusted_response_test.go
@@ -166,3 +166,20 @@
 		}
 	}
 }
+
+// A shape that the name on the target makes too long was tried on six connections and refused as BUSY.
+func TestShapeThatCannotBeEncodedIsMalformed(t *testing.T) {
+	h := newHarness(t)
+	h.targets.respond = func(s receivedStatement) (statement.Response, error) {
+		if s.Kind == statement.Prepare {
+			return statement.Response{}, exchangeError(target.InvalidStatement, false)
+		}
+		return statement.Response{}, nil
+	}
+	s := h.session(1, "strict")
+	h.mustRun(s, statement.Statement{Kind: statement.Prepare, Name: "p", Argument: "shape", Writes: true}, statement.OK)
+	h.mustRun(s, statement.Statement{Kind: statement.Execute, ID: "1", Text: "EXECUTE p a", Name: "p", Argument: "a"}, statement.Malformed)
+	if prepared := h.targets.received(statement.Prepare); len(prepared) != 1 {
+		t.Fatalf("prepared %d times", len(prepared))
+	}
+}
