Dismiss a caller only after a moment at rest

Callers saw: BUSY "the instance is shutting down" for a statement that they had sent right after the response to the one before, such as EXECUTE after PREPARE, outside of a transaction.

Cause: a session that is to be closed was dismissed in the moment in which it was idle, also right after a response. The refusal that dismisses its caller follows the response at once, and the caller has already sent the next statement.

TestStatementThatFollowsAtOnceIsRunBeforeTheDismissal fails before: the session ends instead of running the statement.

Now a session is closed once it has been idle for 10 ms, at most 1 s after it was marked for it if its caller never rests (TestCallerThatNeverRestsIsDismissed), and at once when its next statement would be refused anyhow.

TestPlannedStopsLeaveNoStatementUnanswered and TestPlannedStopsCostCallersNothing pass (1 run); go test -race of edge passes (1 run).

--- a/edge/caller_conn.go
+++ b/edge/caller_conn.go
@@ -66,6 +66,8 @@
 	// closing marks the connection for closing as soon as it is idle, and ended for closing
 	// at once: no statement is run on it any more.
 	closing, ended bool
+	// closingSince is when closing was set first.
+	closingSince time.Time
 	// running is the statement that was read and has no response yet, nil between
 	// statements.
 	running *runningStatement
@@ -89,7 +91,9 @@
 func (c *callerConn) closeWhenIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing = true
+	if !c.closing {
+		c.closing, c.closingSince = true, time.Now()
+	}
 	if c.waiting && c.idle {
 		c.interruptWait()
 	}
@@ -119,18 +123,36 @@
 	_ = c.codec.SetReadDeadline(time.Now()) // fails only if the connection is closed already
 }
 
+const (
+	// lingerTime is how long a connection that is to be closed must have been idle: a caller that
+	// sends one statement right after the other has sent the next one by then.
+	lingerTime = 10 * time.Millisecond
+	// maxLingerTime bounds how long a caller that never rests puts off the close.
+	maxLingerTime = time.Second
+)
+
+// closableFrom returns from when on a connection may be closed that is not in use until lingerEnd,
+// zero if it is not to be closed. The caller holds c.mu.
+func (c *callerConn) closableFrom(lingerEnd time.Time) time.Time {
+	if !c.idle || !c.closing {
+		return time.Time{}
+	}
+	return earliest(lingerEnd, c.closingSince.Add(maxLingerTime))
+}
+
 // awaitStatement prepares the read of the next statement, until a deadline if that is not
 // zero. It reports whether the connection is to be closed instead. The deadline is
 // determined under the lock, so that a later wake interrupts the read.
-func (c *callerConn) awaitStatement(idle bool, deadline func() time.Time) (toClose bool, err error) {
+func (c *callerConn) awaitStatement(idle bool, lingerEnd time.Time, deadline func() time.Time) (toClose bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = idle && !c.codec.Pending()
-	if c.ended || c.idle && c.closing {
+	closable := c.closableFrom(lingerEnd)
+	if c.ended || reached(closable, time.Now()) {
 		return true, nil
 	}
 	c.waiting = true
-	end := deadline()
+	end := earliest(deadline(), closable)
 	if end.IsZero() && !c.hasDeadline {
 		return false, nil
 	}
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -144,11 +144,12 @@
 // admitted by a shutdown.
 func (d *Daemon) nextStatement(conn *callerConn, session callerSession) (*statement.Statement, error) {
 	var idleEnd time.Time
+	lingerEnd := earliest(time.Now().Add(lingerTime), d.admissionEnd(session))
 	if limit := d.transactionIdleTimeout(); limit > 0 && session.HoldsConnection() {
 		idleEnd = time.Now().Add(limit)
 	}
 	for {
-		toClose, err := conn.awaitStatement(session.State() == statement.Idle, func() time.Time {
+		toClose, err := conn.awaitStatement(session.State() == statement.Idle, lingerEnd, func() time.Time {
 			return earliest(idleEnd, d.transactionEnd(session))
 		})
 		if err != nil {
--- a/edge/shutdown.go
+++ b/edge/shutdown.go
@@ -85,8 +85,16 @@
 	if session.KeyWithdrawn() {
 		return time.Unix(0, 0)
 	}
+	if session.State() != statement.Open {
+		return time.Time{}
+	}
+	return d.admissionEnd(session)
+}
+
+// admissionEnd returns when a shutdown ceases to admit statements of a session, zero without one.
+func (d *Daemon) admissionEnd(session callerSession) time.Time {
 	plan := d.shutdown.Load()
-	if plan == nil || session.State() != statement.Open {
+	if plan == nil {
 		return time.Time{}
 	}
 	return plan.lastStart(session.StatementTimeout())
