--- a/e2e/drivers_test.go
+++ b/e2e/drivers_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5"
@@ -125,7 +126,9 @@
 
 func (s *pgxSession) copyIn(keys []string, rest func()) error {
 	reader, writer := io.Pipe()
-	go func() {
+	var rows sync.WaitGroup
+	defer rows.Wait() // rest must not be called once copyIn has returned
+	rows.Go(func() {
 		for i, key := range keys {
 			if i == len(keys)-1 {
 				rest()
@@ -133,7 +136,7 @@
 			_, _ = fmt.Fprintf(writer, "%s\t%s\n", key, key) // fails once the COPY has ended
 		}
 		_ = writer.Close() // never fails
-	}()
+	})
 	_, err := s.conn.PgConn().CopyFrom(context.Background(), reader, copySQL)
 	_ = reader.Close() // never fails
 	return err
